--- a/bench/engines.py
+++ b/bench/engines.py
@@ -13,8 +13,8 @@
 import random
 
 from cicadaplank.agent import caches
+from cicadaplank.external import engines as platform_engines
 from cicadaplank.messages import types
-from cicadaplank.platform import engines as platform_engines
 from cicadaplank.requests import admission, routing
 from cicadaplank.world import contracts, machines
 
--- a/cicadaplank/agent/caches.py
+++ b/cicadaplank/agent/caches.py
@@ -102,7 +102,7 @@
     def events_read(self, events, now_s):
         """Take the events that were read.
 
-        :param events: tuple of :class:`cicadaplank.platform.engines.CacheEvent`.
+        :param events: tuple of :class:`cicadaplank.external.engines.CacheEvent`.
         :param now_s: current time in seconds.
         :returns: False when the engine may have restarted.
         """
--- a/cicadaplank/agent/process.py
+++ b/cicadaplank/agent/process.py
@@ -2,9 +2,9 @@
 
 from cicadaplank.agent import caches, weights, work
 from cicadaplank.daemons import base
+from cicadaplank.external import engines, errors, objects, origins, services
 from cicadaplank.members import draining
 from cicadaplank.messages import types
-from cicadaplank.platform import engines, errors, objects, origins, services
 from cicadaplank.table import leases, records
 
 # A load that has not changed is reported this seldom, which also shows entry
--- a/cicadaplank/agent/weights.py
+++ b/cicadaplank/agent/weights.py
@@ -5,7 +5,7 @@
 
 from twisted.internet import defer
 
-from cicadaplank.platform import engines, errors
+from cicadaplank.external import engines, errors
 from cicadaplank.weights import activation, chunks, transfers
 
 MANIFEST_PREFIX = "manifests/"
@@ -23,9 +23,9 @@
     """Task that owns the chunk store of one agent and the commands to its engine.
 
     :param daemon: :class:`cicadaplank.agent.process.AgentDaemon`.
-    :param engine: :class:`cicadaplank.platform.engines.Engines`.
-    :param objects: :class:`cicadaplank.platform.objects.Objects`.
-    :param origin: :class:`cicadaplank.platform.origins.Origins`.
+    :param engine: :class:`cicadaplank.external.engines.Engines`.
+    :param objects: :class:`cicadaplank.external.objects.Objects`.
+    :param origin: :class:`cicadaplank.external.origins.Origins`.
     """
 
     def __init__(self, daemon, engine, objects, origin):
--- a/cicadaplank/agent/work.py
+++ b/cicadaplank/agent/work.py
@@ -5,8 +5,8 @@
 from twisted.internet import defer
 
 from cicadaplank.agent import executions
+from cicadaplank.external import engines, errors, services
 from cicadaplank.messages import types
-from cicadaplank.platform import engines, errors, services
 from cicadaplank.requests import routing
 
 # Wait for an answer to the question whether the engine is still there.
@@ -179,7 +179,7 @@
     def token_received(self, event):
         """Take one token of a stream.
 
-        :param event: :class:`cicadaplank.platform.engines.StreamEvent`.
+        :param event: :class:`cicadaplank.external.engines.StreamEvent`.
         """
         taken = self.executions.engine_token(
             event.attempt, event.attempt, event.offset, event.data, self._daemon.now_s
@@ -196,7 +196,7 @@
     """Runs work on an engine.
 
     :param daemon: :class:`cicadaplank.agent.process.AgentDaemon`.
-    :param client: :class:`cicadaplank.platform.engines.Engines`.
+    :param client: :class:`cicadaplank.external.engines.Engines`.
     :param weights: :class:`cicadaplank.agent.weights.Weights`.
     :param cached: :class:`cicadaplank.agent.caches.Caches`.
     """
@@ -284,7 +284,7 @@
     """Runs work on a plain service.
 
     :param daemon: :class:`cicadaplank.agent.process.AgentDaemon`.
-    :param client: :class:`cicadaplank.platform.services.Services`.
+    :param client: :class:`cicadaplank.external.services.Services`.
     """
 
     def __init__(self, daemon, client):
--- a/cicadaplank/cli/burn.py
+++ b/cicadaplank/cli/burn.py
@@ -5,8 +5,8 @@
 from twisted.internet import reactor
 
 from cicadaplank.cli import fleet, loop, processes, results
+from cicadaplank.external import http
 from cicadaplank.messages import types
-from cicadaplank.platform import http
 from cicadaplank.reports import burn, plots, scrapes
 
 PLOT_WINDOW_S = 3_600.0
--- a/cicadaplank/cli/fleet.py
+++ b/cicadaplank/cli/fleet.py
@@ -5,9 +5,9 @@
 
 from twisted.internet import defer, reactor, task
 
+from cicadaplank.external import http, instances
 from cicadaplank.links import streams
 from cicadaplank.messages import types
-from cicadaplank.platform import http, instances
 
 ANSWER_TIMEOUT_S = 2.0
 # Connections that one command opens at the same time.
--- a/cicadaplank/cli/loop.py
+++ b/cicadaplank/cli/loop.py
@@ -4,7 +4,7 @@
 from twisted.python import failure
 
 from cicadaplank.cli import results
-from cicadaplank.platform import errors
+from cicadaplank.external import errors
 
 
 def run(coroutine):
--- a/cicadaplank/cli/tables.py
+++ b/cicadaplank/cli/tables.py
@@ -9,8 +9,8 @@
 
 from cicadaplank.cli import fleet, loop, processes, results
 from cicadaplank.daemons import tablecalls
+from cicadaplank.external import http, tables
 from cicadaplank.messages import actions, types
-from cicadaplank.platform import http, tables
 from cicadaplank.table import acceptance, plan, records, status
 from cicadaplank.world import contracts
 
--- a/cicadaplank/cli/weights.py
+++ b/cicadaplank/cli/weights.py
@@ -5,8 +5,8 @@
 from twisted.internet import defer, reactor
 
 from cicadaplank.cli import fleet, loop, processes, results
+from cicadaplank.external import http, objects, origins
 from cicadaplank.messages import types
-from cicadaplank.platform import http, objects, origins
 from cicadaplank.weights import manifests
 
 UPLOADS_AT_ONCE = 4
--- a/cicadaplank/daemons/base.py
+++ b/cicadaplank/daemons/base.py
@@ -12,10 +12,10 @@
 from twisted.web import server
 
 from cicadaplank.daemons import tablecalls
+from cicadaplank.external import errors, http, instances, tables
 from cicadaplank.links import streams
 from cicadaplank.members import draining, membership
 from cicadaplank.messages import actions, types
-from cicadaplank.platform import errors, http, instances, tables
 from cicadaplank.reports import events, metrics
 from cicadaplank.table import distribution, records
 
--- a/cicadaplank/daemons/tablecalls.py
+++ b/cicadaplank/daemons/tablecalls.py
@@ -2,14 +2,14 @@
 
 from twisted.internet import defer
 
-from cicadaplank.platform import errors, tables
+from cicadaplank.external import errors, tables
 from cicadaplank.table import records
 
 
 def perform(client, action):
     """Carry out one request.
 
-    :param client: :class:`cicadaplank.platform.tables.Tables`.
+    :param client: :class:`cicadaplank.external.tables.Tables`.
     :param action: :class:`records.ReadKeys` or :class:`records.Transact`.
     :returns: Deferred with a result class of :mod:`cicadaplank.table.records`; it never
         fails with a platform error.
--- a/cicadaplank/entry/claimcalls.py
+++ b/cicadaplank/entry/claimcalls.py
@@ -2,14 +2,14 @@
 
 from twisted.internet import defer
 
-from cicadaplank.platform import errors, tables
+from cicadaplank.external import errors, tables
 from cicadaplank.requests import claims
 
 
 def perform(client, action, decisions, clock):
     """Carry out one request and pass its result on.
 
-    :param client: :class:`cicadaplank.platform.tables.Tables`.
+    :param client: :class:`cicadaplank.external.tables.Tables`.
     :param action: :class:`claims.Transact` or :class:`claims.Read`.
     :param decisions: :class:`cicadaplank.requests.dispatcher.Dispatcher`.
     :param clock: callable that gives the current time in seconds.
--- /dev/null
+++ b/cicadaplank/external/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces and clients of the platform's services."""
--- a/cicadaplank/platform/engines.py
+++ b/cicadaplank/external/engines.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer, protocol
 from twisted.web import client as web_client
 
-from cicadaplank.platform import errors, http, services
+from cicadaplank.external import errors, http, services
 
 ATTEMPT_HEADER = services.ATTEMPT_HEADER
 OFFSET_HEADER = "X-Cicadaplank-Offset"
@@ -231,7 +231,7 @@
     def load_report(self):
         """Read the load.
 
-        :returns: Deferred with :class:`cicadaplank.platform.services.LoadReport`.
+        :returns: Deferred with :class:`cicadaplank.external.services.LoadReport`.
         """
 
     def cache_events(self, after, limit=MAX_CACHE_EVENTS):
@@ -255,7 +255,7 @@
 class EnginesClient:
     """:class:`Engines` over HTTP.
 
-    :param client: :class:`cicadaplank.platform.http.Client`.
+    :param client: :class:`cicadaplank.external.http.Client`.
     :param command_key: key that the engine expects with commands, or empty.
     """
 
--- a/cicadaplank/platform/http.py
+++ b/cicadaplank/external/http.py
@@ -8,7 +8,7 @@
 from twisted.web import client as web_client
 from twisted.web import http_headers
 
-from cicadaplank.platform import errors
+from cicadaplank.external import errors
 
 SENDER_HEADER = "X-Cicadaplank-Sender"
 TIMEOUT_S = 5.0
--- a/cicadaplank/platform/instances.py
+++ b/cicadaplank/external/instances.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from cicadaplank.platform import errors, http
+from cicadaplank.external import errors, http
 from cicadaplank.world import machines
 
 STATES = ("live", "leaving")
@@ -36,7 +36,7 @@
 class InstancesClient:
     """:class:`Instances` over HTTP.
 
-    :param client: :class:`cicadaplank.platform.http.Client`.
+    :param client: :class:`cicadaplank.external.http.Client`.
     """
 
     def __init__(self, client):
--- a/cicadaplank/platform/objects.py
+++ b/cicadaplank/external/objects.py
@@ -5,7 +5,7 @@
 
 from twisted.internet import defer
 
-from cicadaplank.platform import errors, http
+from cicadaplank.external import errors, http
 
 
 class Objects(typing.Protocol):
@@ -39,7 +39,7 @@
 class ObjectsClient:
     """:class:`Objects` over HTTP.
 
-    :param client: :class:`cicadaplank.platform.http.Client`.
+    :param client: :class:`cicadaplank.external.http.Client`.
     """
 
     def __init__(self, client):
--- a/cicadaplank/platform/origins.py
+++ b/cicadaplank/external/origins.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import defer
 
-from cicadaplank.platform import http
+from cicadaplank.external import http
 
 CHUNK_TIMEOUT_S = 30.0
 
@@ -34,7 +34,7 @@
 class OriginsClient:
     """:class:`Origins` over HTTP.
 
-    :param client: :class:`cicadaplank.platform.http.Client`.
+    :param client: :class:`cicadaplank.external.http.Client`.
     :param chunk_timeout_s: time for one chunk.
     """
 
--- a/cicadaplank/platform/services.py
+++ b/cicadaplank/external/services.py
@@ -5,7 +5,7 @@
 
 from twisted.internet import defer
 
-from cicadaplank.platform import errors, http
+from cicadaplank.external import errors, http
 
 ATTEMPT_HEADER = "X-Cicadaplank-Attempt"
 ONCE_HEADER = "Idempotency-Key"
@@ -85,7 +85,7 @@
 class ServicesClient:
     """:class:`Services` over HTTP.
 
-    :param client: :class:`cicadaplank.platform.http.Client`.
+    :param client: :class:`cicadaplank.external.http.Client`.
     """
 
     def __init__(self, client):
@@ -115,7 +115,7 @@
 async def read_load(client):
     """Read a load report.
 
-    :param client: :class:`cicadaplank.platform.http.Client`.
+    :param client: :class:`cicadaplank.external.http.Client`.
     :returns: :class:`LoadReport`.
     :raises Unavailable: when there is none.
     """
--- a/cicadaplank/platform/tables.py
+++ b/cicadaplank/external/tables.py
@@ -6,7 +6,7 @@
 
 from twisted.internet import defer
 
-from cicadaplank.platform import errors, http
+from cicadaplank.external import errors, http
 
 MAX_PREFIX_RECORDS = 1_000
 
@@ -104,7 +104,7 @@
 class TablesClient:
     """:class:`Tables` over HTTP.
 
-    :param client: :class:`cicadaplank.platform.http.Client`.
+    :param client: :class:`cicadaplank.external.http.Client`.
     """
 
     def __init__(self, client):
--- /dev/null
+++ b/cicadaplank/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Direct forwarding of calls from an entry instance to endpoints."""
--- /dev/null
+++ b/cicadaplank/gateway/process.py
@@ -0,0 +1,367 @@
+"""The entry process of a deployment whose endpoints are called directly."""
+
+import dataclasses
+import random
+import signal
+import typing
+
+from twisted.internet import defer
+from twisted.logger import LogLevel, globalLogPublisher
+
+from cicadaplank.gateway import clients, gateway, peers, reporting, status, sync
+from cicadaplank.links import streams
+from cicadaplank.messages import types
+from cicadaplank.reports import events, metrics
+from cicadaplank.world import machines
+
+# New connections may come for this time after a stop was announced: a balancer asks
+# every second and needs two misses.
+ACCEPT_S = 3.0
+# The process ends this long before the platform kills it.
+EXIT_MARGIN_S = 0.4
+# Other entry instances are looked up in the store this often.
+MEMBERS_S = 10.0
+# Settings may change without a signal; the file is read again this often.
+SETTINGS_S = 5.0
+# Requests may come again before the process exits.
+LAST_LOOK_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """TCP address.
+
+    :param host: IP address.
+    :param port: port.
+    """
+
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """What an entry process needs to know.
+
+    :param name: name of the instance, for logs.
+    :param region: region name.
+    :param data_centre: data centre name.
+    :param front: :class:`Address` for clients.
+    :param ready: :class:`Address` that the balancer asks.
+    :param ready_path: path that the balancer asks for.
+    :param peer: :class:`Address` for other processes of the system.
+    :param metrics: :class:`Address` of the metrics page.
+    :param seeds: tuple of IP addresses of other entry instances.
+    :param bounds: :class:`cicadaplank.gateway.gateway.Bounds`.
+    :param grace_s: time from the stop signal until the process is killed.
+    """
+
+    name: str
+    region: str
+    data_centre: str
+    front: Address
+    ready: Address
+    ready_path: str
+    peer: Address
+    metrics: Address
+    seeds: tuple
+    bounds: gateway.Bounds
+    grace_s: float
+
+
+class Records(typing.Protocol):
+    """Names of the store's tables, and the meaning of their records."""
+
+    operator_table: str
+    endpoint_table: str
+
+    def configuration(self, copy):
+        """Return the newest configuration in a copy of the operator's table, or None.
+
+        :raises ValueError: when it cannot be read.
+        """
+
+    def named_weights(self, copy):
+        """Return a dict from model name to the newest version that was named."""
+
+    def endpoints(self, copy, configuration):
+        """Return a dict from name to endpoint, and the number of unreadable records."""
+
+
+class Members(typing.Protocol):
+    """Entry instances that are registered in the store; the methods are coroutines."""
+
+    def register(self, instance):
+        """Write an entry for an instance."""
+
+    def instances(self):
+        """Return a list of instances."""
+
+
+class EntryProcess:
+    """Wires the gateway to its clients, peers and the store.
+
+    :param reactor: Twisted reactor with a steady clock.
+    :param settings: :class:`Settings`.
+    :param store: :class:`cicadaplank.gateway.sync.Store`.
+    :param meaning: :class:`Records`.
+    :param members: :class:`Members`.
+    :param dialect: :class:`cicadaplank.gateway.dialects.Dialect`.
+    :param reload: callable that reads the settings again, or raises ``ValueError``.
+    """
+
+    def __init__(self, reactor, settings, store, meaning, members, dialect, reload):
+        self.reactor = reactor
+        self.settings = settings
+        self.events = events.Events(settings.name)
+        self.metrics = metrics.Metrics(
+            settings.name, "entry", settings.region, settings.data_centre
+        )
+        self._members = members
+        self._meaning = meaning
+        self._reload = reload
+        self._is_first_list = True
+        self._stopping_s = None
+        self._ports = []
+        reporter = reporting.Reporter(self.events, self.metrics, reactor.seconds)
+        self._reporter = reporter
+        self.gateway = gateway.Gateway(
+            reactor,
+            dialect,
+            settings.data_centre,
+            settings.bounds,
+            random.Random(),
+            reporter,
+        )
+        self.listener = clients.Listener(reactor, self.gateway, self._rejected)
+        self.operator = sync.TableSync(
+            reactor, store, meaning.operator_table, self._operator_changed, self._log
+        )
+        self.listed = sync.TableSync(
+            reactor, store, meaning.endpoint_table, self._endpoints_changed, self._log
+        )
+        self.instance = machines.Instance(
+            settings.peer.host,
+            "entry",
+            settings.peer.host,
+            settings.peer.port,
+            settings.region,
+            settings.data_centre,
+        )
+        hello = types.Hello("entry", settings.region, settings.data_centre, 0)
+        self.hub = streams.PeerHub(
+            reactor,
+            streams.Identity(self.instance.name, hello),
+            self,
+            lambda: 0,
+            self._log,
+        )
+        self.peers = peers.Peers(
+            reactor,
+            self.instance,
+            self.hub,
+            {each.table: each for each in (self.operator, self.listed)},
+            self.gateway.loads,
+        )
+        for host in settings.seeds:
+            self.peers.seed(host, settings.peer.port, "entry")
+        self.gateway.is_current = self.is_current
+        self.gateway.broadcast = self.peers.broadcast
+
+    def _log(self, event, **fields):
+        self._reporter.event(event, **fields)
+
+    # Start and stop.
+
+    def start(self):
+        """Open the ports and follow the store."""
+        settings = self.settings
+        pages = {
+            settings.ready_path: self._ready_page,
+            "/metrics": self._metrics_page,
+        }
+        self._listen(settings.front, self.listener)
+        self._listen(settings.ready, status.Pages(self.reactor, pages))
+        self._listen(settings.metrics, status.Pages(self.reactor, pages))
+        self.hub.listen(settings.peer.host, settings.peer.port)
+        self.operator.start()
+        self.listed.start()
+        self._tick()
+        self._read_members()
+        self._watch_settings()
+        signal.signal(signal.SIGTERM, self._signalled(self.stop))
+        signal.signal(signal.SIGINT, self._signalled(self.stop))
+        signal.signal(signal.SIGHUP, self._signalled(self.reload))
+        globalLogPublisher.addObserver(self._observe)
+        self.events.log("started", front=f"{settings.front.host}:{settings.front.port}")
+
+    def _listen(self, address, factory):
+        port = self.reactor.listenTCP(address.port, factory, 1024, address.host)
+        self._ports.append(port)
+
+    def _signalled(self, function):
+        return lambda number, frame: self.reactor.callFromThread(function)
+
+    def _observe(self, event):
+        """Report errors that Twisted caught."""
+        failure = event.get("log_failure")
+        if failure is not None and event["log_level"] is LogLevel.critical:
+            self._reporter.count("unexpected_errors")
+            text = failure.getTraceback().strip().replace("\n", " | ")
+            self._reporter.event("unexpected_error", "error", detail=text[-480:])
+
+    def reload(self):
+        """Read the settings again; faulty ones change nothing."""
+        try:
+            settings = self._reload()
+        except ValueError as fault:
+            self.events.log("settings_rejected", "error", reason=str(fault))
+            return
+        if settings == self.settings:
+            return
+        self.settings = settings
+        self.gateway.set_bounds(settings.bounds)
+        for host in settings.seeds:
+            self.peers.seed(host, settings.peer.port, "entry")
+        self.events.log("settings_reloaded")
+
+    def _watch_settings(self):
+        self.reactor.callLater(SETTINGS_S, self._watch_settings)
+        self.reload()
+
+    def stop(self):
+        """Begin a planned stop: not ready at once, calls in progress go on."""
+        if self._stopping_s is not None:
+            return
+        self._stopping_s = self.reactor.seconds()
+        self.listener.is_stopping = True
+        self.events.log("stopping", calls=self.gateway.open_calls)
+        self.reactor.callLater(ACCEPT_S, self._finish)
+
+    def _finish(self):
+        """Close idle connections, and exit when no call is in progress."""
+        self.listener.close_idle()
+        left_s = self._stopping_s + self.settings.grace_s - self.reactor.seconds()
+        if left_s <= EXIT_MARGIN_S:
+            self.events.log("calls_aborted", calls=self.gateway.open_calls)
+            self.gateway.abort_all("this process stops")
+        elif self.gateway.open_calls or self.listener.open_count:
+            self.reactor.callLater(LAST_LOOK_S, self._finish)
+            return
+        self.events.log("stopped")
+        self.reactor.callLater(LAST_LOOK_S, self.reactor.stop)
+
+    # Pages.
+
+    @property
+    def is_ready(self):
+        """Whether clients are served."""
+        known = self.gateway.index is not None and self.listed.copy.version >= 0
+        return known and self._stopping_s is None
+
+    def _ready_page(self):
+        code = 200 if self.is_ready else 503
+        return code, "text/plain", b"ready\n" if self.is_ready else b"not ready\n"
+
+    def _metrics_page(self):
+        now_s = self.reactor.seconds()
+        metric = self.metrics
+        metric.set_gauge("calls_in_progress", self.gateway.open_calls)
+        metric.set_gauge("client_connections", self.listener.open_count)
+        metric.set_gauge("peers", self.peers.live)
+        metric.set_gauge("store_age_seconds", self.peers.store_age_s(now_s))
+        metric.set_gauge("configuration_version", self.gateway.configuration_version)
+        self.gateway.update_metrics(metric)
+        body, _ = metric.render()
+        return 200, "text/plain; version=0.0.4", body
+
+    def _rejected(self, code, message):
+        self._reporter.count("requests", outcome="rejected", status=code)
+        self._reporter.event("request_rejected", status=code, reason=message)
+
+    # What the store and peers say.
+
+    def is_current(self):
+        """Tell whether the configuration is known to be the newest."""
+        return self.peers.store_age_s(self.reactor.seconds()) < sync.CURRENT_S
+
+    def _operator_changed(self, changed):
+        copy = self.operator.copy
+        try:
+            configuration = self._meaning.configuration(copy)
+        except ValueError as fault:
+            self.events.log("configuration_rejected", "error", reason=str(fault))
+            configuration = None
+        if configuration is not None:
+            self._use(configuration)
+        now_s = self.reactor.seconds()
+        is_new = not self._is_first_list
+        self._is_first_list = False
+        for model, version in self._meaning.named_weights(copy).items():
+            self.gateway.requirement.named(model, version, now_s, is_new)
+            if is_new:
+                self._log("weights_named", model=model, version=version)
+
+    def _use(self, configuration):
+        if configuration.version <= self.gateway.configuration_version:
+            return
+        self.gateway.configuration_changed(configuration)
+        self.events.log(
+            "configuration_in_force",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            store_age_s=self.peers.store_age_s(self.reactor.seconds()),
+        )
+        self._endpoints_changed(set())
+
+    def _endpoints_changed(self, changed):
+        if self.gateway.index is None:
+            return
+        listed, unreadable = self._meaning.endpoints(
+            self.listed.copy, self.gateway.index.configuration
+        )
+        if unreadable:
+            self._log("unreadable_records", table=self.listed.table, count=unreadable)
+        now_s = self.reactor.seconds()
+        lapsed = self.listed.availability.may_have_lapsed(now_s)
+        self.gateway.endpoints_changed(listed, lapsed)
+        if lapsed and set(self.gateway.endpoints.names()) - set(listed):
+            self.reactor.callLater(sync.RETURN_S, self._endpoints_changed, set())
+
+    def _read_members(self):
+        reading = self._register_and_read()
+        reading.addErrback(lambda f: self._log("members_unknown", reason=str(f.value)))
+        self.reactor.callLater(MEMBERS_S, self._read_members)
+
+    def _register_and_read(self):
+        async def run():
+            found = await self._members.instances()
+            if self.instance not in found:
+                await self._members.register(self.instance)
+            self.peers.known(found)
+
+        return defer.ensureDeferred(run())
+
+    # Peers.
+
+    def message_received(self, connection, envelope):
+        """Take a message of a peer."""
+        message = envelope.message
+        if self.peers.message(connection.peer, message):
+            if isinstance(message, types.GatewayReport):
+                self.gateway.peer_loads(connection.peer, message.loads)
+        elif isinstance(message, types.SuspectReport):
+            reported = self.gateway.suspects.reported(
+                connection.peer, message, self.gateway.unix_s()
+            )
+            for action in reported:
+                self.peers.broadcast(action.message, action.exclude)
+
+    def connection_lost(self, connection):
+        """Take the end of a peer's connection."""
+
+    def _tick(self):
+        self.reactor.callLater(gateway.TICK_S, self._tick)
+        self.gateway.tick()
+        self.peers.tick()
+        self.gateway.members_changed(1 + self.peers.live)
--- /dev/null
+++ b/cicadaplank/gateway/reporting.py
@@ -0,0 +1,108 @@
+"""Log lines and metrics of the gateway.
+
+Every decision that touches a request leaves a line with its inputs. The number of lines
+a second is bounded; under load the lines of answered calls are dropped first.
+"""
+
+import time
+
+from cicadaplank.requests import verdicts
+from cicadaplank.world import links
+
+# Lines a second for calls that were answered, and for all others.
+ANSWERED_LINES_PER_S = 40.0
+OTHER_LINES_PER_S = 60.0
+# Lines that may come at once.
+BURST_LINES = 100
+# Upper bounds of the latency histograms in seconds.
+LATENCY_BOUNDS_S = (0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+
+
+class Reporter:
+    """Writes log lines and counts.
+
+    :param log: :class:`cicadaplank.reports.events.Events`.
+    :param metrics: :class:`cicadaplank.reports.metrics.Metrics`.
+    :param clock_s: callable that gives the steady time in seconds.
+    """
+
+    def __init__(self, log, metrics, clock_s):
+        self.metrics = metrics
+        self._log = log
+        self._clock_s = clock_s
+        now_s = clock_s()
+        self._answered = links.TokenBucket(ANSWERED_LINES_PER_S, BURST_LINES, now_s)
+        self._others = links.TokenBucket(OTHER_LINES_PER_S, BURST_LINES, now_s)
+
+    def unix_s(self):
+        """Return the time of day in Unix seconds."""
+        return time.time()
+
+    def count(self, name, amount=1, **labels):
+        """Add to a counter."""
+        self.metrics.count(name, amount, **labels)
+
+    def event(self, event, level="info", bucket=None, **fields):
+        """Write a line unless too many were written."""
+        bucket = bucket or self._others
+        if not bucket.take(1, self._clock_s()):
+            self.count("log_lines_dropped", event=event)
+            return
+        self._log.log(event, level, **fields)
+
+    def turned_away(self, request, status, reason, version):
+        """Report a request that was answered without looking for an endpoint."""
+        self.count("requests", outcome="turned_away", status=status)
+        self.event(
+            "request_turned_away",
+            request=request.head.attempt.decode("latin-1"),
+            status=status,
+            reason=reason,
+            host=request.head.host,
+            path=request.head.path,
+            configuration=version,
+            verdict=verdicts.Verdict.NOT_RUN.value,
+        )
+
+    def first_event(self, call, latency_s):
+        """Report the first event of a stream."""
+        account = call.account.name if call.account else ""
+        self.metrics.add_first_token(account, "", latency_s)
+
+    def attempt_failed(self, call, state, ending, reason, now_s):
+        """Report an attempt that gave no answer for the client."""
+        self.count("attempts_failed", ending=ending.value)
+        self.event(
+            "attempt_failed",
+            request=call.name,
+            endpoint=state.endpoint.name,
+            ending=ending.value,
+            reason=reason,
+            attempt=call.history.sends,
+            endpoint_calls=state.in_flight,
+            peer_calls=state.peer_calls(now_s),
+            failures_in_a_row=state.failures_in_a_row,
+        )
+
+    def ended(self, call, outcome, verdict, version):
+        """Report the end of a call."""
+        elapsed_s = self._clock_s() - call.request.arrived_s
+        self.count("requests", outcome=outcome, service=call.service)
+        if outcome == "answered":
+            self.metrics.observe(
+                "answer_seconds", elapsed_s, LATENCY_BOUNDS_S, service=call.service
+            )
+        self.event(
+            "call_ended",
+            bucket=self._answered if outcome == "answered" else None,
+            request=call.name,
+            route=call.route.name,
+            outcome=outcome,
+            verdict=verdict.value,
+            reason=call.reason,
+            attempts=call.history.sends,
+            failed_dials=call.history.dials,
+            endpoint=call.endpoint_name,
+            elapsed_s=elapsed_s,
+            configuration=version,
+        )
--- /dev/null
+++ b/cicadaplank/gateway/sync.py
@@ -0,0 +1,178 @@
+"""Keeps copies of the store's tables current, from the store or from peers."""
+
+import dataclasses
+import typing
+
+from twisted.internet import defer
+
+from cicadaplank.gateway import records
+
+# A call for changes returns after this time when there are none. A connection that has
+# gone silent is noticed this late; longer waits cost fewer calls.
+WAIT_S = 2.0
+# Delay after a failed call. It grows to the maximum while the store is away.
+BACK_OFF_S = 0.1
+MAX_BACK_OFF_S = 0.5
+# The copy is called current while the store or an up-to-date peer was heard within this
+# time.
+CURRENT_S = 3.0
+# Time without an answer after which the store counts as having been away.
+AWAY_S = 3.5
+# Records of endpoints lapse while the store is away and are back this long after it.
+RETURN_S = 2.5
+
+
+class HistoryLostError(Exception):
+    """The store has no history back to the version that was asked for."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """Records of a table.
+
+    :param records: tuple of :class:`records.Record`.
+    :param version: version of the store up to which they are complete.
+    """
+
+    records: tuple
+    version: int
+
+
+class Store(typing.Protocol):
+    """Reads tables. The coroutines raise ``errors.PlatformError``."""
+
+    def snapshot(self, table):
+        """Return :class:`Changes` with every record."""
+
+    def changes(self, table, after, wait_s):
+        """Return :class:`Changes` after a version.
+
+        :raises HistoryLostError: when a snapshot is needed.
+        """
+
+
+class Availability:
+    """When the store was heard, and how long it was away.
+
+    :param now_s: current time in seconds.
+    """
+
+    def __init__(self, now_s):
+        self.heard_s = None
+        self._started_s = now_s
+        self._returned_s = float("-inf")
+        self._failed = False
+
+    def answered(self, now_s):
+        """Take an answer of the store.
+
+        :returns: True when it had been away.
+        """
+        since_s = self._started_s if self.heard_s is None else self.heard_s
+        was_away = self._failed or now_s - since_s > AWAY_S
+        if was_away and self.heard_s is not None:
+            self._returned_s = now_s
+        self.heard_s = now_s
+        self._failed = False
+        return was_away
+
+    def failed(self):
+        """Take a failed call.
+
+        :returns: True when the call before it was answered.
+        """
+        is_new = not self._failed
+        self._failed = True
+        return is_new
+
+    def may_have_lapsed(self, now_s):
+        """Tell whether records that are missing may be written again soon."""
+        return self._failed or now_s - self._returned_s < RETURN_S
+
+    def age_s(self, now_s):
+        """Return the time since the store was heard."""
+        return now_s - (self._started_s if self.heard_s is None else self.heard_s)
+
+
+class TableSync:
+    """Task that follows one table of the store.
+
+    :param reactor: Twisted reactor.
+    :param store: :class:`Store`.
+    :param table: table name.
+    :param changed: called with the set of keys that changed.
+    :param log: callable ``log(event, **fields)``.
+    :param wait_s: time after which a call for changes returns without any.
+    """
+
+    def __init__(self, reactor, store, table, changed, log, wait_s=WAIT_S):
+        self.table = table
+        self.copy = records.RecordTable()
+        self.availability = Availability(reactor.seconds())
+        self._reactor = reactor
+        self._store = store
+        self._changed = changed
+        self._log = log
+        self._wait_s = wait_s
+        self._back_off_s = BACK_OFF_S
+        self._needs_snapshot = True
+        self._stopped = False
+
+    def start(self):
+        """Begin to follow the table."""
+        defer.ensureDeferred(self._follow())
+
+    def stop(self):
+        """End after the call in progress."""
+        self._stopped = True
+
+    async def _follow(self):
+        while not self._stopped:
+            try:
+                await self._read()
+            except HistoryLostError:
+                self._log("history_lost", table=self.table, version=self.copy.version)
+                self._needs_snapshot = True
+            except Exception as fault:
+                if self.availability.failed():
+                    self._log("store_lost", table=self.table, reason=str(fault))
+                await self._sleep(self._back_off_s)
+                self._back_off_s = min(MAX_BACK_OFF_S, 2 * self._back_off_s)
+
+    async def _read(self):
+        base = self.copy.version
+        if self._needs_snapshot or base < 0:
+            taken = await self._store.snapshot(self.table)
+            self._needs_snapshot = False
+            self._heard()
+            changed = self.copy.replace(taken.records, taken.version)
+        else:
+            taken = await self._store.changes(self.table, base, self._wait_s)
+            self._heard()
+            changed = self.copy.merge(taken.records, taken.version, base)
+        if changed:
+            self._changed(changed)
+
+    def _heard(self):
+        self._back_off_s = BACK_OFF_S
+        if self.availability.answered(self._reactor.seconds()):
+            self._log("store_regained", table=self.table, version=self.copy.version)
+
+    def _sleep(self, delay_s):
+        woken = defer.Deferred()
+        self._reactor.callLater(delay_s, woken.callback, None)
+        return woken
+
+    def from_peer(self, taken, base):
+        """Take records from a peer.
+
+        :param taken: :class:`Changes`.
+        :param base: version after which they are complete, -1 for a snapshot.
+        """
+        if base < 0:
+            changed = self.copy.replace(taken.records, taken.version)
+        else:
+            changed = self.copy.merge(taken.records, taken.version, base)
+        if changed:
+            self._log("records_from_peer", table=self.table, version=taken.version)
+            self._changed(changed)
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -414,3 +414,46 @@
     stored: list
     evicted: list
     cleared: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewayReport:
+    """State of a process that follows the store's tables.
+
+    :param loads: maps endpoint name to the calls that the sender has in progress there.
+    :param newest: maps table name to the version of the newest change that the sender
+        has.
+    :param store_age_s: seconds since the sender heard the store.
+    """
+
+    loads: dict
+    newest: dict
+    store_age_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class RecordRequest:
+    """Asks for the records of a table that changed.
+
+    :param table: table name.
+    :param after: version that the sender has, -1 for none.
+    """
+
+    table: str
+    after: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RecordReply:
+    """Records of a table.
+
+    :param table: table name.
+    :param base: version after which the records are complete, -1 for all records.
+    :param version: version up to which they are complete.
+    :param rows: list of ``[key, version, value]``; the value of a removed one is None.
+    """
+
+    table: str
+    base: int
+    version: int
+    rows: list
--- /dev/null
+++ b/cicadaplank/platform/__main__.py
@@ -0,0 +1,106 @@
+"""Starts a role on the platform: ``python3 -m cicadaplank.platform entry``."""
+
+import os
+import sys
+import time
+
+import fire
+
+from cicadaplank.platform import settings
+
+SETTINGS_VARIABLE = "CICADAPLANK_SETTINGS"
+EXIT_USAGE = 2
+# Requests between two collections of cycles; calls leave few.
+LINE_BUFFER_BYTES = 256 * 1024
+
+
+def _read(path, reader):
+    """Return the document and checked settings, or exit with every fault."""
+    path = path or os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        document = settings.read(path)
+        return path, document, reader(document), settings.store_address(document)
+    except settings.SettingsError as fault:
+        for line in fault.faults:
+            print(f"settings: {line}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
+def _reactor():
+    """Return the reactor, on a clock that does not jump with the time of day."""
+    from twisted.internet import reactor
+
+    reactor.seconds = time.monotonic
+    return reactor
+
+
+def _run(reactor, process):
+    from cicadaplank.reports import events, lines
+
+    writer = lines.LineWriter(sys.stdout.fileno(), LINE_BUFFER_BYTES)
+    events.handler(writer).push_application()
+    reactor.callWhenRunning(process.start)
+    reactor.run(installSignalHandlers=False)
+
+
+class Roles:
+    """Roles of the system on the platform."""
+
+    def entry(self, path=""):
+        """Run the entry process of an edge machine.
+
+        :param path: settings file; by default the one that the platform names.
+        """
+        path, document, checked, address = _read(path, settings.entry)
+        reactor = _reactor()
+        from cicadaplank.gateway import process
+        from cicadaplank.platform import client, headers, rows, store
+
+        rows_store = store.Store(client.Client(reactor, address))
+        entry = process.EntryProcess(
+            reactor,
+            checked,
+            rows_store,
+            rows.Rows(),
+            store.Members(rows_store),
+            headers.Headers(),
+            lambda: settings.entry(settings.read(path)),
+        )
+        _run(reactor, entry)
+
+    def agent(self, path=""):
+        """Run the agent process beside a model server.
+
+        :param path: settings file; by default the one that the platform names.
+        """
+        _, document, checked, address = _read(path, settings.agent)
+        reactor = _reactor()
+        from cicadaplank.platform import client, rows, servers, store
+        from cicadaplank.replicas import process
+
+        agent = process.AgentProcess(
+            reactor,
+            checked,
+            store.Store(client.Client(reactor, address)),
+            rows.Rows(),
+            servers.ModelServer(client.Client(reactor, document["engine"]["address"])),
+            lambda origin: servers.Origin(client.Client(reactor, origin)),
+        )
+        _run(reactor, agent)
+
+    def check(self, role, path=""):
+        """Check a settings file; every fault is listed.
+
+        :param role: ``entry`` or ``agent``.
+        :param path: settings file.
+        """
+        readers = {"entry": settings.entry, "agent": settings.agent}
+        if role not in readers:
+            print(f"role must be one of {', '.join(readers)}", file=sys.stderr)
+            sys.exit(EXIT_USAGE)
+        _read(path, readers[role])
+        print("the settings are right")
+
+
+if __name__ == "__main__":
+    fire.Fire(Roles, name="cicadaplank.platform")
--- /dev/null
+++ b/cicadaplank/platform/client.py
@@ -0,0 +1,150 @@
+"""HTTP client for the platform's store, servers and origins."""
+
+import json
+import urllib.parse
+
+from twisted.internet import defer
+
+from cicadaplank.external import errors
+from cicadaplank.gateway import connections
+from cicadaplank.platform import headers
+
+# Connections to one address; long polls occupy some of them.
+MAX_CONNECTIONS = 8
+# Time for a call that transfers little.
+TIMEOUT_S = 1.5
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+class Client:
+    """Calls to one address.
+
+    :param reactor: Twisted reactor.
+    :param address: ``host:port``.
+    :param limit: most connections at a time.
+    """
+
+    def __init__(self, reactor, address, limit=MAX_CONNECTIONS):
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self._reactor = reactor
+        self._pool = connections.Pool(
+            reactor, headers.Headers(), host, int(port), limit
+        )
+
+    def call(self, method, path, query=None, body=None, timeout_s=TIMEOUT_S):
+        """Send a call.
+
+        :param method: HTTP method.
+        :param path: path without query.
+        :param query: dict of query fields.
+        :param body: bytes, or an object that is sent as JSON.
+        :param timeout_s: time for the whole call.
+        :returns: Deferred of ``(status, bytes)``.
+        :raises Unavailable: when the call was certainly not sent.
+        :raises AnswerLost: when there was no complete answer.
+        """
+        target = path + ("?" + urllib.parse.urlencode(query) if query else "")
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {self.address}"]
+        data = body if isinstance(body, bytes) else b""
+        if body is not None and not isinstance(body, bytes):
+            data = json.dumps(body).encode()
+            lines.append("Content-Type: application/json")
+        if body is not None:
+            lines.append(f"Content-Length: {len(data)}")
+        request = "\r\n".join(lines).encode() + b"\r\n\r\n" + data
+        exchange = _Exchange(self._reactor, request, timeout_s)
+        exchange.start(self._pool)
+        return exchange.done
+
+    def json(self, method, path, query=None, body=None, timeout_s=TIMEOUT_S):
+        """Send a call whose answer is a JSON object.
+
+        :returns: Deferred of ``(status, dict)``; the dict is empty when the status is
+            not 200 and the body is no object.
+        """
+        called = self.call(method, path, query, body, timeout_s)
+        return called.addCallback(self._parse)
+
+    def _parse(self, answer):
+        status, body = answer
+        try:
+            value = json.loads(body)
+        except ValueError:
+            value = None
+        if isinstance(value, dict):
+            return status, value
+        if status == 200:
+            raise errors.AnswerLost(f"{self.address}: the answer is no JSON object")
+        return status, {}
+
+
+class _Exchange:
+    """One call; receives the answer from a connection."""
+
+    def __init__(self, reactor, request, timeout_s):
+        self.done = defer.Deferred()
+        self._request = request
+        self._connection = None
+        self._dial = None
+        self._head = None
+        self._body = []
+        self._size = 0
+        self._timer = reactor.callLater(timeout_s, self._timed_out, timeout_s)
+
+    def start(self, pool):
+        """Take a connection and send."""
+        self._dial = pool.take(self._opened, self._failed)
+
+    def _opened(self, connection):
+        self._dial = None
+        if self.done.called:
+            connection.give_back()
+            return
+        self._connection = connection
+        connection.send(self._request, self)
+
+    def _failed(self, reason):
+        self._end(errors.Unavailable(f"no connection: {reason}"))
+
+    def _timed_out(self, timeout_s):
+        connection, dial = self._connection, self._dial
+        self._end(errors.AnswerLost(f"no answer in {timeout_s} s"))
+        if connection is not None:
+            connection.cancel()
+        elif dial is not None:
+            dial.disconnect()
+
+    def _end(self, result):
+        if self.done.called:
+            return
+        self._connection = None
+        if self._timer.active():
+            self._timer.cancel()
+        if isinstance(result, errors.PlatformError):
+            self.done.errback(result)
+        else:
+            self.done.callback(result)
+
+    def reply_started(self, head):
+        """Take status and headers."""
+        self._head = head
+        return True
+
+    def reply_data(self, data):
+        """Take a part of the body."""
+        self._size += len(data)
+        if self._size > MAX_ANSWER_BYTES:
+            connection = self._connection
+            self._end(errors.AnswerLost("the answer is too long"))
+            connection.cancel()
+            return
+        self._body.append(data)
+
+    def reply_ended(self):
+        """Take the end of the answer."""
+        self._end((self._head.status, b"".join(self._body)))
+
+    def reply_broken(self, reason):
+        """Take the loss of the connection."""
+        self._end(errors.AnswerLost(reason))
--- /dev/null
+++ b/cicadaplank/platform/headers.py
@@ -0,0 +1,233 @@
+"""Headers of callers and back ends on the platform."""
+
+import urllib.parse
+
+from cicadaplank.gateway import dialects
+
+ATTEMPT = b"x-attempt-id"
+DEADLINE = b"x-deadline-ms"
+EXPECTED_INSTANCE = b"x-expect-instance"
+EXPECTED_VERSION = b"x-expect-version"
+TENANT = b"x-tenant"
+PRIORITY = b"x-request-priority"
+MODEL = b"x-model"
+TOKEN_COUNTS = b"x-token-counts"
+LENGTH_HINT = b"x-length-hint"
+LAST_EVENT = b"last-event-id"
+SIGNATURE = b"x-server-signature"
+NOT_EXECUTED = b"x-not-executed"
+LOAD = b"x-server-load"
+WEIGHTS_VERSION = b"x-weight-versions"
+AUTHORIZATION = b"authorization"
+# The route of a request through several servers; only the system may set it.
+SERVER_PATH = b"path"
+LEAST_URGENT = 9
+
+# Headers that concern one connection.
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+# Headers that the system sets itself, whatever the client sent.
+OWN_HEADERS = frozenset(
+    (
+        DEADLINE,
+        EXPECTED_INSTANCE,
+        EXPECTED_VERSION,
+        TENANT,
+        PRIORITY,
+        AUTHORIZATION,
+        LAST_EVENT,
+        SERVER_PATH,
+    )
+)
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+def _connection_names(fields):
+    named = set()
+    for name, value in fields:
+        if name == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return named
+
+
+def _number(text, least=0.0):
+    try:
+        value = float(text)
+    except (TypeError, ValueError):
+        return None
+    return value if least <= value < float("inf") else None
+
+
+def _whole(text, otherwise=0):
+    value = _number(text)
+    return otherwise if value is None else int(value)
+
+
+class Headers:
+    """Dialect of the platform, see :class:`cicadaplank.gateway.dialects.Dialect`."""
+
+    def read_call(self, method, target, headers):
+        """Return the call of a request."""
+        lowered = [(name.lower(), value) for name, value in headers]
+        first = {}
+        for name, value in lowered:
+            first.setdefault(name, value)
+        hosts = [value for name, value in lowered if name == b"host"]
+        if len(hosts) != 1:
+            raise dialects.BadRequestError(400, "one Host header is needed")
+        if not target.startswith(b"/"):
+            raise dialects.BadRequestError(400, "the target must be a path")
+        dropped = _connection_names(lowered) | CONNECTION_HEADERS | OWN_HEADERS
+        passed = [
+            header
+            for header, (name, _) in zip(headers, lowered, strict=True)
+            if name not in dropped
+        ]
+        counts = first.get(TOKEN_COUNTS, b"").split(b",")
+        most = _whole(counts[1]) if len(counts) == 2 else 0
+        wait_ms = _number(first.get(DEADLINE))
+        return dialects.CallHead(
+            method=method,
+            target=target,
+            path=urllib.parse.unquote(
+                target.partition(b"?")[0].decode("latin-1"), "latin-1"
+            )
+            if b"%" in target
+            else target.partition(b"?")[0].decode("latin-1"),
+            host=hosts[0].decode("latin-1").rpartition(":")[0].lower()
+            if b":" in hosts[0]
+            else hosts[0].decode("latin-1").lower(),
+            attempt=first.get(ATTEMPT, b""),
+            key=_key(first.get(AUTHORIZATION, b"")),
+            wait_s=None if wait_ms is None else wait_ms / 1000.0,
+            resume_after=first.get(LAST_EVENT, b""),
+            model=first.get(MODEL, b"").decode("latin-1"),
+            prompt_tokens=_whole(counts[0]),
+            answer_tokens=_whole(first.get(LENGTH_HINT), most),
+            headers=passed,
+        )
+
+    def write_call(self, call, body_length, forwarding):
+        """Return request line and headers for a back end."""
+        left_ms = max(1, int(forwarding.left_s * 1000))
+        lines = [b"%b %b HTTP/1.1" % (call.method, call.target)]
+        lines += [b"%b: %b" % header for header in call.headers]
+        lines.append(b"X-Deadline-Ms: %d" % left_ms)
+        lines.append(b"X-Expect-Instance: " + forwarding.endpoint.encode())
+        if forwarding.account:
+            lines.append(b"X-Tenant: " + forwarding.account.encode())
+        if forwarding.resume_after:
+            lines.append(b"Last-Event-Id: " + forwarding.resume_after)
+        if forwarding.weights_version:
+            lines.append(b"X-Expect-Version: %d" % forwarding.weights_version)
+        if forwarding.priority is not None:
+            priority = min(LEAST_URGENT, max(0, forwarding.priority))
+            lines.append(b"X-Request-Priority: %d" % priority)
+        if body_length or call.method not in (b"GET", b"HEAD", b"DELETE"):
+            lines.append(b"Content-Length: %d" % body_length)
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def read_reply(self, status, headers):
+        """Return the status and headers of a back end's answer."""
+        lowered = [(name.lower(), value) for name, value in headers]
+        first = {}
+        for name, value in lowered:
+            first.setdefault(name, value)
+        named = _connection_names(lowered)
+        dropped = named | CONNECTION_HEADERS
+        passed = [
+            header
+            for header, (name, _) in zip(headers, lowered, strict=True)
+            if name not in dropped
+        ]
+        length = first.get(b"content-length")
+        encoding = first.get(b"content-encoding", b"identity")
+        return dialects.ReplyHead(
+            status=status,
+            headers=passed,
+            attempt=first.get(ATTEMPT, b""),
+            is_signed=SIGNATURE in first,
+            is_not_run=NOT_EXECUTED in first,
+            is_misdirected=status == 421,
+            is_encoded=encoding.lower() != b"identity",
+            load=_load(first.get(LOAD)),
+            weights_version=_whole(first.get(WEIGHTS_VERSION)),
+            length=None if length is None else _whole(length),
+            is_chunked=b"chunked" in first.get(b"transfer-encoding", b"").lower(),
+            keeps_open=b"close" not in named,
+            idle_timeout_s=_idle_timeout_s(first.get(b"keep-alive", b"")),
+        )
+
+    def write_reply(self, head, length, closes):
+        """Return status line and headers for a client."""
+        reason = REASONS.get(head.status, b"Status")
+        lines = [b"HTTP/1.1 %d %b" % (head.status, reason)]
+        lines += [b"%b: %b" % header for header in head.headers]
+        if length is None:
+            lines.append(b"Transfer-Encoding: chunked")
+        else:
+            lines.append(b"Content-Length: %d" % length)
+        if closes:
+            lines.append(b"Connection: close")
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def write_refusal(self, status, attempt, message, retry_after_s, closes):
+        """Return an answer of the system's own."""
+        body = message.encode("utf-8", "replace") + b"\n"
+        lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Status"))]
+        if attempt:
+            lines.append(b"X-Attempt-Id: " + attempt)
+        if retry_after_s is not None:
+            lines.append(b"Retry-After: %.3f" % retry_after_s)
+        lines.append(b"Content-Type: text/plain; charset=utf-8")
+        lines.append(b"Content-Length: %d" % len(body))
+        if closes:
+            lines.append(b"Connection: close")
+        return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def _key(value):
+    scheme, _, key = value.partition(b" ")
+    return key.strip().decode("latin-1") if scheme.lower() == b"bearer" else ""
+
+
+def _load(value):
+    """Return running, waiting and slots of ``X-Server-Load``, or None."""
+    parts = (value or b"").split(b",")
+    numbers = [_number(part) for part in parts]
+    if len(numbers) != 3 or None in numbers:
+        return None
+    return tuple(int(number) for number in numbers)
+
+
+def _idle_timeout_s(value):
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout":
+            return _number(number)
+    return None
--- /dev/null
+++ b/cicadaplank/platform/rows.py
@@ -0,0 +1,180 @@
+"""Meaning of the rows that the operator and the servers write."""
+
+import json
+
+from cicadaplank.gateway import endpoints, routes
+
+CONFIGURATION_KEY = "config"
+VERSION_PREFIX = "version/"
+READY = "ready"
+DRAINING = "draining"
+
+
+class Rows:
+    """See :class:`cicadaplank.gateway.process.Records`."""
+
+    operator_table = "op"
+    endpoint_table = "servers"
+
+    def configuration(self, copy):
+        """Return the newest configuration, or None."""
+        record = copy.get(CONFIGURATION_KEY)
+        if record is None:
+            return None
+        try:
+            return _configuration(json.loads(record.value))
+        except (KeyError, TypeError, AttributeError) as fault:
+            raise ValueError(f"op/config cannot be read: {fault!r}") from fault
+
+    def named_weights(self, copy):
+        """Return the newest named version by model."""
+        named = {}
+        for key, record in copy.values().items():
+            if not key.startswith(VERSION_PREFIX):
+                continue
+            value = _object(record.value)
+            if value is None or not isinstance(value.get("version"), int):
+                continue
+            named[str(value.get("model", key[len(VERSION_PREFIX) :]))] = value[
+                "version"
+            ]
+        return named
+
+    def models(self, copy):
+        """Return the names of the models that the configuration describes."""
+        record = copy.get(CONFIGURATION_KEY)
+        value = _object(record.value) if record else None
+        services = value.get("services", []) if value else []
+        engines = [service.get("engine") for service in services]
+        return [m["name"] for engine in engines if engine for m in engine["models"]]
+
+    def endpoints(self, copy, configuration):
+        """Return the servers that can be used, and the number of unreadable rows."""
+        found, unreadable = {}, 0
+        for key, record in copy.values().items():
+            try:
+                endpoint = _endpoint(key, _object(record.value))
+            except (KeyError, TypeError, ValueError, AttributeError):
+                endpoint = None
+            if endpoint is None:
+                unreadable += 1
+            elif endpoint.service in configuration.services:
+                found[key] = endpoint
+        return found, unreadable
+
+
+def _object(value):
+    try:
+        parsed = json.loads(value)
+    except (ValueError, TypeError, RecursionError):
+        return None
+    return parsed if isinstance(parsed, dict) else None
+
+
+def _configuration(value):
+    accounts = None
+    if value.get("tenants") is not None:
+        accounts = {
+            key: routes.Account(tenant["name"], tenant.get("priority"))
+            for tenant in value["tenants"]
+            for key in tenant["api_keys"]
+        }
+    return routes.Configuration(
+        version=int(value["version"]),
+        routes=tuple(_route(route) for route in value["routes"]),
+        services={s["name"]: _service(s) for s in value["services"]},
+        limits=_limits(value.get("limits") or {}),
+        accounts=accounts,
+    )
+
+
+def _route(value):
+    shares = [(b["service"], b.get("weight", 1)) for b in value.get("backends") or ()]
+    if not shares:
+        shares = [(value["service"], 1)]
+    # A streaming route repeats only where it says so.
+    repeat = routes.Repeat.NEVER
+    if value["route_type"] == "idempotent":
+        repeat = routes.Repeat.FREE
+    elif value["route_type"] == "streaming" and value.get("resumable"):
+        repeat = routes.Repeat.RESUMABLE
+    return routes.Route(
+        name=str(value.get("name", "")),
+        host=value["hostname"].lower(),
+        prefix=value["prefix"],
+        repeat=repeat,
+        is_stream=value["route_type"] == "streaming",
+        timeout_s=value["timeout_ms"] / 1000.0,
+        objective_s=(value.get("goal_ms") or value["timeout_ms"]) / 1000.0,
+        priority=int(value.get("priority") or 0),
+        shares=tuple(routes.Share(name, float(weight)) for name, weight in shares),
+        max_attempts=max(1, int(value.get("max_attempts") or 1)),
+        is_public=bool(value.get("public")),
+        # The platform calls a route sticky when its requests carry prompts.
+        is_generation=bool(value.get("sticky")),
+    )
+
+
+def _service(value):
+    engine = value.get("engine")
+    model = None
+    if engine:
+        model = routes.EngineModel(
+            slots=int(engine["slots"]),
+            step_s=engine["step_ms"] / 1000.0,
+            step_per_call_s=engine.get("per_seq_ms", 0.0) / 1000.0,
+            read_tokens_per_s=float(engine["read_per_s"]),
+            usual_answer_tokens=float((engine.get("usual") or {}).get("answer", 0)),
+        )
+    return routes.Service(
+        name=value["name"],
+        max_connections=int(value.get("max_conns") or 0),
+        engine=model,
+        origin=value.get("origin") or "",
+    )
+
+
+def _limits(value):
+    default = routes.ClientLimits()
+    seconds = {
+        "header_timeout_s": value.get("header_timeout_ms"),
+        "idle_timeout_s": value.get("idle_timeout_ms"),
+    }
+    numbers = {name: ms / 1000.0 for name, ms in seconds.items() if ms}
+    for name in ("max_header_bytes", "max_body_bytes"):
+        numbers[name] = value.get(name) or getattr(default, name)
+    return routes.ClientLimits(**numbers)
+
+
+def _endpoint(key, value):
+    """Return a server's row as an endpoint, or None when it names none to use."""
+    if value is None or value["state"] not in (READY, DRAINING):
+        return None
+    host, _, port = value["address"].rpartition(":")
+    if not isinstance(value["service"], str) or not isinstance(value["zone"], str):
+        return None
+    return endpoints.Endpoint(
+        name=key,
+        service=value["service"],
+        host=host,
+        port=int(port),
+        data_centre=value["zone"],
+        slots=int(value.get("slots") or 1),
+        is_leaving=value["state"] == DRAINING,
+        weights=served_versions(value),
+        started_ms=int(value.get("born") or 0),
+        warm_up_s=float(value.get("warmup_left_ms") or 0) / 1000.0,
+    )
+
+
+def served_versions(value):
+    """Return the weights that a server holds completely.
+
+    :param value: a server's row or report.
+    :returns: dict from model name to version.
+    """
+    return {
+        str(model["name"]): int(model["version"])
+        for model in value.get("models") or ()
+        if model.get("version")
+    }
--- /dev/null
+++ b/cicadaplank/platform/settings.py
@@ -0,0 +1,157 @@
+"""Settings of a process on the platform, filled into the template in ``deploy/``."""
+
+import json
+
+from cicadaplank.gateway import gateway
+from cicadaplank.gateway import process as entry_process
+from cicadaplank.replicas import process as agent_process
+
+READY_PATH = "/v1/readyz"
+# Ports of the system's own range: streams between processes, and the metrics page.
+PEER_PORT = 0
+METRICS_PORT = 1
+
+
+class SettingsError(ValueError):
+    """Settings that cannot be used.
+
+    :param faults: list of texts, each with the path in the file.
+    """
+
+    def __init__(self, faults):
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+class _Reader:
+    """Reads fields by their path and collects every fault."""
+
+    def __init__(self, document):
+        self._document = document
+        self.faults = []
+
+    def get(self, path, kinds, check=None):
+        value = self._document
+        for name in path.split("."):
+            value = value.get(name) if isinstance(value, dict) else None
+        if isinstance(value, bool) or not isinstance(value, kinds):
+            self.faults.append(f"{path}: is {value!r:.60}")
+            return None
+        if check is not None and not check(value):
+            self.faults.append(f"{path}: {value!r:.60} is out of range")
+        return value
+
+    def text(self, path):
+        """Return a text that is not empty."""
+        return self.get(path, str, bool)
+
+    def number(self, path):
+        """Return a number of 0 or more."""
+        return self.get(path, (int, float), lambda value: value >= 0)
+
+    def address(self, path):
+        """Return an address written ``host:port``."""
+        text = self.get(path, str, _is_address)
+        if not isinstance(text, str) or not _is_address(text):
+            return None
+        host, _, port = text.rpartition(":")
+        return entry_process.Address(host, int(port))
+
+    def port(self, position):
+        """Return a port of the system's own range."""
+        ports = self.get("ports", list, lambda p: len(p) == 2)
+        if ports is None or not all(isinstance(port, int) for port in ports):
+            return 0
+        return ports[0] + position
+
+    def check(self):
+        """Raise :class:`SettingsError` when there was a fault."""
+        if self.faults:
+            raise SettingsError(sorted(set(self.faults)))
+
+
+def _is_address(text):
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+
+
+def read(path):
+    """Read a settings file.
+
+    :param path: path of the filled template.
+    :returns: the document.
+    :raises SettingsError: when it is no JSON object.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            document = json.load(file)
+    except (OSError, ValueError) as fault:
+        raise SettingsError([f"{path}: cannot be read: {fault}"]) from fault
+    if not isinstance(document, dict):
+        raise SettingsError([f"{path}: is no JSON object"])
+    return document
+
+
+def store_address(document):
+    """Return ``host:port`` of the store."""
+    reader = _Reader(document)
+    reader.address("store")
+    reader.check()
+    return document["store"]
+
+
+def entry(document):
+    """Return the :class:`cicadaplank.gateway.process.Settings` of an entry process.
+
+    :raises SettingsError: with every fault.
+    """
+    reader = _Reader(document)
+    seeds = reader.get("seeds", list) or []
+    host = reader.text("host")
+    settings = entry_process.Settings(
+        name=reader.text("name"),
+        region=reader.text("region"),
+        data_centre=reader.text("data_centre"),
+        front=reader.address("listen.front"),
+        ready=reader.address("listen.ready"),
+        ready_path=READY_PATH,
+        peer=entry_process.Address(host, reader.port(PEER_PORT)),
+        metrics=entry_process.Address(host, reader.port(METRICS_PORT)),
+        seeds=tuple(str(seed).rpartition(":")[0] for seed in seeds),
+        bounds=gateway.Bounds(
+            repeat_share=reader.number("bounds.retry_ratio"),
+            repeat_allowance=reader.number("bounds.retry_slack"),
+            repeat_window_s=reader.number("bounds.retry_window_s"),
+            weights_s=_seconds(reader.number("bounds.version_ms")),
+        ),
+        grace_s=reader.number("bounds.grace_s"),
+    )
+    reader.check()
+    return settings
+
+
+def agent(document):
+    """Return the :class:`cicadaplank.replicas.process.Settings` of an agent process.
+
+    :raises SettingsError: with every fault.
+    """
+    reader = _Reader(document)
+    megabits = reader.number("link_mbps") or 0.0
+    settings = agent_process.Settings(
+        name=reader.text("name"),
+        host=reader.text("host"),
+        peer_port=reader.port(PEER_PORT),
+        metrics_port=reader.port(METRICS_PORT),
+        region=reader.text("region"),
+        data_centre=reader.text("data_centre"),
+        service=reader.text("engine.service"),
+        link_bytes_per_s=megabits * 125_000,
+        weights_s=_seconds(reader.number("bounds.version_ms")),
+    )
+    reader.address("engine.address")
+    reader.check()
+    return settings
+
+
+def _seconds(milliseconds):
+    return None if milliseconds is None else milliseconds / 1000.0
--- /dev/null
+++ b/cicadaplank/replicas/process.py
@@ -0,0 +1,605 @@
+"""The agent process beside an engine whose weights come from an origin."""
+
+import collections
+import dataclasses
+import random
+import signal
+import typing
+
+from twisted.internet import defer
+from twisted.logger import LogLevel, globalLogPublisher
+
+from cicadaplank.external import errors
+from cicadaplank.gateway import peers, status, sync
+from cicadaplank.links import streams
+from cicadaplank.messages import types
+from cicadaplank.replicas import loading
+from cicadaplank.reports import events, metrics
+from cicadaplank.weights import chunks, manifests, transfers
+from cicadaplank.world import machines
+
+TICK_S = 0.1
+# Period of reports between agents; the records that they carry change seldom.
+REPORT_S = 1.0
+# The list of engines is needed for peers only; a change may arrive late.
+LIST_WAIT_S = 10.0
+# Memory for the pieces of two versions, of the size that the origin states.
+CHUNK_MEMORY_BYTES = 64 * 1024 * 1024
+# Part of the machine's link that transfers may use; the rest is for its engine.
+LINK_SHARE = 0.92
+# Delay before the manifest is asked for again.
+MANIFEST_RETRY_S = 0.3
+# Corrupt pieces from the origin after which the manifest itself is doubted.
+CORRUPT_LIMIT = 3
+# The engine's state is read this often while weights are on their way, and otherwise.
+BUSY_CHECK_S = 0.15
+IDLE_CHECK_S = 0.6
+# A timer that is due now still leaves the event loop a turn.
+MIN_DELAY_S = 0.002
+# All engines exchange pieces with each other. Owners by region would save bytes between
+# regions, but the links of the origin's region would take longer than is allowed.
+AREA = "all"
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """What an agent process needs to know.
+
+    :param name: name of the instance, for logs.
+    :param host: IP address of this instance; also its name among the agents.
+    :param peer_port: port for other processes of the system.
+    :param metrics_port: port of the metrics page.
+    :param region: region name.
+    :param data_centre: data centre name.
+    :param service: service of the engine.
+    :param link_bytes_per_s: link of this machine.
+    :param weights_s: time from the naming of weights until older ones are forbidden.
+    """
+
+    name: str
+    host: str
+    peer_port: int
+    metrics_port: int
+    region: str
+    data_centre: str
+    service: str
+    link_bytes_per_s: float
+    weights_s: float
+
+
+class Engine(typing.Protocol):
+    """The engine beside this agent. Coroutines raise ``errors.PlatformError``."""
+
+    def state(self):
+        """Return :class:`cicadaplank.replicas.loading.EngineState`."""
+
+    def put_piece(self, model, number, data):
+        """Stage a piece."""
+
+    def piece(self, model, number):
+        """Return a staged piece."""
+
+    def load(self, model, version, expected_orders):
+        """Order the engine to load what is staged; returns whether it does."""
+
+
+class Origin(typing.Protocol):
+    """The origin of weights. Coroutines raise ``errors.PlatformError``."""
+
+    def manifest(self, model, version):
+        """Return a :class:`cicadaplank.weights.manifests.Manifest`.
+
+        :param version: number, or 0 for the newest.
+        """
+
+    def piece(self, model, version, number):
+        """Return the bytes of a piece."""
+
+
+class AgentProcess:
+    """Wires transfers, loading, the engine and the store.
+
+    :param reactor: Twisted reactor with a steady clock.
+    :param settings: :class:`Settings`.
+    :param store: :class:`cicadaplank.gateway.sync.Store`.
+    :param meaning: :class:`cicadaplank.gateway.process.Records`.
+    :param engine: :class:`Engine`.
+    :param origin_at: callable that returns an :class:`Origin` for ``host:port``.
+    """
+
+    def __init__(self, reactor, settings, store, meaning, engine, origin_at):
+        self.reactor = reactor
+        self.settings = settings
+        self.events = events.Events(settings.name)
+        self.metrics = metrics.Metrics(
+            settings.name, "agent", settings.region, settings.data_centre
+        )
+        self.counts = collections.Counter()
+        self.loading = loading.Loading(settings.host, settings.weights_s)
+        self._meaning = meaning
+        self._engine = engine
+        self._origin_at = origin_at
+        self._origin = None
+        self._origin_address = ""
+        self._manifest = None
+        self._manifest_for = None
+        self._is_asking = False
+        self._corrupt = 0
+        self._has_copy = False
+        self._engine_state = None
+        self._is_checking = False
+        self._checked_s = float("-inf")
+        self._names = (settings.host,)
+        self._timer = None
+        self._me = machines.Instance(
+            settings.host,
+            "agent",
+            settings.host,
+            settings.peer_port,
+            AREA,
+            settings.data_centre,
+        )
+        self.store = chunks.ChunkStore(CHUNK_MEMORY_BYTES)
+        rate = LINK_SHARE * settings.link_bytes_per_s
+        self.transfers = transfers.Transfers(
+            self._me,
+            self.store,
+            transfers.Rates(rate, rate),
+            AREA,
+            random.Random(),
+            reactor.seconds(),
+        )
+        self.operator = sync.TableSync(
+            reactor, store, meaning.operator_table, self._operator_changed, self._log
+        )
+        self.listed = sync.TableSync(
+            reactor,
+            store,
+            meaning.endpoint_table,
+            self._list_changed,
+            self._log,
+            LIST_WAIT_S,
+        )
+        hello = types.Hello("agent", settings.region, settings.data_centre, 0)
+        self.hub = streams.PeerHub(
+            reactor,
+            streams.Identity(settings.host, hello),
+            self,
+            lambda: 0,
+            self._log,
+        )
+        self.peers = peers.Peers(
+            reactor,
+            self._me,
+            self.hub,
+            {each.table: each for each in (self.operator, self.listed)},
+            dict,
+            REPORT_S,
+        )
+        self._handlers = {
+            transfers.Send: self._send,
+            transfers.FetchManifest: self._give_manifest,
+            transfers.FetchChunk: self._fetch_chunk,
+            transfers.CopyComplete: self._copy_complete,
+            transfers.MemoryTooSmall: self._memory_too_small,
+            transfers.PeerExcluded: self._peer_excluded,
+        }
+
+    @property
+    def now_s(self):
+        """Return the time of the steady clock in seconds."""
+        return self.reactor.seconds()
+
+    def _log(self, event, **fields):
+        self.events.log(event, **fields)
+
+    def start(self):
+        """Open the ports and follow the store."""
+        settings = self.settings
+        pages = status.Pages(self.reactor, {"/metrics": self._metrics_page})
+        self.reactor.listenTCP(settings.metrics_port, pages, 50, settings.host)
+        self.hub.listen(settings.host, settings.peer_port)
+        self.operator.start()
+        self.listed.start()
+        self._tick()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._signalled)
+        globalLogPublisher.addObserver(self._observe)
+        self._log("started", peer_port=settings.peer_port)
+
+    def _signalled(self, number, frame):
+        self.reactor.callFromThread(self.stop)
+
+    def stop(self):
+        """End at once: an engine keeps serving without its agent."""
+        self._log("stopped")
+        self.reactor.callLater(TICK_S, self.reactor.stop)
+
+    def _observe(self, event):
+        failure = event.get("log_failure")
+        if failure is not None and event["log_level"] is LogLevel.critical:
+            text = failure.getTraceback().strip().replace("\n", " | ")
+            self.events.log("unexpected_error", "error", detail=text[-480:])
+
+    def _metrics_page(self):
+        metric = self.metrics
+        metric.set_gauge("pieces_bytes", self.store.held_bytes)
+        metric.set_gauge("store_age_seconds", self.peers.store_age_s(self.now_s))
+        target = self.loading.target
+        metric.set_gauge("weights_wanted", target.version if target else 0)
+        state = self._engine_state
+        served = max(state.versions.values(), default=0) if state else 0
+        metric.set_gauge("weights_served", served)
+        for name, count in (*self.counts.items(), *self.transfers.counts.items()):
+            metric.set_gauge(f"transfers_{name}", count)
+        body, _ = metric.render()
+        return 200, "text/plain; version=0.0.4", body
+
+    # What the store says.
+
+    def _operator_changed(self, changed):
+        copy = self.operator.copy
+        try:
+            configuration = self._meaning.configuration(copy)
+        except ValueError as fault:
+            self.events.log("configuration_rejected", "error", reason=str(fault))
+            configuration = None
+        if configuration is not None:
+            self._use_origin(configuration)
+        for model, version in self._meaning.named_weights(copy).items():
+            self._want(model, version)
+        if self.loading.target is None:
+            self._check_engine()
+
+    def _use_origin(self, configuration):
+        addresses = [s.origin for s in configuration.services.values() if s.origin]
+        if addresses and addresses[0] != self._origin_address:
+            self._origin_address = addresses[0]
+            self._origin = self._origin_at(addresses[0])
+            self._log("origin_known", address=addresses[0])
+
+    def _want(self, model, version):
+        target = loading.Target(model, version, self.now_s)
+        if not self.loading.wanted(target):
+            return
+        self._log("weights_wanted", model=model, version=version)
+        self._has_copy = False
+        self._manifest = None
+        self._corrupt = 0
+        self._ask_manifest()
+        self._check_engine()
+
+    def _list_changed(self, changed):
+        services = _Services(self.settings.service)
+        listed, unreadable = self._meaning.endpoints(self.listed.copy, services)
+        if unreadable:
+            self._log("unreadable_records", table=self.listed.table, count=unreadable)
+        hosts = {
+            e.host
+            for e in listed.values()
+            if e.service == self.settings.service and not e.is_leaving
+        }
+        hosts.add(self.settings.host)
+        self._names = tuple(sorted(hosts))
+        instances = [
+            dataclasses.replace(self._me, name=host, host=host) for host in hosts
+        ]
+        for host in hosts:
+            self.peers.seed(host, self.settings.peer_port, "agent")
+        self._carry_out(self.transfers.instances_changed(instances, self.now_s))
+        self._want_copy()
+
+    # Copies.
+
+    def _ask_manifest(self):
+        target = self.loading.target
+        if self._is_asking or target is None:
+            return
+        if self._manifest_for == target.version and self._manifest is not None:
+            return
+        if self._origin is None:
+            self.reactor.callLater(MANIFEST_RETRY_S, self._ask_manifest)
+            return
+        self._is_asking = True
+        asked = _started(self._origin.manifest(target.model, target.version))
+        asked.addCallbacks(self._manifest_came, self._manifest_failed, (target,))
+
+    def _manifest_came(self, manifest, target):
+        self._is_asking = False
+        if target != self.loading.target:
+            self._ask_manifest()
+            return
+        self._manifest = manifest
+        self._manifest_for = target.version
+        self._log(
+            "manifest_known",
+            model=target.model,
+            version=target.version,
+            pieces=len(manifest.chunk_digests),
+            digest=manifest.digest,
+        )
+        adopting = _started(self._adopt(target, manifest))
+        adopting.addErrback(self._adoption_failed)
+        adopting.addCallback(lambda ignored: self._want_copy())
+
+    async def _adopt(self, target, manifest):
+        """Take the pieces that lie at the engine, so that peers can have them."""
+        if self.store.held_bytes or not self.store.reserve(manifest):
+            return
+        adopted = 0
+        for number, digest in enumerate(manifest.chunk_digests):
+            try:
+                data = await self._engine.piece(target.model, number)
+            except errors.NotFound:
+                continue
+            if manifests.chunk_digest(data) == digest:
+                self.store.put(digest, data)
+                adopted += 1
+        self._log("pieces_adopted", version=target.version, pieces=adopted)
+
+    def _adoption_failed(self, failure):
+        failure.trap(errors.PlatformError)
+        self._log("adoption_failed", reason=str(failure.value))
+
+    def _manifest_failed(self, failure):
+        failure.trap(errors.PlatformError)
+        self._is_asking = False
+        self.counts["manifest_failures"] += 1
+        self._log("manifest_failed", reason=str(failure.value))
+        self.reactor.callLater(MANIFEST_RETRY_S, self._ask_manifest)
+
+    def _want_copy(self):
+        manifest = self._manifest
+        if manifest is None:
+            return
+        wanted = transfers.Wanted(manifest.digest, manifest.name, self._names)
+        self._carry_out(self.transfers.rows_changed((wanted,), self.now_s))
+
+    def _carry_out(self, actions):
+        for action in actions:
+            self._handlers[type(action)](action)
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        due_s = self.transfers.wake_s()
+        if due_s is not None:
+            delay_s = max(MIN_DELAY_S, due_s - self.now_s)
+            self._timer = self.reactor.callLater(delay_s, self._transfers_tick)
+
+    def _transfers_tick(self):
+        self._carry_out(self.transfers.tick(self.now_s))
+
+    def _send(self, action):
+        connection = self.hub.connection(action.peer)
+        if connection is not None:
+            connection.send(action.message)
+            return
+        host = action.peer
+        instance = dataclasses.replace(self._me, name=host, host=host)
+
+        def dialled(connection):
+            if connection is None:
+                self._carry_out(self.transfers.peer_lost(host, self.now_s))
+            else:
+                connection.send(action.message)
+
+        self.hub.dial(instance).addCallback(dialled)
+
+    def _give_manifest(self, action):
+        manifest = self._manifest
+        if manifest is None or manifest.digest != action.manifest_digest:
+            return
+        text = manifest.to_json()
+        self.reactor.callLater(
+            0,
+            lambda: self._carry_out(
+                self.transfers.manifest_fetched(manifest.digest, text, self.now_s)
+            ),
+        )
+
+    def _fetch_chunk(self, action):
+        manifest, target = self._manifest, self.loading.target
+        digest = action.chunk_digest
+        if manifest is None or digest not in manifest.chunk_digests:
+            return
+        number = manifest.chunk_digests.index(digest)
+        self.counts["origin_pieces"] += 1
+        asked = _started(self._origin.piece(target.model, target.version, number))
+        asked.addCallbacks(
+            lambda data: self._piece_came(digest, data),
+            lambda failure: self._piece_failed(digest, failure),
+        )
+
+    def _piece_came(self, digest, data):
+        if manifests.chunk_digest(data) != digest:
+            self._corrupt += 1
+            self._log("piece_corrupt", digest=digest, source="origin")
+            if self._corrupt >= CORRUPT_LIMIT:
+                # The manifest may be what is wrong.
+                self._corrupt = 0
+                self._manifest = None
+                self._ask_manifest()
+        self._carry_out(self.transfers.origin_replied(digest, data, self.now_s))
+
+    def _piece_failed(self, digest, failure):
+        failure.trap(errors.PlatformError)
+        self.counts["origin_failures"] += 1
+        self._log("piece_failed", digest=digest, reason=str(failure.value))
+        self._carry_out(self.transfers.origin_failed(digest, 0.0, self.now_s))
+
+    def _copy_complete(self, action):
+        if self._manifest is None or action.manifest_digest != self._manifest.digest:
+            return
+        self._has_copy = True
+        target = self.loading.target
+        self._log(
+            "copy_complete",
+            model=target.model,
+            version=target.version,
+            after_s=self.now_s - target.named_s,
+            origin_pieces=self.counts["origin_pieces"],
+        )
+        self._check_engine()
+
+    def _memory_too_small(self, action):
+        self.events.log("memory_too_small", "error", missing=action.missing_bytes)
+
+    def _peer_excluded(self, action):
+        self._log("peer_excluded", peer=action.peer, corrupt=action.corrupt)
+
+    # The engine.
+
+    def _check_engine(self):
+        if self._is_checking:
+            return
+        self._is_checking = True
+        self._checked_s = self.now_s
+        _started(self._engine.state()).addCallbacks(
+            self._state_came, self._state_failed
+        )
+
+    def _state_failed(self, failure):
+        failure.trap(errors.PlatformError)
+        self._is_checking = False
+        if self._engine_state is not None:
+            self._log("engine_lost", reason=str(failure.value))
+        self._engine_state = None
+
+    def _state_came(self, state):
+        self._is_checking = False
+        known, self._engine_state = self._engine_state, state
+        if known is None or known.started_ms != state.started_ms:
+            self._log(
+                "engine_found",
+                versions=str(state.versions),
+                orders=state.orders,
+                started_ms=state.started_ms,
+            )
+            self.loading.restarted()
+        elif known.versions != state.versions:
+            self._log("engine_serves", versions=str(state.versions))
+        if self.loading.target is None:
+            self._find_newest()
+        self._decide()
+
+    def _find_newest(self):
+        """Ask the origin which version is the newest; none was named here yet."""
+        if (
+            self._origin is None
+            or self._is_asking
+            or not self.operator.copy.version >= 0
+        ):
+            return
+        models = self._meaning.models(self.operator.copy)
+        if not models:
+            return
+        self._is_asking = True
+        asked = _started(self._origin.manifest(models[0], 0))
+        asked.addCallbacks(self._newest_came, self._manifest_failed, (models[0],))
+
+    def _newest_came(self, manifest, model):
+        self._is_asking = False
+        if self.loading.target is None:
+            self._want(model, int(manifest.version))
+
+    def _decide(self):
+        action = self.loading.next(
+            self._engine_state, self._has_copy, self._names, self.now_s
+        )
+        if isinstance(action, loading.Stage):
+            _started(self._stage(action.target)).addErrback(self._failed)
+        elif isinstance(action, loading.Order):
+            self._order(action)
+
+    def _failed(self, failure):
+        self.events.log("unexpected_error", "error", detail=str(failure.value))
+        self.loading.staged(self.loading.target, False)
+
+    async def _stage(self, target):
+        """Stage every piece that does not lie at the engine as it should."""
+        manifest = self._manifest
+        missing = []
+        try:
+            for number in range(len(manifest.chunk_digests)):
+                if not await self._lies_there(target, manifest, number):
+                    missing.append(number)
+            for number in missing:
+                data = self.store.get(manifest.chunk_digests[number])
+                await self._engine.put_piece(target.model, number, data)
+                if not await self._lies_there(target, manifest, number):
+                    raise errors.AnswerLost(f"piece {number} is not as it was staged")
+        except errors.PlatformError as fault:
+            self._log("staging_failed", version=target.version, reason=str(fault))
+            self.loading.staged(target, False)
+            return
+        self._log("staged", version=target.version, pieces=len(missing))
+        self.loading.staged(target, manifest is self._manifest)
+        self._decide()
+
+    async def _lies_there(self, target, manifest, number):
+        try:
+            data = await self._engine.piece(target.model, number)
+        except errors.NotFound:
+            return False
+        return manifests.chunk_digest(data) == manifest.chunk_digests[number]
+
+    def _order(self, action):
+        target = action.target
+        self._log(
+            "load_ordered",
+            model=target.model,
+            version=target.version,
+            expected_orders=action.expected_orders,
+            after_s=self.now_s - target.named_s,
+        )
+        self.counts["orders"] += 1
+        sent = _started(
+            self._engine.load(target.model, target.version, action.expected_orders)
+        )
+
+        def answered(accepted):
+            if not accepted:
+                self._log("load_refused", version=target.version)
+            self.loading.order_answered(accepted, self.now_s)
+
+        def failed(failure):
+            failure.trap(errors.PlatformError)
+            self._log("load_failed", reason=str(failure.value))
+
+        sent.addCallbacks(answered, failed)
+
+    # Time and peers.
+
+    def _tick(self):
+        self.reactor.callLater(TICK_S, self._tick)
+        self.peers.tick()
+        settled = self.loading.phase is loading.Phase.CURRENT
+        period_s = IDLE_CHECK_S if settled else BUSY_CHECK_S
+        if self.now_s - self._checked_s >= period_s:
+            self._check_engine()
+
+    def message_received(self, connection, envelope):
+        """Take a message of a peer."""
+        if self.peers.message(connection.peer, envelope.message):
+            return
+        self._carry_out(
+            self.transfers.message_received(
+                connection.peer, envelope.message, self.now_s
+            )
+        )
+
+    def connection_lost(self, connection):
+        """Take the end of a peer's connection."""
+        if self.hub.connection(connection.peer) is None:
+            self._carry_out(self.transfers.peer_lost(connection.peer, self.now_s))
+
+
+def _started(coroutine):
+    """Start a coroutine and return the Deferred of its result."""
+    return defer.ensureDeferred(coroutine)
+
+
+class _Services:
+    """Stands for a configuration where only one service matters."""
+
+    def __init__(self, service):
+        self.services = {service: None}
--- a/cicadaplank/reports/metrics.py
+++ b/cicadaplank/reports/metrics.py
@@ -139,6 +139,26 @@
         collector = self._collector(aioprometheus.Gauge, f"{PREFIX}{name}", name)
         collector.set(_escaped(labels), value)
 
+    def observe(self, name, value, bounds, **labels):
+        """Add to a histogram, which is created when it is first used.
+
+        :param name: name without prefix, with its unit.
+        :param value: observation.
+        :param bounds: upper bounds of the buckets; those of the first call count.
+        :param labels: labels with few values each.
+        """
+        full = f"{PREFIX}{name}"
+        collector = self._collectors.get(full)
+        if collector is None:
+            collector = self._collectors[full] = aioprometheus.Histogram(
+                full,
+                name,
+                const_labels=self._labels,
+                registry=self.registry,
+                buckets=[*bounds, float("inf")],
+            )
+        collector.add(_escaped(labels), float(value))
+
     def render(self):
         """Return the text for a klein route.
 
--- a/cicadaplank/reports/scrapes.py
+++ b/cicadaplank/reports/scrapes.py
@@ -9,7 +9,7 @@
 from returns import result
 from twisted.internet import defer
 
-from cicadaplank.platform import errors, http
+from cicadaplank.external import errors, http
 from cicadaplank.reports import burn, expositions, objectives
 
 METRICS_PATH = "/metrics"
@@ -40,7 +40,7 @@
     """Fetch the metrics of several processes, ``MAX_AT_ONCE`` at a time.
 
     :param clients: dict from instance name to
-        :class:`cicadaplank.platform.http.Client`.
+        :class:`cicadaplank.external.http.Client`.
     :param clock: function that returns the Unix time in seconds.
     :returns: Deferred with ``(tuple of RawScrape, dict from instance name to the reason
         why there is none)``.
--- a/cicadaplank/requests/suspects.py
+++ b/cicadaplank/requests/suspects.py
@@ -64,10 +64,14 @@
     A crash counts once, however many copies of the request were running on the endpoint
     and however many entry instances report it.
 
+    :param crash_limit: crashes after which a request is not run.
+    :param suspicion_s: time for which a crash counts.
     :ivar evicted: suspicions and incidents dropped because a bound was reached.
     """
 
-    def __init__(self):
+    def __init__(self, crash_limit=CRASH_LIMIT, suspicion_s=SUSPICION_S):
+        self._crash_limit = crash_limit
+        self._suspicion_s = suspicion_s
         self._incidents = {}
         self.evicted = 0
 
@@ -91,10 +95,10 @@
         :returns: seconds until it may run, 0.0 when it may run now.
         """
         incidents = self._current(request_digest, now_s)
-        if len(incidents) < CRASH_LIMIT:
+        if len(incidents) < self._crash_limit:
             return 0.0
         times = sorted(incident.crashed_s for incident in incidents)
-        return times[-CRASH_LIMIT] + SUSPICION_S - now_s
+        return times[-self._crash_limit] + self._suspicion_s - now_s
 
     def crashed(self, request_digest, endpoint, now_s):
         """Count a crash that this entry instance saw.
@@ -107,6 +111,10 @@
         report = types.SuspectReport(request_digest, endpoint, now_s)
         return self.reported("", report, now_s)
 
+    def cleared(self, request_digest):
+        """Forget the crashes of a request that was answered."""
+        self._incidents.pop(request_digest, None)
+
     def reported(self, sender, report, now_s):
         """Take over a report of another entry instance.
 
@@ -118,7 +126,7 @@
         """
         incident = _Incident(report.endpoint, min(report.crashed_unix_s, now_s))
         known = self._current(report.digest, now_s)
-        if incident.crashed_s + SUSPICION_S <= now_s:
+        if incident.crashed_s + self._suspicion_s <= now_s:
             return ()
         if any(incident.same(other) for other in known):
             return ()
@@ -132,7 +140,7 @@
 
     def _current(self, request_digest, now_s):
         incidents = self._incidents.get(request_digest, ())
-        return [i for i in incidents if i.crashed_s + SUSPICION_S > now_s]
+        return [i for i in incidents if i.crashed_s + self._suspicion_s > now_s]
 
     def _make_room(self, now_s):
         if len(self._incidents) < MAX_SUSPECTS:
@@ -146,7 +154,7 @@
         # A request seen in one crash may be innocent; confirmed ones stay longest.
         def order(name):
             incidents = self._incidents[name]
-            return len(incidents) >= CRASH_LIMIT, incidents[-1].crashed_s
+            return len(incidents) >= self._crash_limit, incidents[-1].crashed_s
 
         del self._incidents[min(self._incidents, key=order)]
         self.evicted += 1
--- a/cicadaplank/weights/manifests.py
+++ b/cicadaplank/weights/manifests.py
@@ -78,6 +78,22 @@
     return dataclasses.replace(manifest, digest=digest)
 
 
+def from_digests(name, version, chunk_bytes, chunk_digests):
+    """Describe weights whose chunks all have the same size.
+
+    :param name: row name.
+    :param version: version name.
+    :param chunk_bytes: size of every chunk.
+    :param chunk_digests: SHA-256 of the chunks in hex, in the order of the weights.
+    :returns: ``Success(Manifest)``, or ``Failure(str)`` that says what is wrong.
+    """
+    size_bytes = chunk_bytes * len(chunk_digests)
+    described = _with_digest(
+        name, version, chunk_bytes, size_bytes, tuple(chunk_digests)
+    )
+    return _checked(described)
+
+
 def build(name, version, data, chunk_bytes=DEFAULT_CHUNK_BYTES):
     """Divide weights into chunks.
 
--- a/features/steps/caches.py
+++ b/features/steps/caches.py
@@ -6,8 +6,8 @@
 
 from bench import engines as bench_engines
 from cicadaplank.agent import caches
+from cicadaplank.external import engines
 from cicadaplank.messages import codec, types
-from cicadaplank.platform import engines
 from cicadaplank.requests import routing
 from standins import batches
 
--- a/features/steps/platform_clients.py
+++ b/features/steps/platform_clients.py
@@ -10,7 +10,7 @@
 import behave
 from twisted.internet import defer, reactor
 
-from cicadaplank.platform import (
+from cicadaplank.external import (
     engines,
     errors,
     http,
--- a/features/steps/reports.py
+++ b/features/steps/reports.py
@@ -10,7 +10,7 @@
 from returns import result
 from twisted.internet import defer, reactor
 
-from cicadaplank.platform import http
+from cicadaplank.external import http
 from cicadaplank.reports import burn, events, expositions, metrics, objectives, scrapes
 from cicadaplank.requests import verdicts
 from features import reactors
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -16,7 +16,6 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BINARY = ROOT / "dist" / "cicadaplank"
-MEMORY_FOLDER = "/dev/shm"
 # No service listens on this port; an entry process starts without the platform.
 ABSENT_URL = "http://127.0.0.1:9"
 
@@ -91,8 +90,7 @@
     :returns: exit code.
     """
     build()
-    memory = MEMORY_FOLDER if pathlib.Path(MEMORY_FOLDER).is_dir() else None
-    with tempfile.TemporaryDirectory(dir=memory) as folder:
+    with tempfile.TemporaryDirectory() as folder:
         environment = dict(os.environ, SHIV_ROOT=folder)
         for name in ("PYTHONPATH", "PYTHONDONTWRITEBYTECODE"):
             environment.pop(name, None)
