Divide the chunks from the origin over all regions, and take over from slow owners

Cause: three regions took a copy each from the origin, and one region's two machines had to serve all others before that; copies took 5.2 to 8.8 s, and an origin that was down for 6 s was asked again after 8 s more. Ruled out: a time limit per owner for the whole copy: it broke the bounds of bytes between regions at the slack that helps. Change: each chunk has a home region; three chunks in flight on the platform; owners that hold up a copy after all others are done are replaced; a failing origin is tried again within a second.

--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -27,6 +27,14 @@
 CHUNK_MEMORY_BYTES = 64 * 1024 * 1024
 # Part of the machine's link that transfers may use; the rest is for its engine.
 LINK_SHARE = 0.92
+# Chunks on their way to this machine at a time: one takes 84 ms on a link of 4.7 Mbit/s,
+# and requests for the engine beside wait behind them. Weights are due in 8 s, so that
+# owners are replaced, and a failing origin is tried again, within a second.
+PACE = transfers.Pace(
+    max_in_flight=3,
+    patience_s={"time": 1.0, "origin_bytes": 2.0},
+    max_origin_back_off_s=1.0,
+)
 # Delay before the manifest is asked for again.
 MANIFEST_RETRY_S = 0.3
 # Corrupt pieces from the origin after which the manifest itself is doubted.
@@ -144,11 +152,12 @@
             self._me,
             self.store,
             transfers.Rates(rate, rate),
-            # Each region takes its copy from the origin. The links of the machines in
-            # the origin's own region would take longer than is allowed to serve all.
-            settings.region,
+            # All regions take a part of the chunks from the origin, so that its only
+            # copy is out early and the links of all machines share what follows.
+            None,
             random.Random(),
             reactor.seconds(),
+            PACE,
         )
         self.operator = sync.TableSync(
             reactor, store, meaning.operator_table, self._operator_changed, self._log
--- a/cicadaplank/weights/ownership.py
+++ b/cicadaplank/weights/ownership.py
@@ -61,6 +61,18 @@
             self._memo[key] = _ranked(self._names.get(region, ()), key[1])
         return self._memo[key]
 
+    def home_region(self, chunk_digest):
+        """Return the region whose owner of a chunk ranks first among all owners.
+
+        The chunks of a manifest divide over the regions by their numbers of holders,
+        and over the links of all holders.
+
+        :param chunk_digest: SHA-256 in hex.
+        """
+        owners = {r: self.candidates(r, chunk_digest)[0] for r in self.regions}
+        first = rendezvous.owner(bucket_of(chunk_digest), owners.values())
+        return next(region for region, name in owners.items() if name == first)
+
     def before(self, name, region, chunk_digest):
         """Return the candidates that come before an instance, the owner first.
 
--- a/cicadaplank/weights/transfers.py
+++ b/cicadaplank/weights/transfers.py
@@ -92,6 +92,22 @@
     region_bytes_per_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Pace:
+    """How hard and how patiently an instance fetches chunks.
+
+    :param max_in_flight: chunks requested at a time. Requests of callers to this
+        machine wait behind those that are on its link.
+    :param patience_s: dict from ``prefer`` to the time without progress after which the
+        next candidate takes a chunk over.
+    :param max_origin_back_off_s: longest pause before a failing origin is tried again.
+    """
+
+    max_in_flight: int = MAX_IN_FLIGHT
+    patience_s: dict = dataclasses.field(default_factory=lambda: PATIENCE_S)
+    max_origin_back_off_s: float = MAX_ORIGIN_BACK_OFF_S
+
+
 @dataclasses.dataclass(frozen=True)
 class Send:
     """Send a message to a peer; open a stream when there is none.
@@ -188,12 +204,24 @@
     :param me: this instance, a :class:`cicadaplank.world.machines.Instance`.
     :param store: :class:`chunks.ChunkStore`.
     :param rates: :class:`Rates`.
-    :param origin_region: region in which the origin is located.
+    :param origin_region: region that takes chunks from the origin, or None to divide
+        them over all regions.
     :param rng: :class:`random.Random`.
     :param now_s: current time in seconds.
+    :param pace: :class:`Pace`.
     """
 
-    def __init__(self, me, store, rates, origin_region, rng, now_s):
+    def __init__(
+        self,
+        me,
+        store,
+        rates,
+        origin_region,
+        rng,
+        now_s,
+        pace=None,
+    ):
+        self._pace = pace or Pace()
         self.me = me
         self.store = store
         self.rates = rates
@@ -591,7 +619,8 @@
     def _origin_backs_off(self, retry_after_s, now_s):
         self._origin_failures += 1
         delay_s = ORIGIN_BACK_OFF_S * 2 ** min(self._origin_failures - 1, 10)
-        delay_s = max(min(delay_s, MAX_ORIGIN_BACK_OFF_S), retry_after_s)
+        delay_s = min(delay_s, self._pace.max_origin_back_off_s)
+        delay_s = max(delay_s, retry_after_s)
         retry_s = now_s + delay_s * self._rng.uniform(1.0, 1.5)
         self._origin_retry_s = max(self._origin_retry_s, retry_s)
         self._recheck_s = self._origin_retry_s
@@ -684,7 +713,7 @@
             return []
         version.reviewed_s = now_s
         self._replace_neighbours(version, now_s)
-        patience_s = PATIENCE_S[version.wanted.prefer]
+        patience_s = self._pace.patience_s[version.wanted.prefer]
 
         def is_idle(name):
             source = self._sources.get(name)
@@ -746,7 +775,7 @@
         return actions
 
     def _window(self):
-        return max(2, int(MAX_IN_FLIGHT * self._rate_share))
+        return max(2, int(self._pace.max_in_flight * self._rate_share))
 
     def _request_near(self, version, now_s):
         actions = []
@@ -821,9 +850,10 @@
         due &= ~version.copy.in_flight
         if not due or now_s < self._origin_retry_s:
             return actions
-        patience_s = 2 * PATIENCE_S[version.wanted.prefer]
-        home = self.me.region == self.origin_region
-        if not home and now_s - version.progress_s <= patience_s:
+        patience_s = 2 * self._pace.patience_s[version.wanted.prefer]
+        if now_s - version.progress_s <= patience_s:
+            due &= version.home
+        if not due:
             return actions
         if version.rechecked_s < self._recheck_s:
             return actions + self._recheck(version, now_s)
@@ -871,6 +901,7 @@
         actions = []
         busy = sum(1 for request in self._requests.values() if not request.peer)
         limit = 1 if self._origin_failures else MAX_ORIGIN_IN_FLIGHT
+        limit = min(limit, self._window() - len(self._requests))
         while due and busy < limit:
             index = copies.choose(due, self._rng)
             digest = version.manifest.chunk_digests[index]
--- a/cicadaplank/weights/versions.py
+++ b/cicadaplank/weights/versions.py
@@ -11,6 +11,8 @@
 MAX_NEIGHBOURS = 32
 # Candidates of other regions that are watched while a copy makes no progress.
 MAX_FALLBACK = 16
+# Owners that hold a copy up are slow when they are at most this part of all owners.
+STRAGGLER_SHARE = 0.34
 # A chunk that a peer refused or did not send is not expected from it for this time.
 DENIED_S = 10.0
 
@@ -20,7 +22,8 @@
 
     :param wanted: :class:`cicadaplank.weights.transfers.Wanted`.
     :param me: this instance.
-    :param origin_region: region in which the origin is located.
+    :param origin_region: region that takes chunks from the origin, or None to divide
+        them over all regions. The others take them from it.
     :param now_s: current time in seconds.
     """
 
@@ -43,6 +46,7 @@
         self.manifest_retry_s = now_s
         self.manifest_asked = False
         self.progress_s = now_s
+        self.straggling_s = None
         self.announced_s = now_s
         self.announce_due = False
         self.reviewed_s = now_s
@@ -54,6 +58,7 @@
         self._ownership = None
         # Chunks by the candidates of this region that come before this instance.
         self._turns = {}
+        self._home = 0
         self._denied = {}
 
     def place(self, instances):
@@ -87,24 +92,40 @@
     def _place_chunks(self):
         me = self.me
         self._turns = collections.defaultdict(int)
+        self._home = 0
         old = self.upstream | self.near_upstream
         self.near_upstream = set()
         self.upstream = set()
         self.taken_over = 0
         for index, digest in enumerate(self.manifest.chunk_digests):
+            home_region = self.home_region(digest)
+            if me.region == home_region:
+                self._home |= 1 << index
             before = self._ownership.before(me.name, me.region, digest)
             self._turns[before] |= 1 << index
             if len(before) > 1:
                 continue
             # The next in the ranking watches the owner. Both watch the chunk's owner
-            # in the origin's region, from which it comes into this one.
+            # in its home region, from which it comes into this one.
             self.near_upstream.update(before)
-            if me.region != self.origin_region:
-                names = self._ownership.candidates(self.origin_region, digest)
+            if me.region != home_region:
+                names = self._ownership.candidates(home_region, digest)
                 self.upstream.update(names[: len(before) + 1])
         for name in old - self.watched:
             self.copy.drop_map(name)
 
+    def home_region(self, digest):
+        """Return the region that takes a chunk from the origin.
+
+        :param digest: chunk digest.
+        """
+        return self.origin_region or self._ownership.home_region(digest)
+
+    @property
+    def home(self):
+        """Return the chunks that this region takes from the origin."""
+        return self._home
+
     @property
     def near(self):
         """Return the peers of this region that chunks are requested from."""
@@ -135,13 +156,14 @@
         return self._ownership.before(self.me.name, self.me.region, digest)
 
     def remote_candidates(self, digest):
-        """Return candidates of other regions, those of the origin's region first.
+        """Return candidates of other regions, those of the home region first.
 
         :param digest: chunk digest.
         :returns: list of instance names.
         """
         regions = [r for r in self._ownership.regions if r != self.me.region]
-        regions.sort(key=lambda region: region != self.origin_region)
+        home_region = self.home_region(digest)
+        regions.sort(key=lambda region: region != home_region)
         return [n for r in regions for n in self._ownership.candidates(r, digest)]
 
     def watch_other_regions(self, bits):
@@ -250,6 +272,21 @@
         """Return the chunks that this instance owns or has taken over."""
         return self._turns.get((), 0) | self.taken_over
 
+    def _stragglers(self, hidden, now_s):
+        """Return the owners that hold the copy up after all others are done.
+
+        :param hidden: set of chunks.
+        :param now_s: current time in seconds.
+        """
+        owners = {before[0] for before in self._turns if before}
+        late = {b[0] for b, bits in self._turns.items() if b and hidden & bits}
+        if not late or len(late) > STRAGGLER_SHARE * len(owners):
+            self.straggling_s = None
+            return frozenset()
+        if self.straggling_s is None:
+            self.straggling_s = now_s
+        return late
+
     def review_turns(self, is_idle, patience_s, now_s):
         """Take over the chunks whose owners do not bring them.
 
@@ -259,9 +296,13 @@
         """
         hidden = self.hidden()
         self.taken_over = 0
+        stragglers = self._stragglers(hidden, now_s)
         for before, bits in self._turns.items():
             if not before or not hidden & bits:
                 continue
             waited = now_s - self.progress_s > patience_s * len(before)
-            if waited or all(is_idle(name) for name in before):
+            late = before[0] in stragglers and (
+                now_s - self.straggling_s > patience_s * len(before)
+            )
+            if waited or late or all(is_idle(name) for name in before):
                 self.taken_over |= bits
