Load an older version that is well under way before a newer one

Cause: a version named 4 s after another dropped a copy that was nearly complete, and no engine had either in time. Chunks from other regions came one at a time (23 of 48 for a region of two machines), and two from the origin for each of 14 machines delayed each. Change: both versions are copied, the older one first when a third of it is there or it is being loaded; one chunk from the origin and three from other regions in flight.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -23,8 +23,10 @@
 MEMBERS_S = 10.0
 # Settings may change without a signal; the file is read again this often.
 SETTINGS_S = 5.0
-# Requests may come again before the process exits.
+# Period in which a process that stops looks for calls in progress.
 LAST_LOOK_S = 0.1
+# New connections that wait to be accepted.
+BACKLOG = 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -122,7 +124,7 @@
         self._reload = reload
         self._is_first_list = True
         self._stopping_s = None
-        self._ports = []
+        self._front = None
         reporter = reporting.Reporter(self.events, self.metrics, reactor.seconds)
         self._reporter = reporter
         self.gateway = gateway.Gateway(
@@ -180,7 +182,7 @@
             settings.ready_path: self._ready_page,
             "/metrics": self._metrics_page,
         }
-        self._listen(settings.front, self.listener)
+        self._front = self._listen(settings.front, self.listener)
         self._listen(settings.ready, status.Pages(self.reactor, pages))
         self._listen(settings.metrics, status.Pages(self.reactor, pages))
         self.hub.listen(settings.peer.host, settings.peer.port)
@@ -196,8 +198,7 @@
         self.events.log("started", front=f"{settings.front.host}:{settings.front.port}")
 
     def _listen(self, address, factory):
-        port = self.reactor.listenTCP(address.port, factory, 1024, address.host)
-        self._ports.append(port)
+        return self.reactor.listenTCP(address.port, factory, BACKLOG, address.host)
 
     def _signalled(self, function):
         return lambda number, frame: self.reactor.callFromThread(function)
@@ -236,7 +237,12 @@
         self._stopping_s = self.reactor.seconds()
         self.listener.is_stopping = True
         self.events.log("stopping", calls=self.gateway.open_calls)
-        self.reactor.callLater(ACCEPT_S, self._finish)
+        self.reactor.callLater(ACCEPT_S, self._stop_accepting)
+
+    def _stop_accepting(self):
+        """Refuse new connections: their requests could not end in time."""
+        self._front.stopListening()
+        self._finish()
 
     def _finish(self):
         """Close idle connections, and exit when no call is in progress."""
--- a/cicadaplank/replicas/loading.py
+++ b/cicadaplank/replicas/loading.py
@@ -17,6 +17,9 @@
 LAST_TURN_SHARE = 0.62
 # Time after which an order without an answer, or without effect, is repeated.
 ORDER_PATIENCE_S = 1.5
+# Part of a version that must be held so that it is finished although a newer one was
+# named. Less than this is dropped: the newer one would come too late.
+KEEP_SHARE = 0.35
 # Delay before a refused order is repeated.
 REFUSED_S = 0.25
 
@@ -87,6 +90,20 @@
     expected_orders: int
 
 
+def finishes_first(phase, progress):
+    """Tell whether an engine loads its target although a newer version was named.
+
+    Both have to be in force within the same time of their naming. A copy that is well
+    under way serves until the newer one is there.
+
+    :param phase: :class:`Phase` of the target.
+    :param progress: part of the target that is held.
+    """
+    return phase is not Phase.CURRENT and (
+        phase is not Phase.COPYING or progress >= KEEP_SHARE
+    )
+
+
 def turn_of(name, target, names):
     """Return in which turn an engine loads a version.
 
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -27,11 +27,13 @@
 CHUNK_MEMORY_BYTES = 64 * 1024 * 1024
 # Part of the machine's link that transfers may use; the rest is for its engine.
 LINK_SHARE = 0.92
-# Chunks on their way to this machine at a time: one takes 84 ms on a link of 4.7 Mbit/s,
-# and requests for the engine beside wait behind them. Weights are due in 8 s, so that
-# owners are replaced, and a failing origin is tried again, within a second.
+# Chunks on their way to this machine at a time: one takes 84 ms on a link of
+# 4.7 Mbit/s, and requests for the engine beside wait behind them. Weights are due in
+# 8 s, so that owners are replaced, and a failing origin is tried again, in a second.
 PACE = transfers.Pace(
-    max_in_flight=3,
+    max_in_flight=4,
+    max_origin_in_flight=1,
+    max_remote_in_flight=3,
     patience_s={"time": 1.0, "origin_bytes": 2.0},
     max_origin_back_off_s=1.0,
 )
@@ -128,11 +130,10 @@
         self._origin_at = origin_at
         self._origin = None
         self._origin_address = ""
-        self._manifest = None
-        self._manifest_for = None
+        # The version that is loaded next, and the newest one that was named.
+        self._present = None
+        self._newest = None
         self._is_asking = False
-        self._corrupt = 0
-        self._has_copy = False
         self._engine_state = None
         self._is_checking = False
         self._checked_s = float("-inf")
@@ -258,7 +259,7 @@
             self._use_origin(configuration)
         for model, version in self._meaning.named_weights(copy).items():
             self._want(model, version)
-        if self.loading.target is None:
+        if self._newest is None:
             self._check_engine()
 
     def _use_origin(self, configuration):
@@ -269,16 +270,32 @@
             self._log("origin_known", address=addresses[0])
 
     def _want(self, model, version):
-        target = loading.Target(model, version, self.now_s)
-        if not self.loading.wanted(target):
+        newest = self._newest
+        if newest is not None and version <= newest.target.version:
             return
+        copy = _Copy(loading.Target(model, version, self.now_s))
         self._log("weights_wanted", model=model, version=version)
-        self._has_copy = False
-        self._manifest = None
-        self._corrupt = 0
-        self._ask_manifest()
+        present = self._present
+        self._newest = copy
+        if present is None or not loading.finishes_first(
+            self.loading.phase, self._progress(present)
+        ):
+            self._turn_to_newest()
+        else:
+            self._log("older_weights_first", version=present.target.version)
+        self._ask_manifest(copy)
         self._check_engine()
 
+    def _progress(self, copy):
+        if copy.manifest is None:
+            return 0.0
+        return self.transfers.progress(copy.manifest.digest)
+
+    def _turn_to_newest(self):
+        self._present = self._newest
+        self.loading.wanted(self._present.target)
+        self._want_copies()
+
     def _list_changed(self, changed):
         services = _Services(self.settings.service)
         listed, unreadable = self._meaning.endpoints(self.listed.copy, services)
@@ -295,7 +312,7 @@
         for host in zones:
             self.peers.seed(host, self.settings.peer_port, "agent")
         self._carry_out(self.transfers.instances_changed(instances, self.now_s))
-        self._want_copy()
+        self._want_copies()
 
     def _agent_at(self, host, data_centre):
         region = self.settings.regions.get(data_centre, "")
@@ -305,26 +322,29 @@
 
     # Copies.
 
-    def _ask_manifest(self):
-        target = self.loading.target
-        if self._is_asking or target is None:
-            return
-        if self._manifest_for == target.version and self._manifest is not None:
+    def _is_wanted(self, copy):
+        return copy is not None and copy in (self._present, self._newest)
+
+    def _ask_manifest(self, copy):
+        if not self._is_wanted(copy) or copy.is_asking or copy.manifest is not None:
             return
         if self._origin is None:
-            self.reactor.callLater(MANIFEST_RETRY_S, self._ask_manifest)
+            self.reactor.callLater(MANIFEST_RETRY_S, self._ask_manifest, copy)
             return
-        self._is_asking = True
+        copy.is_asking = True
+        target = copy.target
         asked = _started(self._origin.manifest(target.model, target.version))
-        asked.addCallbacks(self._manifest_came, self._manifest_failed, (target,))
+        asked.addCallbacks(
+            self._manifest_came, self._manifest_failed, (copy,), None, (copy,)
+        )
 
-    def _manifest_came(self, manifest, target):
-        self._is_asking = False
-        if target != self.loading.target:
-            self._ask_manifest()
+    def _manifest_came(self, manifest, copy):
+        copy.is_asking = False
+        if not self._is_wanted(copy):
             return
-        self._manifest = manifest
-        self._manifest_for = target.version
+        copy.manifest = manifest
+        copy.corrupt = 0
+        target = copy.target
         self._log(
             "manifest_known",
             model=target.model,
@@ -334,7 +354,7 @@
         )
         adopting = _started(self._adopt(target, manifest))
         adopting.addErrback(self._adoption_failed)
-        adopting.addCallback(lambda ignored: self._want_copy())
+        adopting.addCallback(lambda ignored: self._want_copies())
 
     async def _adopt(self, target, manifest):
         """Take the pieces that lie at the engine, so that peers can have them."""
@@ -355,19 +375,35 @@
         failure.trap(errors.PlatformError)
         self._log("adoption_failed", reason=str(failure.value))
 
-    def _manifest_failed(self, failure):
+    def _manifest_failed(self, failure, copy):
         failure.trap(errors.PlatformError)
-        self._is_asking = False
+        copy.is_asking = False
         self.counts["manifest_failures"] += 1
         self._log("manifest_failed", reason=str(failure.value))
-        self.reactor.callLater(MANIFEST_RETRY_S, self._ask_manifest)
-
-    def _want_copy(self):
-        manifest = self._manifest
-        if manifest is None:
-            return
-        wanted = transfers.Wanted(manifest.digest, manifest.name, self._names)
-        self._carry_out(self.transfers.rows_changed((wanted,), self.now_s))
+        self.reactor.callLater(MANIFEST_RETRY_S, self._ask_manifest, copy)
+
+    def _copies(self):
+        """Return the copies that are wanted, the one that is loaded first in front."""
+        found = [self._present]
+        if self._newest is not self._present:
+            found.append(self._newest)
+        return [c for c in found if c is not None and c.manifest is not None]
+
+    def _copy_of(self, manifest_digest):
+        for copy in self._copies():
+            if copy.manifest.digest == manifest_digest:
+                return copy
+        return None
+
+    def _want_copies(self):
+        wanted = [
+            transfers.Wanted(
+                copy.manifest.digest, copy.manifest.name, self._names, "time", position
+            )
+            for position, copy in enumerate(self._copies())
+        ]
+        if wanted:
+            self._carry_out(self.transfers.rows_changed(tuple(wanted), self.now_s))
 
     def _carry_out(self, actions):
         for action in actions:
@@ -399,9 +435,10 @@
         self.hub.dial(instance).addCallback(dialled)
 
     def _give_manifest(self, action):
-        manifest = self._manifest
-        if manifest is None or manifest.digest != action.manifest_digest:
+        copy = self._copy_of(action.manifest_digest)
+        if copy is None:
             return
+        manifest = copy.manifest
         text = manifest.to_json()
         self.reactor.callLater(
             0,
@@ -411,27 +448,33 @@
         )
 
     def _fetch_chunk(self, action):
-        manifest, target = self._manifest, self.loading.target
         digest = action.chunk_digest
-        if manifest is None or digest not in manifest.chunk_digests:
+        for copy in self._copies():
+            if digest in copy.manifest.chunk_digests:
+                break
+        else:
+            self.reactor.callLater(0, self._piece_unwanted, digest)
             return
-        number = manifest.chunk_digests.index(digest)
+        number = copy.manifest.chunk_digests.index(digest)
+        target = copy.target
         self.counts["origin_pieces"] += 1
         asked = _started(self._origin.piece(target.model, target.version, number))
         asked.addCallbacks(
-            lambda data: self._piece_came(digest, data),
+            lambda data: self._piece_came(copy, digest, data),
             lambda failure: self._piece_failed(digest, failure),
         )
 
-    def _piece_came(self, digest, data):
+    def _piece_unwanted(self, digest):
+        self._carry_out(self.transfers.origin_failed(digest, 0.0, self.now_s))
+
+    def _piece_came(self, copy, digest, data):
         if manifests.chunk_digest(data) != digest:
-            self._corrupt += 1
+            copy.corrupt += 1
             self._log("piece_corrupt", digest=digest, source="origin")
-            if self._corrupt >= CORRUPT_LIMIT:
+            if copy.corrupt >= CORRUPT_LIMIT:
                 # The manifest may be what is wrong.
-                self._corrupt = 0
-                self._manifest = None
-                self._ask_manifest()
+                copy.manifest = None
+                self._ask_manifest(copy)
         self._carry_out(self.transfers.origin_replied(digest, data, self.now_s))
 
     def _piece_failed(self, digest, failure):
@@ -441,10 +484,11 @@
         self._carry_out(self.transfers.origin_failed(digest, 0.0, self.now_s))
 
     def _copy_complete(self, action):
-        if self._manifest is None or action.manifest_digest != self._manifest.digest:
+        copy = self._copy_of(action.manifest_digest)
+        if copy is None or copy.is_complete:
             return
-        self._has_copy = True
-        target = self.loading.target
+        copy.is_complete = True
+        target = copy.target
         self._log(
             "copy_complete",
             model=target.model,
@@ -491,33 +535,43 @@
             self.loading.restarted()
         elif known.versions != state.versions:
             self._log("engine_serves", versions=str(state.versions))
-        if self.loading.target is None:
+        if self._newest is None:
             self._find_newest()
         self._decide()
 
     def _find_newest(self):
         """Ask the origin which version is the newest; none was named here yet."""
-        if (
-            self._origin is None
-            or self._is_asking
-            or not self.operator.copy.version >= 0
-        ):
+        if self._origin is None or self._is_asking or self.operator.copy.version < 0:
             return
         models = self._meaning.models(self.operator.copy)
         if not models:
             return
         self._is_asking = True
         asked = _started(self._origin.manifest(models[0], 0))
-        asked.addCallbacks(self._newest_came, self._manifest_failed, (models[0],))
+        asked.addCallbacks(self._newest_came, self._newest_failed, (models[0],))
 
     def _newest_came(self, manifest, model):
         self._is_asking = False
-        if self.loading.target is None:
+        if self._newest is None:
             self._want(model, int(manifest.version))
 
+    def _newest_failed(self, failure):
+        failure.trap(errors.PlatformError)
+        self._is_asking = False
+        self._log("manifest_failed", reason=str(failure.value))
+
     def _decide(self):
+        newest, present = self._newest, self._present
+        if newest is not present and (
+            newest.is_complete or self.loading.phase is loading.Phase.CURRENT
+        ):
+            self._turn_to_newest()
+            present = newest
         action = self.loading.next(
-            self._engine_state, self._has_copy, self._names, self.now_s
+            self._engine_state,
+            present is not None and present.is_complete,
+            self._names,
+            self.now_s,
         )
         if isinstance(action, loading.Stage):
             _started(self._stage(action.target)).addErrback(self._failed)
@@ -530,7 +584,7 @@
 
     async def _stage(self, target):
         """Stage every piece that does not lie at the engine as it should."""
-        manifest = self._manifest
+        manifest = self._present.manifest
         missing = []
         try:
             for number in range(len(manifest.chunk_digests)):
@@ -546,7 +600,7 @@
             self.loading.staged(target, False)
             return
         self._log("staged", version=target.version, pieces=len(missing))
-        self.loading.staged(target, manifest is self._manifest)
+        self.loading.staged(target, manifest is self._present.manifest)
         self._decide()
 
     async def _lies_there(self, target, manifest, number):
@@ -612,6 +666,21 @@
     return defer.ensureDeferred(coroutine)
 
 
+class _Copy:
+    """Copy of one version.
+
+    :param target: :class:`cicadaplank.replicas.loading.Target`.
+    :ivar corrupt: corrupt pieces that the origin sent for the present manifest.
+    """
+
+    def __init__(self, target):
+        self.target = target
+        self.manifest = None
+        self.is_asking = False
+        self.is_complete = False
+        self.corrupt = 0
+
+
 class _Services:
     """Stands for a configuration where only one service matters."""
 
--- a/cicadaplank/weights/transfers.py
+++ b/cicadaplank/weights/transfers.py
@@ -98,12 +98,16 @@
 
     :param max_in_flight: chunks requested at a time. Requests of callers to this
         machine wait behind those that are on its link.
+    :param max_origin_in_flight: chunks requested from the origin at a time.
+    :param max_remote_in_flight: chunks requested from other regions at a time.
     :param patience_s: dict from ``prefer`` to the time without progress after which the
         next candidate takes a chunk over.
     :param max_origin_back_off_s: longest pause before a failing origin is tried again.
     """
 
     max_in_flight: int = MAX_IN_FLIGHT
+    max_origin_in_flight: int = MAX_ORIGIN_IN_FLIGHT
+    max_remote_in_flight: int = MAX_REMOTE_IN_FLIGHT
     patience_s: dict = dataclasses.field(default_factory=lambda: PATIENCE_S)
     max_origin_back_off_s: float = MAX_ORIGIN_BACK_OFF_S
 
@@ -637,6 +641,16 @@
         for version, mask in self._masks(request.chunk_digest):
             version.copy.in_flight &= ~mask
 
+    def progress(self, manifest_digest):
+        """Return which part of a version is held, 0.0 when nothing is known of it.
+
+        :param manifest_digest: digest of its manifest.
+        """
+        version = self._versions.get(manifest_digest)
+        if version is None or version.copy is None:
+            return 0.0
+        return version.copy.have.bit_count() / max(1, version.copy.count)
+
     # Time.
 
     def wake_s(self):
@@ -781,6 +795,7 @@
         actions = []
         copy = version.copy
         needed = copy.missing & ~copy.in_flight
+        # Chunks from the origin come first: all others wait for them.
         if not needed or len(self._requests) >= self._window():
             return actions
         usable = [
@@ -825,7 +840,8 @@
             return QUEUE_MARGIN * uploads.MAX_QUEUED * chunk_s
         # All holders of this region may have a chunk on the same link.
         chunk_s = chunk_bytes / self.rates.region_bytes_per_s
-        chunks_ahead = uploads.MAX_QUEUED + MAX_REMOTE_IN_FLIGHT * version.region_size
+        chunks_ahead = uploads.MAX_QUEUED
+        chunks_ahead += self._pace.max_remote_in_flight * version.region_size
         return QUEUE_MARGIN * chunks_ahead * chunk_s
 
     def _chunk_s(self, digest):
@@ -880,7 +896,7 @@
             return actions
         remote = sum(1 for request in self._requests.values() if request.remote)
         held = {name: version.copy.held_by(name) for name in version.upstream}
-        while remote < MAX_REMOTE_IN_FLIGHT:
+        while remote < self._pace.max_remote_in_flight:
             due &= ~version.copy.in_flight
             available = 0
             for bits in held.values():
@@ -900,8 +916,7 @@
     def _request_origin(self, version, due, now_s):
         actions = []
         busy = sum(1 for request in self._requests.values() if not request.peer)
-        limit = 1 if self._origin_failures else MAX_ORIGIN_IN_FLIGHT
-        limit = min(limit, self._window() - len(self._requests))
+        limit = 1 if self._origin_failures else self._pace.max_origin_in_flight
         while due and busy < limit:
             index = copies.choose(due, self._rng)
             digest = version.manifest.chunk_digests[index]
