Write chunks in slices, and cut resumable calls when an engine loads weights

A chunk of 49 KB holds a machine's link of 4.7 Mbit/s for 84 ms, uploads to other regions had a rate of their own on the same link, and events of streams waited behind both, longer than the 120 ms that they may. Engines that let running calls end took nothing new for up to 2 s, all at once. Change: large frames leave in slices of 4 KB at 0.8 of the link; all uploads share one rate; a source with three chunks queued refuses; engines whose calls can all be resumed cut them. Calls that wait are logged with the load that made them.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -82,6 +82,10 @@
         self.reason = ""
         self.last_event = b""
         self.endpoint_name = ""
+        # Times from the arrival, for the log.
+        self.sent_after_s = None
+        self.first_event_s = None
+        self.longest_gap_s = 0.0
         head = request.head
         wait_s = route.timeout_s
         if head.wait_s is not None:
@@ -174,6 +178,8 @@
         self._body_bytes = 0
         self.phase = Phase.SENT
         self._sent_s = self._heard_s = now_s
+        if self.sent_after_s is None:
+            self.sent_after_s = now_s - self.request.arrived_s
         self.history.sends += 1
         connection.send(self._gateway.write(self, self.state, left_s), self)
         if self._is_paused:
@@ -218,7 +224,10 @@
 
     def reply_data(self, data):
         """Take a part of the body."""
-        self._heard_s = self._gateway.now_s()
+        now_s = self._gateway.now_s()
+        if self._began:
+            self.longest_gap_s = max(self.longest_gap_s, now_s - self._heard_s)
+        self._heard_s = now_s
         if self._splitter is None:
             self._body_bytes += len(data)
             if self._body_bytes > MAX_ANSWER_BYTES:
@@ -246,8 +255,8 @@
         self.phase = Phase.STREAMING
         if not self._began:
             self._began = True
-            first_s = self._heard_s - self.request.arrived_s
-            self._gateway.first_event(self, first_s)
+            self.first_event_s = self._heard_s - self.request.arrived_s
+            self._gateway.first_event(self, self.first_event_s)
             self._client.begin_stream(self._reply)
         self._client.stream(data)
 
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -329,6 +329,7 @@
             call.refuse(reason, now_s, expected_s)
             return
         call.phase = calls.Phase.WAITING
+        self._reporter.waiting(call, len(room), expected_s, states, demand, now_s)
         if len(room) > 1:
             self.dispatch(call.service)
 
--- a/cicadaplank/gateway/reporting.py
+++ b/cicadaplank/gateway/reporting.py
@@ -6,6 +6,7 @@
 
 import time
 
+from cicadaplank.gateway import placement
 from cicadaplank.requests import verdicts
 from cicadaplank.world import links
 
@@ -84,6 +85,29 @@
             failures_in_a_row=state.failures_in_a_row,
         )
 
+    def waiting(self, call, waiting, expected_s, states, demand, now_s):
+        """Report a call that waits for room.
+
+        :param waiting: calls that wait, this one included.
+        :param expected_s: expected wait in seconds.
+        :param states: states of the service's endpoints.
+        :param demand: :class:`cicadaplank.gateway.placement.Demand`.
+        """
+        usable = [s for s in states if placement.serves(s.endpoint, demand)]
+        self.event(
+            "call_waits",
+            bucket=self._answered,
+            request=call.name,
+            waiting=waiting,
+            expected_s=expected_s,
+            endpoints=len(states),
+            usable=len(usable),
+            full=sum(1 for s in usable if not placement.has_room(s, now_s)),
+            ejected=sum(1 for s in usable if s.is_ejected(now_s)),
+            own_calls=sum(s.in_flight for s in usable),
+            peer_calls=sum(s.peer_calls(now_s) for s in usable),
+        )
+
     def ended(self, call, outcome, verdict, version):
         """Report the end of a call."""
         elapsed_s = self._clock_s() - call.request.arrived_s
@@ -103,6 +127,9 @@
             attempts=call.history.sends,
             failed_dials=call.history.dials,
             endpoint=call.endpoint_name,
+            sent_after_s=call.sent_after_s,
+            first_event_s=call.first_event_s,
+            longest_gap_s=call.longest_gap_s,
             elapsed_s=elapsed_s,
             configuration=version,
         )
--- a/cicadaplank/links/streams.py
+++ b/cicadaplank/links/streams.py
@@ -7,11 +7,13 @@
 import collections
 import dataclasses
 import itertools
+import struct
 import typing
 
 from twisted.internet import defer, endpoints, error, protocol
 from twisted.protocols import basic
 
+from cicadaplank.links import pacing
 from cicadaplank.messages import codec, types
 
 MAX_QUEUED_BYTES = 16 * 1024 * 1024
@@ -60,6 +62,7 @@
         self.peer = ""
         self.hello = None
         self._paused = False
+        self._is_pacing = False
         self._queue = collections.deque()
         self._queued_bytes = 0
         self._hello_timer = None
@@ -96,7 +99,7 @@
         frame = self.hub.encode(message)
         if self.transport is None or self.transport.disconnecting:
             return False
-        if not self._paused:
+        if not self._paused and not self._queue and not self._is_pacing:
             self._write(frame)
             return True
         if self._queued_bytes + len(frame) > MAX_QUEUED_BYTES:
@@ -108,7 +111,23 @@
 
     def _write(self, frame):
         self.hub.counters["bytes_sent"] += len(frame)
-        self.sendString(frame)
+        pacer = self.hub.pacer
+        if pacer is None or len(frame) <= pacing.SMALL_BYTES:
+            self.sendString(frame)
+            return
+        self._is_pacing = True
+        whole = struct.pack(self.structFormat, len(frame)) + frame
+        pacer.write(whole, self._write_slice, self._paced)
+
+    def _write_slice(self, data):
+        if self.transport is None or not self.transport.connected:
+            return False
+        self.transport.write(data)
+        return True
+
+    def _paced(self):
+        self._is_pacing = False
+        self._write_queued()
 
     def pauseProducing(self):
         """Queue frames until the transport has room again."""
@@ -117,7 +136,10 @@
     def resumeProducing(self):
         """Write the queued frames until the transport is full."""
         self._paused = False
-        while self._queue and not self._paused:
+        self._write_queued()
+
+    def _write_queued(self):
+        while self._queue and not self._paused and not self._is_pacing:
             frame = self._queue.popleft()
             self._queued_bytes -= len(frame)
             self._write(frame)
@@ -182,9 +204,12 @@
     :param listener: :class:`Listener`.
     :param table_version: callable that gives the highest configuration version held.
     :param log: callable ``log(event, **fields)``.
+    :param pacer: :class:`pacing.PacedWriter` for large frames, or None to write them at
+        once.
     """
 
-    def __init__(self, reactor, identity, listener, table_version, log):
+    def __init__(self, reactor, identity, listener, table_version, log, pacer=None):
+        self.pacer = pacer
         self.identity = identity
         self.counters = collections.Counter()
         self.log = log
--- a/cicadaplank/platform/servers.py
+++ b/cicadaplank/platform/servers.py
@@ -9,8 +9,9 @@
 PIECE_TIMEOUT_S = 3.0
 ORDER_TIMEOUT_S = 1.0
 LOCAL_TIMEOUT_S = 0.8
-# Running work ends before the new weights are loaded.
+# Running work ends before the new weights are loaded, or is cut.
 QUEUE_MODE = "queue"
+ABORT_MODE = "abort"
 
 
 def _checked(answer, what):
@@ -61,15 +62,18 @@
         )
         return _checked(answer, "stage-get")
 
-    async def load(self, model, version, expected_orders):
+    async def load(self, order):
         """Order the server to load what is staged.
 
+        :param order: :class:`cicadaplank.replicas.loading.Order`.
         :returns: True when the order has begun or is in effect.
         """
-        order = {"op": "start", "model": model, "version": version}
-        order |= {"mode": QUEUE_MODE, "expected": expected_orders}
+        target = order.target
+        body = {"op": "start", "model": target.model, "version": target.version}
+        body["mode"] = ABORT_MODE if order.cuts else QUEUE_MODE
+        body["expected"] = order.expected_orders
         status, _ = await self._client.call(
-            "POST", "/v1/order", body=order, timeout_s=ORDER_TIMEOUT_S
+            "POST", "/v1/order", body=body, timeout_s=ORDER_TIMEOUT_S
         )
         return status in (200, 202)
 
--- a/cicadaplank/replicas/loading.py
+++ b/cicadaplank/replicas/loading.py
@@ -84,10 +84,12 @@
 
     :param target: :class:`Target`.
     :param expected_orders: orders that the engine must have accepted so far.
+    :param cuts: whether running calls are cut; otherwise the engine lets them end.
     """
 
     target: Target
     expected_orders: int
+    cuts: bool = False
 
 
 def finishes_first(phase, progress):
@@ -124,11 +126,14 @@
     :param allowed_s: time from the naming of a version until older ones are forbidden.
     :ivar target: :class:`Target` or None.
     :ivar phase: :class:`Phase`.
+    :ivar may_cut: whether every running call can be resumed at another engine. Then
+        they are cut: one long answer would keep all slots of the engine empty.
     """
 
     def __init__(self, name, allowed_s):
         self.target = None
         self.phase = Phase.COPYING
+        self.may_cut = False
         self._name = name
         self._allowed_s = allowed_s
         self._staged_for = None
@@ -205,7 +210,7 @@
         if engine.is_busy or now_s - self._ordered_s < ORDER_PATIENCE_S:
             return None
         self._ordered_s = now_s
-        return Order(target, engine.orders)
+        return Order(target, engine.orders, self.may_cut)
 
     def _is_turn(self, engine, names, now_s):
         if engine.is_empty or turn_of(self._name, self.target, names) == 0:
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -10,8 +10,8 @@
 from twisted.logger import LogLevel, globalLogPublisher
 
 from cicadaplank.external import errors
-from cicadaplank.gateway import peers, status, sync
-from cicadaplank.links import streams
+from cicadaplank.gateway import peers, routes, status, sync
+from cicadaplank.links import pacing, streams
 from cicadaplank.messages import types
 from cicadaplank.replicas import loading
 from cicadaplank.reports import events, metrics
@@ -26,14 +26,15 @@
 # Memory for the pieces of two versions, of the size that the origin states.
 CHUNK_MEMORY_BYTES = 64 * 1024 * 1024
 # Part of the machine's link that transfers may use; the rest is for its engine.
-LINK_SHARE = 0.92
+LINK_SHARE = 0.8
 # Chunks on their way to this machine at a time: one takes 84 ms on a link of
 # 4.7 Mbit/s, and requests for the engine beside wait behind them. Weights are due in
 # 8 s, so that owners are replaced, and a failing origin is tried again, in a second.
 PACE = transfers.Pace(
-    max_in_flight=4,
+    max_in_flight=3,
     max_origin_in_flight=1,
-    max_remote_in_flight=3,
+    max_remote_in_flight=1,
+    max_queued=3,
     patience_s={"time": 1.0, "origin_bytes": 2.0},
     max_origin_back_off_s=1.0,
 )
@@ -88,8 +89,11 @@
     def piece(self, model, number):
         """Return a staged piece."""
 
-    def load(self, model, version, expected_orders):
-        """Order the engine to load what is staged; returns whether it does."""
+    def load(self, order):
+        """Order the engine to load what is staged; returns whether it does.
+
+        :param order: :class:`cicadaplank.replicas.loading.Order`.
+        """
 
 
 class Origin(typing.Protocol):
@@ -178,6 +182,7 @@
             self,
             lambda: 0,
             self._log,
+            pacing.PacedWriter(reactor, rate),
         )
         self.peers = peers.Peers(
             reactor,
@@ -257,6 +262,11 @@
             configuration = None
         if configuration is not None:
             self._use_origin(configuration)
+            self.loading.may_cut = all(
+                route.repeat is not routes.Repeat.NEVER
+                for route in configuration.routes
+                if any(s.service == self.settings.service for s in route.shares)
+            )
         for model, version in self._meaning.named_weights(copy).items():
             self._want(model, version)
         if self._newest is None:
@@ -617,16 +627,15 @@
             model=target.model,
             version=target.version,
             expected_orders=action.expected_orders,
+            cuts=action.cuts,
             after_s=self.now_s - target.named_s,
         )
         self.counts["orders"] += 1
-        sent = _started(
-            self._engine.load(target.model, target.version, action.expected_orders)
-        )
+        sent = _started(self._engine.load(action))
 
         def answered(accepted):
             if not accepted:
-                self._log("load_refused", version=target.version)
+                self._log("load_refused", version=target.version, cuts=action.cuts)
             self.loading.order_answered(accepted, self.now_s)
 
         def failed(failure):
--- a/cicadaplank/weights/transfers.py
+++ b/cicadaplank/weights/transfers.py
@@ -100,6 +100,8 @@
         machine wait behind those that are on its link.
     :param max_origin_in_flight: chunks requested from the origin at a time.
     :param max_remote_in_flight: chunks requested from other regions at a time.
+    :param max_queued: requested chunks that wait here to be sent. A source with more
+        refuses, and the requests go to sources that are idle.
     :param patience_s: dict from ``prefer`` to the time without progress after which the
         next candidate takes a chunk over.
     :param max_origin_back_off_s: longest pause before a failing origin is tried again.
@@ -108,6 +110,7 @@
     max_in_flight: int = MAX_IN_FLIGHT
     max_origin_in_flight: int = MAX_ORIGIN_IN_FLIGHT
     max_remote_in_flight: int = MAX_REMOTE_IN_FLIGHT
+    max_queued: int = uploads.MAX_QUEUED
     patience_s: dict = dataclasses.field(default_factory=lambda: PATIENCE_S)
     max_origin_back_off_s: float = MAX_ORIGIN_BACK_OFF_S
 
@@ -238,7 +241,10 @@
         self._requests = {}
         self._next_transfer = 1
         self._uploads = uploads.UploadQueue(
-            rates.machine_bytes_per_s, rates.region_bytes_per_s, now_s
+            rates.machine_bytes_per_s,
+            rates.region_bytes_per_s,
+            now_s,
+            self._pace.max_queued,
         )
         self._origin_retry_s = now_s
         self._origin_failures = 0
--- a/cicadaplank/weights/uploads.py
+++ b/cicadaplank/weights/uploads.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 from cicadaplank.world import links
 
@@ -21,6 +22,7 @@
     :param chunk_digest: the chunk.
     :param size_bytes: size of the chunk.
     :param remote: True when it crosses a link between regions.
+    :param number: position in the order of the requests.
     """
 
     peer: str
@@ -28,6 +30,7 @@
     chunk_digest: str
     size_bytes: int
     remote: bool = False
+    number: int = 0
 
 
 class UploadQueue:
@@ -36,13 +39,16 @@
     :param bytes_per_s: rate for transfers on the machine's link.
     :param region_bytes_per_s: rate of this machine on links to other regions.
     :param now_s: current time in seconds.
+    :param max_queued: requested chunks at most.
     """
 
-    def __init__(self, bytes_per_s, region_bytes_per_s, now_s):
+    def __init__(self, bytes_per_s, region_bytes_per_s, now_s, max_queued=MAX_QUEUED):
+        self._max_queued = max_queued
         self._local = _bucket(bytes_per_s, now_s)
         self._remote = _bucket(region_bytes_per_s, now_s)
         self._queues = {False: collections.deque(), True: collections.deque()}
         self._free_s = {False: now_s, True: now_s}
+        self._numbers = itertools.count()
         self.counts = collections.Counter()
 
     def __len__(self):
@@ -56,10 +62,10 @@
         """
         queue = self._queues[upload.remote]
         same = sum(1 for queued in queue if queued.peer == upload.peer)
-        if len(queue) >= MAX_QUEUED or same >= MAX_QUEUED_PER_PEER:
+        if len(queue) >= self._max_queued or same >= MAX_QUEUED_PER_PEER:
             self.counts["rejected"] += 1
             return False
-        queue.append(upload)
+        queue.append(dataclasses.replace(upload, number=next(self._numbers)))
         return True
 
     def drop_peer(self, peer):
@@ -78,19 +84,33 @@
         :returns: list of :class:`Upload`.
         """
         sent = []
-        for remote, queue in self._queues.items():
-            bucket = self._remote if remote else self._local
-            while queue and self._free_s[remote] <= now_s:
-                upload = queue.popleft()
-                delay_s = bucket.reserve(upload.size_bytes, now_s)
-                self._free_s[remote] = now_s + delay_s
-                sent.append(upload)
+        while (upload := self._next(now_s)) is not None:
+            # Every chunk takes the machine's link, also one for another region.
+            delay_s = self._local.reserve(upload.size_bytes, now_s)
+            self._free_s[False] = now_s + delay_s
+            if upload.remote:
+                delay_s = self._remote.reserve(upload.size_bytes, now_s)
+                self._free_s[True] = now_s + delay_s
+            sent.append(upload)
         return sent
 
+    def _next(self, now_s):
+        """Take the chunk that was requested first of those that may be sent now."""
+        if self._free_s[False] > now_s:
+            return None
+        ready = [
+            queue
+            for remote, queue in self._queues.items()
+            if queue and self._free_s[remote] <= now_s
+        ]
+        if not ready:
+            return None
+        return min(ready, key=lambda queue: queue[0].number).popleft()
+
     def wake_s(self):
         """Return when the next chunk may be sent, or None for an empty queue."""
         times = [self._free_s[remote] for remote, q in self._queues.items() if q]
-        return min(times, default=None)
+        return max(min(times), self._free_s[False]) if times else None
 
     def set_rate(self, bytes_per_s, region_bytes_per_s):
         """Change the rates.
