--- a/cicadaplank/links/pacing.py
+++ b/cicadaplank/links/pacing.py
@@ -1,8 +1,7 @@
 """Writes large frames in slices at the rate of a link.
 
-A large frame that is written at once fills the queue of the machine's link, and
-whatever else the machine sends waits behind it. Slices leave gaps in which small packets
-pass.
+A large frame that is written at once fills the queue of the machine's link, and what
+else the machine sends waits behind it. Slices leave gaps in which small packets pass.
 """
 
 import collections
