Count chunks that another task stored as held

Cause: pieces that an agent took over from its engine while the copy had begun stayed missing in the copy's books: each answer of the origin was a duplicate and not counted. Change: duplicates mark a chunk as held; the copy begins after the engine's pieces are in the store; agents give their manifest to the transfers at once.

--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -349,10 +349,9 @@
         )
 
     def _manifest_came(self, manifest, copy):
-        copy.is_asking = False
         if not self._is_wanted(copy):
+            copy.is_asking = False
             return
-        copy.manifest = manifest
         copy.corrupt = 0
         target = copy.target
         self._log(
@@ -364,7 +363,13 @@
         )
         adopting = _started(self._adopt(target, manifest))
         adopting.addErrback(self._adoption_failed)
-        adopting.addCallback(lambda ignored: self._want_copies())
+        adopting.addCallback(self._adopted, copy, manifest)
+
+    def _adopted(self, ignored, copy, manifest):
+        """Begin the copy; what lies at the engine is in the store before."""
+        copy.is_asking = False
+        copy.manifest = manifest
+        self._want_copies()
 
     async def _adopt(self, target, manifest):
         """Take the pieces that lie at the engine, so that peers can have them."""
@@ -412,8 +417,16 @@
             )
             for position, copy in enumerate(self._copies())
         ]
-        if wanted:
-            self._carry_out(self.transfers.rows_changed(tuple(wanted), self.now_s))
+        if not wanted:
+            return
+        self._carry_out(self.transfers.rows_changed(tuple(wanted), self.now_s))
+        # Every agent reads manifests from the origin: they are small, and asking peers
+        # first would take a part of the time that is allowed.
+        for copy in self._copies():
+            known = self.transfers.manifest_fetched(
+                copy.manifest.digest, copy.manifest.to_json(), self.now_s
+            )
+            self._carry_out(known)
 
     def _carry_out(self, actions):
         for action in actions:
--- a/cicadaplank/weights/transfers.py
+++ b/cicadaplank/weights/transfers.py
@@ -551,7 +551,8 @@
 
     def _stored(self, digest, outcome, now_s):
         actions = []
-        if outcome is chunks.Put.STORED:
+        # A duplicate counts too: another task may have stored the chunk.
+        if outcome in (chunks.Put.STORED, chunks.Put.DUPLICATE):
             for version, mask in self._masks(digest):
                 version.copy.have |= mask
                 version.progress_s = now_s
