Give every owner as many chunks, and tell agents of weights from entry instances

Cause: by their digests alone, 2 of 15 owners had 12 of 48 chunks each and fetched them one after the other: a version named 2.5 s before the origin went down was not out in time. Every change of a large configuration went to each agent (100 KB), and news of weights waited behind it for 0.4 to 0.7 s. Ruled out: learning delays alone (all agents informed within 26 ms: still 9 s copies). Change: bounded loads for owners, for chunks from the origin and from other regions apart; entry instances send agents a notice; agents read the store only when no notice comes. The step that names an owner's chunks asks the new placement; bounds are unchanged.

--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -33,17 +33,15 @@
     :param hub: :class:`cicadaplank.links.streams.PeerHub`.
     :param syncs: dict from table name to :class:`sync.TableSync`.
     :param loads: callable that returns calls in progress by endpoint name.
-    :param period_s: period of reports between few instances.
     """
 
-    def __init__(self, reactor, me, hub, syncs, loads, period_s=REPORT_S):
+    def __init__(self, reactor, me, hub, syncs, loads):
         self.counts = collections.Counter()
         self._reactor = reactor
         self._me = me
         self._hub = hub
         self._syncs = syncs
         self._loads = loads
-        self._period_s = period_s
         self._heard_s = {}
         self._known = {}
         self._reports = {}
@@ -94,7 +92,7 @@
     def tick(self):
         """Report and connect when it is time."""
         now_s = self._reactor.seconds()
-        period_s = self._period_s * max(1.0, self.live / MEMBERS_PER_PERIOD)
+        period_s = REPORT_S * max(1.0, self.live / MEMBERS_PER_PERIOD)
         if now_s - self._reported_s >= period_s:
             self._reported_s = now_s
             self._report(now_s)
@@ -106,9 +104,9 @@
                     self._hub.dial(instance)
 
     def _drop_silent(self, now_s):
-        for name in self._hub.peers:
+        for name in self._connected():
             heard_s = self._heard_s.setdefault(name, now_s)
-            if now_s - heard_s > SILENT_S + self._period_s:
+            if now_s - heard_s > SILENT_S:
                 self.counts["silent_connections"] += 1
                 del self._heard_s[name]
                 self._hub.connection(name).transport.abortConnection()
@@ -117,12 +115,20 @@
         ages = [each.availability.age_s(now_s) for each in self._syncs.values()]
         newest = {t: each.copy.newest_change for t, each in self._syncs.items()}
         message = types.GatewayReport(self._loads(), newest, max(ages, default=0.0))
-        for name in self._hub.peers:
+        for name in self._connected():
             self._hub.send(name, message)
 
+    def _connected(self):
+        """Return the names of the connected processes of the same role."""
+        return [
+            name
+            for name in self._hub.peers
+            if self._hub.connection(name).hello.role == self._me.role
+        ]
+
     def broadcast(self, message, exclude=""):
         """Send a message to every connected instance but one."""
-        for name in self._hub.peers:
+        for name in self._connected():
             if name != exclude:
                 self._hub.send(name, message)
 
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -8,7 +8,15 @@
 from twisted.internet import defer
 from twisted.logger import LogLevel, globalLogPublisher
 
-from cicadaplank.gateway import clients, gateway, peers, reporting, status, sync
+from cicadaplank.gateway import (
+    clients,
+    gateway,
+    notices,
+    peers,
+    reporting,
+    status,
+    sync,
+)
 from cicadaplank.links import streams
 from cicadaplank.messages import types
 from cicadaplank.reports import events, metrics
@@ -25,6 +33,8 @@
 SETTINGS_S = 5.0
 # Period in which a process that stops looks for calls in progress.
 LAST_LOOK_S = 0.1
+ENTRY = "entry"
+AGENT = "agent"
 # New connections that wait to be accepted.
 BACKLOG = 1024
 
@@ -125,6 +135,7 @@
         self._is_first_list = True
         self._stopping_s = None
         self._front = None
+        self._told_s = float("-inf")
         reporter = reporting.Reporter(self.events, self.metrics, reactor.seconds)
         self._reporter = reporter
         self.gateway = gateway.Gateway(
@@ -307,6 +318,26 @@
             self.gateway.requirement.named(model, version, now_s, is_new)
             if is_new:
                 self._log("weights_named", model=model, version=version)
+        self._tell_agents()
+
+    def _tell_agents(self):
+        """Send a notice to every connected agent."""
+        self._told_s = self.reactor.seconds()
+        index = self.gateway.index
+        if index is None or self.listed.copy.version < 0:
+            return
+        operator = self.operator.copy
+        endpoints = {s.endpoint.name: s.endpoint for s in self.gateway.endpoints.all()}
+        message = notices.notice(
+            self._meaning.named_weights(operator),
+            self._meaning.models(operator),
+            index.configuration,
+            endpoints,
+            self.listed.copy.version,
+        )
+        for name in self.hub.peers:
+            if self.hub.connection(name).hello.role == AGENT:
+                self.hub.send(name, message)
 
     def _use(self, configuration):
         if configuration.version <= self.gateway.configuration_version:
@@ -331,6 +362,7 @@
         now_s = self.reactor.seconds()
         lapsed = self.listed.availability.may_have_lapsed(now_s)
         self.gateway.endpoints_changed(listed, lapsed)
+        self._tell_agents()
         if lapsed and set(self.gateway.endpoints.names()) - set(listed):
             self.reactor.callLater(sync.RETURN_S, self._endpoints_changed, set())
 
@@ -371,3 +403,5 @@
         self.gateway.tick()
         self.peers.tick()
         self.gateway.members_changed(1 + self.peers.live)
+        if self.reactor.seconds() - self._told_s >= notices.NOTICE_S:
+            self._tell_agents()
--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -102,10 +102,10 @@
     :param table: table name.
     :param changed: called with the set of keys that changed.
     :param log: callable ``log(event, **fields)``.
-    :param wait_s: time after which a call for changes returns without any.
+    :param is_needed: callable that tells whether the table is followed now.
     """
 
-    def __init__(self, reactor, store, table, changed, log, wait_s=WAIT_S):
+    def __init__(self, reactor, store, table, changed, log, is_needed=lambda: True):
         self.table = table
         self.copy = records.RecordTable()
         self.availability = Availability(reactor.seconds())
@@ -113,7 +113,7 @@
         self._store = store
         self._changed = changed
         self._log = log
-        self._wait_s = wait_s
+        self._is_needed = is_needed
         self._back_off_s = BACK_OFF_S
         self._needs_snapshot = True
         self._stopped = False
@@ -128,6 +128,9 @@
 
     async def _follow(self):
         while not self._stopped:
+            if not self._is_needed():
+                await self._sleep(MAX_BACK_OFF_S)
+                continue
             try:
                 await self._read()
             except HistoryLostError:
@@ -147,7 +150,7 @@
             self._heard()
             changed = self.copy.replace(taken.records, taken.version)
         else:
-            taken = await self._store.changes(self.table, base, self._wait_s)
+            taken = await self._store.changes(self.table, base, WAIT_S)
             self._heard()
             changed = self.copy.merge(taken.records, taken.version, base)
         if changed:
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -457,3 +457,26 @@
     base: int
     version: int
     rows: list
+
+
+@dataclasses.dataclass(frozen=True)
+class WeightsNotice:
+    """What an agent needs to know of the store, told by an entry instance.
+
+    :param configuration: version of the configuration that the notice comes from.
+    :param listed: version of the list of endpoints that it comes from.
+    :param named: maps model name to the newest version that was named.
+    :param models: names of all models.
+    :param origin: ``host:port`` of the origin of weights, or empty.
+    :param resumable: maps service name to whether all its calls can be resumed.
+    :param hosts: maps service name to a dict from the host of each endpoint that does
+        not leave to its data centre.
+    """
+
+    configuration: int
+    listed: int
+    named: dict
+    models: list
+    origin: str
+    resumable: dict
+    hosts: dict
--- a/cicadaplank/platform/__main__.py
+++ b/cicadaplank/platform/__main__.py
@@ -78,11 +78,13 @@
         from cicadaplank.platform import client, rows, servers, store
         from cicadaplank.replicas import process
 
+        rows_store = store.Store(client.Client(reactor, address))
         agent = process.AgentProcess(
             reactor,
             checked,
-            store.Store(client.Client(reactor, address)),
+            rows_store,
             rows.Rows(),
+            store.Members(rows_store),
             servers.ModelServer(client.Client(reactor, document["engine"]["address"])),
             lambda origin: servers.Origin(client.Client(reactor, origin)),
         )
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -10,19 +10,22 @@
 from twisted.logger import LogLevel, globalLogPublisher
 
 from cicadaplank.external import errors
-from cicadaplank.gateway import peers, routes, status, sync
+from cicadaplank.gateway import notices, status, sync
 from cicadaplank.links import pacing, streams
 from cicadaplank.messages import types
 from cicadaplank.replicas import loading
 from cicadaplank.reports import events, metrics
 from cicadaplank.weights import chunks, manifests, transfers
-from cicadaplank.world import machines
+from cicadaplank.world import machines, rendezvous
 
 TICK_S = 0.1
-# Period of reports between agents; the records that they carry change seldom.
-REPORT_S = 1.0
-# The list of engines is needed for peers only; a change may arrive late.
-LIST_WAIT_S = 10.0
+# Entry instances that an agent keeps a connection to.
+ENTRY_CONNECTIONS = 3
+# Period in which missing connections to entry instances are opened, and the list of
+# them is read.
+DIAL_S = 0.5
+MEMBERS_S = 10.0
+ENTRY = "entry"
 # Memory for the pieces of two versions, of the size that the origin states.
 CHUNK_MEMORY_BYTES = 64 * 1024 * 1024
 # Part of the machine's link that transfers may use; the rest is for its engine.
@@ -116,11 +119,12 @@
     :param settings: :class:`Settings`.
     :param store: :class:`cicadaplank.gateway.sync.Store`.
     :param meaning: :class:`cicadaplank.gateway.process.Records`.
+    :param members: :class:`cicadaplank.gateway.process.Members`.
     :param engine: :class:`Engine`.
     :param origin_at: callable that returns an :class:`Origin` for ``host:port``.
     """
 
-    def __init__(self, reactor, settings, store, meaning, engine, origin_at):
+    def __init__(self, reactor, settings, store, meaning, members, engine, origin_at):
         self.reactor = reactor
         self.settings = settings
         self.events = events.Events(settings.name)
@@ -130,6 +134,7 @@
         self.counts = collections.Counter()
         self.loading = loading.Loading(settings.host, settings.weights_s)
         self._meaning = meaning
+        self._members = members
         self._engine = engine
         self._origin_at = origin_at
         self._origin = None
@@ -138,6 +143,13 @@
         self._present = None
         self._newest = None
         self._is_asking = False
+        self._entries = []
+        self._models = []
+        self._configuration = -1
+        self._list_version = -1
+        self._zones = {}
+        self._heard_s = reactor.seconds()
+        self._dialled_s = float("-inf")
         self._engine_state = None
         self._is_checking = False
         self._checked_s = float("-inf")
@@ -165,15 +177,20 @@
             PACE,
         )
         self.operator = sync.TableSync(
-            reactor, store, meaning.operator_table, self._operator_changed, self._log
+            reactor,
+            store,
+            meaning.operator_table,
+            self._table_changed,
+            self._log,
+            self._hears_nobody,
         )
         self.listed = sync.TableSync(
             reactor,
             store,
             meaning.endpoint_table,
-            self._list_changed,
+            self._table_changed,
             self._log,
-            LIST_WAIT_S,
+            self._hears_nobody,
         )
         hello = types.Hello("agent", settings.region, settings.data_centre, 0)
         self.hub = streams.PeerHub(
@@ -184,14 +201,6 @@
             self._log,
             pacing.PacedWriter(reactor, rate),
         )
-        self.peers = peers.Peers(
-            reactor,
-            self._me,
-            self.hub,
-            {each.table: each for each in (self.operator, self.listed)},
-            dict,
-            REPORT_S,
-        )
         self._handlers = {
             transfers.Send: self._send,
             transfers.FetchManifest: self._give_manifest,
@@ -217,6 +226,7 @@
         self.hub.listen(settings.host, settings.peer_port)
         self.operator.start()
         self.listed.start()
+        self._read_members()
         self._tick()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._signalled)
@@ -240,7 +250,7 @@
     def _metrics_page(self):
         metric = self.metrics
         metric.set_gauge("pieces_bytes", self.store.held_bytes)
-        metric.set_gauge("store_age_seconds", self.peers.store_age_s(self.now_s))
+        metric.set_gauge("notice_age_seconds", self.now_s - self._heard_s)
         target = self.loading.target
         metric.set_gauge("weights_wanted", target.version if target else 0)
         state = self._engine_state
@@ -251,33 +261,82 @@
         body, _ = metric.render()
         return 200, "text/plain; version=0.0.4", body
 
-    # What the store says.
+    # What entry instances or the store say.
+
+    def _hears_nobody(self):
+        """Tell whether no entry instance was heard lately."""
+        return self.now_s - self._heard_s > notices.SILENCE_S
 
-    def _operator_changed(self, changed):
-        copy = self.operator.copy
+    def _read_members(self):
+        self.reactor.callLater(MEMBERS_S, self._read_members)
+        reading = _started(self._members.instances())
+        reading.addCallbacks(self._members_came, self._members_failed)
+
+    def _members_came(self, found):
+        entries = [instance for instance in found if instance.role == ENTRY]
+        entries.sort(
+            key=lambda instance: (
+                instance.data_centre != self.settings.data_centre,
+                rendezvous.weight(self.settings.host, instance.name),
+            )
+        )
+        self._entries = entries
+
+    def _members_failed(self, failure):
+        failure.trap(errors.PlatformError)
+        self._log("members_unknown", reason=str(failure.value))
+
+    def _dial_entries(self):
+        """Keep connections to a few entry instances, near ones first."""
+        live = 0
+        for instance in self._entries:
+            connection = self.hub.connection(instance.name)
+            if connection is not None:
+                live += 1
+            elif live < ENTRY_CONNECTIONS:
+                self.hub.dial(instance)
+            if live >= ENTRY_CONNECTIONS:
+                return
+
+    def _table_changed(self, changed):
+        """Use the store itself, as no entry instance was heard."""
         try:
-            configuration = self._meaning.configuration(copy)
+            notice = notices.build(self._meaning, self.operator.copy, self.listed.copy)
         except ValueError as fault:
             self.events.log("configuration_rejected", "error", reason=str(fault))
-            configuration = None
-        if configuration is not None:
-            self._use_origin(configuration)
-            self.loading.may_cut = all(
-                route.repeat is not routes.Repeat.NEVER
-                for route in configuration.routes
-                if any(s.service == self.settings.service for s in route.shares)
-            )
-        for model, version in self._meaning.named_weights(copy).items():
+            return
+        if notice is not None and self._hears_nobody():
+            self._take_notice(notice)
+
+    def _take_notice(self, notice):
+        if notice.configuration >= self._configuration:
+            self._configuration = notice.configuration
+            self._models = notice.models
+            self._use_origin(notice.origin)
+            self.loading.may_cut = notice.resumable.get(self.settings.service, False)
+        if notice.listed >= self._list_version:
+            self._list_version = notice.listed
+            self._use_hosts(notice.hosts.get(self.settings.service, {}))
+        for model, version in notice.named.items():
             self._want(model, version)
         if self._newest is None:
             self._check_engine()
 
-    def _use_origin(self, configuration):
-        addresses = [s.origin for s in configuration.services.values() if s.origin]
-        if addresses and addresses[0] != self._origin_address:
-            self._origin_address = addresses[0]
-            self._origin = self._origin_at(addresses[0])
-            self._log("origin_known", address=addresses[0])
+    def _use_origin(self, address):
+        if address and address != self._origin_address:
+            self._origin_address = address
+            self._origin = self._origin_at(address)
+            self._log("origin_known", address=address)
+
+    def _use_hosts(self, hosts):
+        zones = {**hosts, self.settings.host: self.settings.data_centre}
+        if zones == self._zones:
+            return
+        self._zones = zones
+        self._names = tuple(sorted(zones))
+        instances = [self._agent_at(host, zone) for host, zone in zones.items()]
+        self._carry_out(self.transfers.instances_changed(instances, self.now_s))
+        self._want_copies()
 
     def _want(self, model, version):
         newest = self._newest
@@ -306,24 +365,6 @@
         self.loading.wanted(self._present.target)
         self._want_copies()
 
-    def _list_changed(self, changed):
-        services = _Services(self.settings.service)
-        listed, unreadable = self._meaning.endpoints(self.listed.copy, services)
-        if unreadable:
-            self._log("unreadable_records", table=self.listed.table, count=unreadable)
-        zones = {
-            e.host: e.data_centre
-            for e in listed.values()
-            if e.service == self.settings.service and not e.is_leaving
-        }
-        zones[self.settings.host] = self.settings.data_centre
-        self._names = tuple(sorted(zones))
-        instances = [self._agent_at(host, zone) for host, zone in zones.items()]
-        for host in zones:
-            self.peers.seed(host, self.settings.peer_port, "agent")
-        self._carry_out(self.transfers.instances_changed(instances, self.now_s))
-        self._want_copies()
-
     def _agent_at(self, host, data_centre):
         region = self.settings.regions.get(data_centre, "")
         return dataclasses.replace(
@@ -482,15 +523,22 @@
         target = copy.target
         self.counts["origin_pieces"] += 1
         asked = _started(self._origin.piece(target.model, target.version, number))
+        asked_s = self.now_s
         asked.addCallbacks(
-            lambda data: self._piece_came(copy, digest, data),
+            lambda data: self._piece_came(copy, digest, data, asked_s),
             lambda failure: self._piece_failed(digest, failure),
         )
 
     def _piece_unwanted(self, digest):
         self._carry_out(self.transfers.origin_failed(digest, 0.0, self.now_s))
 
-    def _piece_came(self, copy, digest, data):
+    def _piece_came(self, copy, digest, data, asked_s):
+        self._log(
+            "piece_fetched",
+            version=copy.target.version,
+            number=copy.manifest.chunk_digests.index(digest) if copy.manifest else -1,
+            after_s=self.now_s - asked_s,
+        )
         if manifests.chunk_digest(data) != digest:
             copy.corrupt += 1
             self._log("piece_corrupt", digest=digest, source="origin")
@@ -564,11 +612,9 @@
 
     def _find_newest(self):
         """Ask the origin which version is the newest; none was named here yet."""
-        if self._origin is None or self._is_asking or self.operator.copy.version < 0:
-            return
-        models = self._meaning.models(self.operator.copy)
-        if not models:
+        if self._origin is None or self._is_asking or not self._models:
             return
+        models = self._models
         self._is_asking = True
         asked = _started(self._origin.manifest(models[0], 0))
         asked.addCallbacks(self._newest_came, self._newest_failed, (models[0],))
@@ -661,15 +707,30 @@
 
     def _tick(self):
         self.reactor.callLater(TICK_S, self._tick)
-        self.peers.tick()
+        if self.now_s - self._dialled_s >= DIAL_S:
+            self._dialled_s = self.now_s
+            self._drop_silent_entries()
+            self._dial_entries()
         settled = self.loading.phase is loading.Phase.CURRENT
         period_s = IDLE_CHECK_S if settled else BUSY_CHECK_S
         if self.now_s - self._checked_s >= period_s:
             self._check_engine()
 
+    def _drop_silent_entries(self):
+        """Close connections over which no notice comes any more."""
+        if not self._hears_nobody():
+            return
+        for instance in self._entries:
+            connection = self.hub.connection(instance.name)
+            if connection is not None:
+                connection.transport.abortConnection()
+
     def message_received(self, connection, envelope):
         """Take a message of a peer."""
-        if self.peers.message(connection.peer, envelope.message):
+        if connection.hello.role == ENTRY:
+            self._heard_s = self.now_s
+            if isinstance(envelope.message, types.WeightsNotice):
+                self._take_notice(envelope.message)
             return
         self._carry_out(
             self.transfers.message_received(
@@ -701,10 +762,3 @@
         self.is_asking = False
         self.is_complete = False
         self.corrupt = 0
-
-
-class _Services:
-    """Stands for a configuration where only one service matters."""
-
-    def __init__(self, service):
-        self.services = {service: None}
--- a/cicadaplank/weights/transfers.py
+++ b/cicadaplank/weights/transfers.py
@@ -911,8 +911,7 @@
             if not available:
                 break
             index = copies.choose(available, self._rng)
-            digest = version.manifest.chunk_digests[index]
-            names = [n for n in version.remote_candidates(digest) if n in held]
+            names = [n for n in version.remote_candidates(index) if n in held]
             names += sorted(set(held) - set(names))
             name = next(n for n in names if held[n] >> index & 1)
             source = self._source(name)
--- a/cicadaplank/weights/versions.py
+++ b/cicadaplank/weights/versions.py
@@ -56,6 +56,7 @@
         self.heard_s = {}
         self.probed_s = {}
         self._ownership = None
+        self._placement = None
         # Chunks by the candidates of this region that come before this instance.
         self._turns = {}
         self._home = 0
@@ -97,11 +98,14 @@
         self.near_upstream = set()
         self.upstream = set()
         self.taken_over = 0
-        for index, digest in enumerate(self.manifest.chunk_digests):
-            home_region = self.home_region(digest)
+        self._placement = ownership.Placement(
+            self._ownership, self.manifest.chunk_digests, self.origin_region
+        )
+        for index in range(len(self.manifest.chunk_digests)):
+            home_region = self._placement.home_region(index)
             if me.region == home_region:
                 self._home |= 1 << index
-            before = self._ownership.before(me.name, me.region, digest)
+            before = self._placement.before(me.name, me.region, index)
             self._turns[before] |= 1 << index
             if len(before) > 1:
                 continue
@@ -109,18 +113,11 @@
             # in its home region, from which it comes into this one.
             self.near_upstream.update(before)
             if me.region != home_region:
-                names = self._ownership.candidates(home_region, digest)
+                names = self._placement.candidates(home_region, index)
                 self.upstream.update(names[: len(before) + 1])
         for name in old - self.watched:
             self.copy.drop_map(name)
 
-    def home_region(self, digest):
-        """Return the region that takes a chunk from the origin.
-
-        :param digest: chunk digest.
-        """
-        return self.origin_region or self._ownership.home_region(digest)
-
     @property
     def home(self):
         """Return the chunks that this region takes from the origin."""
@@ -155,16 +152,16 @@
         """Return the candidates of this region before this instance for a digest."""
         return self._ownership.before(self.me.name, self.me.region, digest)
 
-    def remote_candidates(self, digest):
+    def remote_candidates(self, index):
         """Return candidates of other regions, those of the home region first.
 
-        :param digest: chunk digest.
+        :param index: position of the chunk.
         :returns: list of instance names.
         """
-        regions = [r for r in self._ownership.regions if r != self.me.region]
-        home_region = self.home_region(digest)
+        regions = [r for r in self._placement.regions if r != self.me.region]
+        home_region = self._placement.home_region(index)
         regions.sort(key=lambda region: region != home_region)
-        return [n for r in regions for n in self._ownership.candidates(r, digest)]
+        return [n for r in regions for n in self._placement.candidates(r, index)]
 
     def watch_other_regions(self, bits):
         """Watch holders of other regions for chunks that do not come any other way.
@@ -174,8 +171,7 @@
         for index in copies.indexes(bits):
             if len(self.upstream) >= MAX_FALLBACK:
                 return
-            digest = self.manifest.chunk_digests[index]
-            self.upstream.update(self.remote_candidates(digest)[:MAX_FALLBACK])
+            self.upstream.update(self.remote_candidates(index)[:MAX_FALLBACK])
 
     def choose_neighbours(self, instances, usable, rng):
         """Fill the set of neighbours at random, favouring the local data centre.
--- a/features/steps/weights.py
+++ b/features/steps/weights.py
@@ -75,9 +75,11 @@
     """Return an instance that owns chunks in the first region, with their digests."""
     region = context.instances[0].region
     owners = ownership.Ownership((i.name, i.region) for i in context.instances)
+    digests = context.manifest.chunk_digests
+    placement = ownership.Placement(owners, digests, region)
     owned = {}
-    for digest in context.manifest.chunk_digests:
-        owned.setdefault(owners.candidates(region, digest)[0], []).append(digest)
+    for index, digest in enumerate(digests):
+        owned.setdefault(placement.candidates(region, index)[0], []).append(digest)
     name = max(sorted(owned), key=lambda name: len(owned[name]))
     return name, owned[name]
 
