--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -110,6 +110,7 @@
         self._began = False
         self._is_paused = False
         self._sent_s = 0.0
+        self._event_s = 0.0
         self._heard_s = 0.0
 
     # Placement.
@@ -228,7 +229,8 @@
         """Take a part of the body."""
         now_s = self._gateway.now_s()
         if self._began:
-            self.longest_gap_s = max(self.longest_gap_s, now_s - self._heard_s)
+            self.longest_gap_s = max(self.longest_gap_s, now_s - self._event_s)
+        self._event_s = now_s
         self._heard_s = now_s
         if self._splitter is None:
             self._body_bytes += len(data)
