Tell agents of weights with their first connection

Cause: after a loss of power agents waited 1.1 s for a notice: their entry instances refused the first dial, and notices are sent every second. All engines were empty. Change: an agent reads the store at its start, and a new connection gets a notice at once.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -323,21 +323,26 @@
     def _tell_agents(self):
         """Send a notice to every connected agent."""
         self._told_s = self.reactor.seconds()
+        message = self._notice()
+        if message is None:
+            return
+        for name in self.hub.peers:
+            if self.hub.connection(name).hello.role == AGENT:
+                self.hub.send(name, message)
+
+    def _notice(self):
         index = self.gateway.index
         if index is None or self.listed.copy.version < 0:
-            return
+            return None
         operator = self.operator.copy
         endpoints = {s.endpoint.name: s.endpoint for s in self.gateway.endpoints.all()}
-        message = notices.notice(
+        return notices.notice(
             self._meaning.named_weights(operator),
             self._meaning.models(operator),
             index.configuration,
             endpoints,
             self.listed.copy.version,
         )
-        for name in self.hub.peers:
-            if self.hub.connection(name).hello.role == AGENT:
-                self.hub.send(name, message)
 
     def _use(self, configuration):
         if configuration.version <= self.gateway.configuration_version:
@@ -385,6 +390,10 @@
     def message_received(self, connection, envelope):
         """Take a message of a peer."""
         message = envelope.message
+        if isinstance(message, types.Hello) and message.role == AGENT:
+            notice = self._notice()
+            if notice is not None:
+                connection.send(notice)
         if self.peers.message(connection.peer, message):
             if isinstance(message, types.GatewayReport):
                 self.gateway.peer_loads(connection.peer, message.loads)
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -148,7 +148,7 @@
         self._configuration = -1
         self._list_version = -1
         self._zones = {}
-        self._heard_s = reactor.seconds()
+        self._heard_s = float("-inf")
         self._dialled_s = float("-inf")
         self._engine_state = None
         self._is_checking = False
