--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -278,7 +278,9 @@
         if self._splitter is not None:
             self._stream_ended(state, now_s)
             return
-        if self._is_good(head) or (head.is_signed and head.status < 500):
+        # The endpoint's own refusal of a request, such as 404, is passed on as it is.
+        passes = head.is_signed and 300 <= head.status < 500
+        if self._is_good(head) or passes:
             if not self._is_promise(head):
                 state.answered(now_s)
                 self._finish("answered", verdicts.Verdict.RAN)
--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -2,7 +2,6 @@
 
 import collections
 import socket
-import time
 import typing
 
 import httptools
@@ -288,7 +287,7 @@
         )
 
     def _take_idle(self):
-        now_s = time.monotonic()
+        now_s = self._reactor.seconds()
         while self._idle:
             connection = self._idle[-1]
             idle_s = now_s - connection.idle_since_s
@@ -306,7 +305,7 @@
             connection.transport.loseConnection()
             return
         connection.resume()
-        connection.idle_since_s = time.monotonic()
+        connection.idle_since_s = self._reactor.seconds()
         self._idle.append(connection)
 
     def opened(self, connection):
--- a/cicadaplank/gateway/waiting.py
+++ b/cicadaplank/gateway/waiting.py
@@ -10,7 +10,6 @@
 
 import collections
 import dataclasses
-import heapq
 import itertools
 
 # Calls that wait for one service at one entry instance.
@@ -56,8 +55,6 @@
     def __init__(self):
         self.refused = collections.Counter()
         self._numbers = itertools.count()
-        self._on_time = []
-        self._late = []
         self._waiting = {}
         self._starts = collections.deque()
         self._began_s = None
@@ -106,10 +103,7 @@
             return reason
         if not self._waiting:
             self._began_s = now_s
-        number = next(self._numbers)
-        self._waiting[number] = ticket
-        order = (ticket.priority, ticket.objective_s, number)
-        heapq.heappush(self._on_time, order)
+        self._waiting[next(self._numbers)] = ticket
         return ""
 
     def withdraw(self, call):
@@ -125,17 +119,14 @@
 
     def in_order(self, now_s):
         """Return the waiting tickets, the next one first."""
-        while self._on_time:
-            priority, objective_s, number = self._on_time[0]
-            ticket = self._waiting.get(number)
-            if ticket is not None and objective_s > now_s:
-                break
-            heapq.heappop(self._on_time)
-            if ticket is not None:
-                heapq.heappush(self._late, (priority, number))
-        numbers = [number for _, _, number in sorted(self._on_time)]
-        numbers += [number for _, number in sorted(self._late)]
-        return [self._waiting[n] for n in numbers if n in self._waiting]
+
+        def order(entry):
+            number, ticket = entry
+            is_late = ticket.objective_s <= now_s
+            due_s = 0.0 if is_late else ticket.objective_s
+            return is_late, ticket.priority, due_s, number
+
+        return [ticket for _, ticket in sorted(self._waiting.items(), key=order)]
 
     def take(self, ticket, now_s):
         """Remove a ticket whose call is sent to an endpoint now."""
--- /dev/null
+++ b/features/gateway/calls.feature
@@ -0,0 +1,108 @@
+Feature: Calls forwarded directly to endpoints
+  Each caller gets the whole answer to the own call or a truthful failure, and a call
+  that may not be repeated is sent at most once.
+
+  @always_2 @always_3 @always_4
+  Scenario Outline: What a caller gets when an endpoint <behaviour> on a route that <kind>
+    Given a gateway with 2 endpoints and a route that <kind>
+    When a caller sends a call and the first endpoint <behaviour>
+    And any other endpoint answers well
+    Then the caller gets <status> after <sends> sends
+    And the answer is <whole>
+
+    Examples: answers that are complete
+      | behaviour                            | kind           | status | sends | whole       |
+      | answers well                         | may repeat     | 200    | 1     | whole       |
+      | answers well                         | runs once only | 200    | 1     | whole       |
+      | answers without a length and ends    | runs once only | 200    | 1     | whole       |
+      | answers after a late foreign answer  | runs once only | 200    | 1     | whole       |
+
+    Examples: refusals
+      | behaviour             | kind           | status | sends | whole       |
+      | refuses as full       | may repeat     | 200    | 2     | whole       |
+      | refuses as full       | runs once only | 503    | 1     | its own     |
+      | has another name      | may repeat     | 200    | 2     | whole       |
+      | has another name      | runs once only | 503    | 1     | its own     |
+
+    Examples: calls that may have run
+      | behaviour                            | kind           | status | sends | whole       |
+      | resets before the answer             | may repeat     | 200    | 2     | whole       |
+      | resets before the answer             | runs once only | 502    | 1     | its own     |
+      | resets in the middle                 | may repeat     | 200    | 2     | whole       |
+      | resets in the middle                 | runs once only | 502    | 1     | its own     |
+      | ends in the middle                   | runs once only | 502    | 1     | its own     |
+      | answers without a length and resets  | runs once only | 502    | 1     | its own     |
+      | answers without a signature          | runs once only | 502    | 1     | its own     |
+      | answers with an encoding             | runs once only | 502    | 1     | its own     |
+      | answers what is not HTTP             | runs once only | 502    | 1     | its own     |
+      | answers busy without a promise       | runs once only | 502    | 1     | its own     |
+      | is silent                            | may repeat     | 200    | 2     | whole       |
+      | is silent                            | runs once only | 504    | 1     | its own     |
+
+    Examples: failures of the endpoint itself
+      | behaviour             | kind           | status | sends | whole       |
+      | fails                 | may repeat     | 200    | 2     | whole       |
+      | fails                 | runs once only | 500    | 1     | whole       |
+
+  Scenario: A call goes elsewhere when an endpoint takes no connection, and it is ejected
+    Given a gateway with 2 endpoints and a route that runs once only
+    When a caller sends a call and the first endpoint takes no connection
+    And any other endpoint answers well
+    Then the caller gets 200 after 1 sends
+    And the first endpoint is ejected
+
+  @always_2
+  Scenario Outline: A stream that breaks <moment> goes on at another endpoint
+    Given a gateway with 2 endpoints and a route that streams and resumes
+    When a caller sends a call and its stream breaks <moment>
+    And the other endpoint goes on from event <next>
+    Then the caller gets the events 1 to 4, each once, and a complete end
+    And the second send names event <last> as the last one
+
+    Examples:
+      | moment                     | next | last |
+      | after event 2              | 3    | 2    |
+      | in the middle of event 3   | 3    | 2    |
+      | before event 1             | 1    | none |
+      | after event 2 with a pause | 3    | 2    |
+
+  @always_2
+  Scenario: A stream that cannot be resumed does not end as a complete one
+    Given a gateway with 2 endpoints and a route that streams once
+    When a caller sends a call and its stream breaks after event 2
+    Then the caller's connection is broken off
+
+  Scenario Outline: Work ends when the caller leaves while the call is <phase>
+    Given a gateway with 1 endpoints and a route that may repeat
+    When a caller leaves while the call is <phase>
+    Then no endpoint works for it and none is sent it later
+
+    Examples:
+      | phase   |
+      | sent    |
+      | waiting |
+      | dialled |
+
+  Scenario: A connection is kept for the next call that may be repeated
+    Given a gateway with 1 endpoints and a route that may repeat
+    When a caller sends 3 calls that are answered well
+    Then 1 connection to the endpoint was opened
+
+  @always_4
+  Scenario: A call that may not be repeated gets a new connection
+    Given a gateway with 1 endpoints and a route that runs once only
+    When a caller sends 3 calls that are answered well
+    Then 3 connections to the endpoint were opened
+
+  Scenario: An extra answer closes the connection and reaches no caller
+    Given a gateway with 1 endpoints and a route that may repeat
+    When a caller sends a call and the first endpoint answers twice
+    Then the caller gets 200 after 1 sends
+    And the connection to the endpoint is closed
+
+  @always_6
+  Scenario: A planned stop accepts nothing new after a while and ends what it has
+    Given a gateway with 1 endpoints and a route that may repeat
+    When a caller sends a call and the process is stopped
+    And the endpoint answers 2 s later
+    Then the caller gets 200 and the connection is closed
--- /dev/null
+++ b/features/gateway/records.feature
@@ -0,0 +1,50 @@
+Feature: Copies of the store's tables
+  An accepted change is in force in every process that the store or any peer reaches, and
+  no copy goes back.
+
+  @always_7
+  Scenario Outline: A copy at version 10 with a=9, b=4 takes <change>
+    Given a copy at version 10 with records a of version 9 and b of version 4
+    When it takes <change>
+    Then it is at version <version> with "<records>"
+
+    Examples:
+      | change                                   | version | records     |
+      | changes after 10 up to 12: a=11          | 12      | a=11 b=4    |
+      | changes after 10 up to 12: b removed 12  | 12      | a=9         |
+      | changes after 11 up to 13: a=12          | 10      | a=9 b=4     |
+      | changes after 8 up to 9: a=7             | 10      | a=9 b=4     |
+      | changes after 8 up to 11: a=7 c=11       | 11      | a=9 b=4 c=11 |
+      | a snapshot of 12: a=11                   | 12      | a=11        |
+      | a snapshot of 7: a=7                     | 10      | a=9 b=4     |
+
+  Scenario Outline: What a peer with version <base> is given
+    Given a copy at version 10 with records a of version 9 and b of version 4
+    When it takes changes after 10 up to 12: b removed 12
+    Then a peer with version <base> is given "<given>"
+
+    Examples:
+      | base | given       |
+      | 10   | b removed   |
+      | 12   | nothing     |
+      | 9    | a snapshot  |
+      | -1   | a snapshot  |
+
+  @always_7
+  Scenario Outline: A table is followed when the store <trouble>
+    Given a store with version 5 of a table
+    When the store <trouble> and version 6 is written
+    Then the copy has version 6 within <within> s
+
+    Examples:
+      | trouble                       | within |
+      | works                         | 0.5    |
+      | has lost its history          | 1.0    |
+      | refuses three calls           | 1.5    |
+      | does not answer, but a peer has it | 1.0 |
+
+  @always_7
+  Scenario: A peer that is behind is not asked
+    Given a store with version 5 of a table
+    When a peer reports version 4
+    Then the peer is not asked for records
--- /dev/null
+++ b/features/steps/gateway_decisions.py
@@ -0,0 +1,423 @@
+"""Steps for the decisions of the gateway and its copies of the store's tables."""
+
+import random
+import re
+
+import behave
+from twisted.internet import defer, task
+
+from cicadaplank.external import errors
+from cicadaplank.gateway import (
+    budget,
+    endpoints,
+    gateway,
+    peers,
+    placement,
+    records,
+    sync,
+    waiting,
+)
+from cicadaplank.messages import types
+from cicadaplank.world import machines
+
+MODEL = "m"
+DEADLINE_S = 2.0
+OBJECTIVE_S = 0.4
+TABLE = "op"
+
+
+def endpoint(name, zone="a", slots=16, leaving=False, version=2):
+    """Return an endpoint."""
+    weights = {MODEL: version}
+    return endpoints.Endpoint(name, "s", "10.0.0.1", 80, zone, slots, leaving, weights)
+
+
+@behave.given('endpoints "{described}"')
+def step_endpoints(context, described):
+    context.states = []
+    pattern = re.compile(r"(\w)@(\w):(\d+)(?:\+(\d+))?/(\d+)([LEFO]?)")
+    for name, zone, own, others, slots, mark in pattern.findall(described):
+        version = 1 if mark == "O" else 2
+        state = endpoints.EndpointState(
+            endpoint(name, zone, int(slots), mark == "L", version)
+        )
+        for _ in range(int(own)):
+            state.started(1)
+        state.peer_load("peer", int(others or 0), 10.0)
+        if mark == "E":
+            state.unreachable(10.0)
+        if mark == "F":
+            state.refused(10.0, 0.1)
+        context.states.append(state)
+
+
+@behave.when('a call of data centre "{zone}" is placed')
+def step_place(context, zone):
+    demand = placement.Demand("s", zone, MODEL, 2)
+    context.chosen = placement.choose(context.states, demand, 10.0, random.Random(1))
+
+
+@behave.then('it goes to "{name}"')
+def step_goes_to(context, name):
+    chosen = context.chosen.endpoint.name if context.chosen else "none"
+    assert chosen == name, chosen
+
+
+@behave.given("the arrivals of a burst of {count:d} calls at {rate:d} a second")
+def step_arrivals(context, count, rate):
+    context.arrivals = [number / rate for number in range(count)]
+
+
+@behave.when("{rate:d} calls can start in each second")
+def step_starts(context, rate):
+    """Replay the burst on a waiting room; one call starts every 1 / rate seconds."""
+    room = waiting.WaitingRoom()
+    arrivals = list(enumerate(context.arrivals))
+    context.started, context.refused = {}, {}
+    next_start_s, now_s = 0.0, 0.0
+    while arrivals or len(room):
+        while arrivals and arrivals[0][1] <= now_s:
+            number, at_s = arrivals.pop(0)
+            latest_s = waiting.latest_start_s(
+                at_s, at_s + DEADLINE_S, at_s + OBJECTIVE_S
+            )
+            ticket = waiting.Ticket(number, 1, at_s, at_s + OBJECTIVE_S, latest_s)
+            if room.admit(ticket, now_s):
+                context.refused[number] = (now_s, ticket)
+        for ticket in room.expired(now_s):
+            context.refused[ticket.call] = (now_s, ticket)
+        if now_s >= next_start_s and len(room):
+            ticket = room.in_order(now_s)[0]
+            room.take(ticket, now_s)
+            context.started[ticket.call] = (now_s, ticket)
+            next_start_s = now_s + 1 / rate
+        now_s += 0.01
+
+
+@behave.then("every call that starts does so at its latest time or before")
+def step_latest(context):
+    assert all(at_s <= t.latest_s + 0.01 for at_s, t in context.started.values())
+
+
+@behave.then("no refused call had waited longer than its latest time")
+def step_refused(context):
+    assert all(at_s <= t.latest_s + 0.02 for at_s, t in context.refused.values())
+    assert len(context.started) + len(context.refused) == len(context.arrivals)
+
+
+@behave.then("at least {count:d} calls start within their objective")
+def step_on_time(context, count):
+    on_time = [1 for at_s, t in context.started.values() if at_s <= t.objective_s]
+    assert len(on_time) >= count, len(on_time)
+
+
+@behave.given("calls that wait: late 0, on time 1, urgent late 0, urgent on time 1")
+def step_waiting(context):
+    context.room = waiting.WaitingRoom()
+    for name, priority, objective_s in (
+        ("late", 1, 0.5),
+        ("on time", 1, 5.0),
+        ("urgent late", 0, 0.5),
+        ("urgent on time", 0, 5.0),
+    ):
+        ticket = waiting.Ticket(name, priority, 0.0, objective_s, 9.0)
+        assert not context.room.admit(ticket, 0.0)
+
+
+@behave.then('they start in the order "{names}"')
+def step_order(context, names):
+    order = [ticket.call for ticket in context.room.in_order(1.0)]
+    assert ", ".join(order) == names, order
+
+
+@behave.given(
+    "a waiting room with {count:d} calls, {started:d} of them started in the last second"
+)
+def step_busy_room(context, count, started):
+    context.room = waiting.WaitingRoom()
+    for number in range(count):
+        context.room.admit(waiting.Ticket(number, 1, 0.0, 0.4, 99.0), 0.0)
+    for _ in range(started):
+        context.room.started(0.5)
+
+
+@behave.when("a call arrives that may wait {wait_s:f} s")
+def step_arrives(context, wait_s):
+    context.expected_s = context.room.expected_wait_s(1.0)
+    ticket = waiting.Ticket("it", 1, 1.0, 1.4, 1.0 + wait_s)
+    context.reason = context.room.admit(ticket, 1.0)
+
+
+@behave.then('it is refused as "{reason}"')
+def step_reason(context, reason):
+    assert context.reason == reason, context.reason
+
+
+@behave.then("it may come back after {least:f} to {most:f} s")
+def step_come_back(context, least, most):
+    for seed in range(20):
+        after_s = waiting.retry_after_s(context.expected_s, 5.0, random.Random(seed))
+        assert least <= after_s <= most, after_s
+
+
+@behave.then("a client with {left_s:f} s left is told to come back after at most 0.2 s")
+def step_honoured(context, left_s):
+    assert waiting.retry_after_s(9.0, left_s, random.Random(1)) <= 0.2
+
+
+@behave.given("{count:d} entry instances that share a budget of 0.2 and 100 in 10 s")
+def step_budgets(context, count):
+    context.budgets = [budget.RepeatBudget(0.2, 100, 10) for _ in range(count)]
+    for each in context.budgets:
+        each.members = count
+
+
+@behave.when(
+    "each of them gets {requests:d} requests in 10 s and repeats whatever it may"
+)
+def step_repeats(context, requests):
+    context.repeats = 0
+    for each in context.budgets:
+        for number in range(requests):
+            each.request(10.0 * number / max(1, requests))
+        while each.take(9.99):
+            context.repeats += 1
+
+
+@behave.then("at most {most:d} repeats were sent")
+def step_most(context, most):
+    assert 0 < context.repeats <= most, context.repeats
+
+
+@behave.given('an endpoint whose calls end "{ends}"')
+def step_ends(context, ends):
+    state = context.state = endpoints.EndpointState(endpoint("x"))
+    context.now_s = 0.0
+    for mark in ends:
+        context.now_s += 0.01
+        if mark == "g":
+            state.answered(context.now_s)
+        elif mark == "f":
+            state.failed(context.now_s, True)
+        elif mark == "u":
+            state.unreachable(context.now_s)
+        else:
+            context.now_s = state.ejected_until_s + 0.01
+            assert not state.is_ejected(context.now_s), "no trial call"
+
+
+@behave.then("it is ejected: {ejected}")
+def step_is_ejected(context, ejected):
+    assert context.state.is_ejected(context.now_s) == (ejected == "yes")
+
+
+@behave.given("a list with endpoints x and y and a store that comes back")
+def step_list(context):
+    context.known = endpoints.Endpoints()
+    context.now_s = 10.0
+    context.known.update({n: endpoint(n) for n in ("x", "y")}, 1.0)
+    context.availability = sync.Availability(0.0)
+    context.availability.answered(1.0)
+    context.availability.failed()
+    context.availability.answered(context.now_s)
+
+
+@behave.when("the list names only x")
+def step_lapsed(context):
+    lapsed = context.availability.may_have_lapsed(context.now_s)
+    context.known.update({"x": endpoint("x")}, context.now_s, lapsed)
+
+
+@behave.then("y is still used")
+def step_still(context):
+    assert "y" in context.known.names()
+
+
+@behave.when("3 s pass and the list still names only x")
+def step_pass(context):
+    context.now_s += 3.0
+    step_lapsed(context)
+
+
+@behave.then("y is gone")
+def step_gone(context):
+    assert context.known.names() == ["x"]
+
+
+@behave.given(
+    "weights that are due 8 s after version 2 was named, and version 1 before"
+)
+def step_weights(context):
+    context.requirement = gateway.WeightsRequirement(8.0)
+    context.requirement.named(MODEL, 1, 0.0, True)
+    context.requirement = gateway.WeightsRequirement(8.0)
+    context.requirement.named(MODEL, 2, 0.0, True)
+
+
+@behave.then("after {after:f} s calls need version {least:d} at least")
+def step_least(context, after, least):
+    assert context.requirement.least(MODEL, after) == least
+
+
+# Copies of tables.
+
+
+def records_of(described, version=0):
+    """Read ``a=9 b removed 12`` as records."""
+    found = []
+    for key, number, removed in re.findall(r"(\w)(?:=(\d+)| removed (\d+))", described):
+        value = None if removed else b"v" + number.encode()
+        found.append(records.Record(key, int(number or removed), value))
+    return found
+
+
+@behave.given("a copy at version 10 with records a of version 9 and b of version 4")
+def step_copy(context):
+    context.copy = records.RecordTable()
+    context.copy.replace(records_of("a=9 b=4"), 10)
+
+
+@behave.when("it takes {change}")
+def step_takes(context, change):
+    taken = records_of(change.partition(":")[2])
+    numbers = [int(n) for n in re.findall(r"\d+", change.partition(":")[0])]
+    if change.startswith("a snapshot"):
+        context.copy.replace(taken, numbers[0])
+    else:
+        context.copy.merge(taken, numbers[1], numbers[0])
+
+
+@behave.then('it is at version {version:d} with "{described}"')
+def step_at(context, version, described):
+    held = {r.key: r for r in records_of(described)}
+    assert context.copy.version == version, context.copy.version
+    assert context.copy.values() == held, context.copy.values()
+
+
+@behave.then('a peer with version {base:d} is given "{given}"')
+def step_given(context, base, given):
+    changes = context.copy.changes_since(base)
+    if changes is None:
+        got = "a snapshot"
+    else:
+        got = " ".join(f"{r.key} removed" for r in changes if r.value is None)
+    assert (got or "nothing") == given, got
+
+
+class Store:
+    """A store that a scenario breaks."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.version = 5
+        self.trouble = "works"
+        self.failures = 3
+        self.waiting = []
+
+    def taken(self):
+        """Return every record at the present version."""
+        record = records.Record("a", self.version, b"v%d" % self.version)
+        return sync.Changes((record,), self.version)
+
+    def write(self):
+        """Write the next version."""
+        self.version += 1
+        if self.trouble == "works":
+            waiting_calls, self.waiting = self.waiting, []
+            for call in waiting_calls:
+                call.callback(self.taken())
+
+    async def snapshot(self, table):
+        """Return every record."""
+        if self.trouble == "silent":
+            await defer.Deferred()
+        return self.taken()
+
+    async def changes(self, table, after, wait_s):
+        """Return changes, or wait for them."""
+        if self.trouble == "history":
+            self.trouble = "works"
+            raise sync.HistoryLostError("gone")
+        if self.trouble == "refuses" and self.failures:
+            self.failures -= 1
+            raise errors.Unavailable("status 503")
+        if self.version > after and self.trouble != "silent":
+            return self.taken()
+        call = defer.Deferred()
+        self.waiting.append(call)
+        return await call
+
+
+class Hub:
+    """Records what is sent to one peer."""
+
+    peers = ("peer",)
+
+    def __init__(self):
+        self.sent = []
+
+    def connection(self, name):
+        """Return a connection of an entry instance."""
+        self.hello = types.Hello("entry", "r", "a", 0)
+        return self
+
+    def send(self, name, message):
+        """Keep a message."""
+        self.sent.append(message)
+
+
+@behave.given("a store with version 5 of a table")
+def step_store(context):
+    context.clock = task.Clock()
+    context.store = Store(context.clock)
+    context.followed = sync.TableSync(
+        context.clock, context.store, TABLE, lambda keys: None, lambda *a, **f: None
+    )
+    context.followed.start()
+    me = machines.Instance("me", "entry", "h", 1, "r", "a")
+    context.hub = Hub()
+    context.peers = peers.Peers(
+        context.clock, me, context.hub, {TABLE: context.followed}, dict
+    )
+    assert context.followed.copy.version == 5
+
+
+@behave.when("the store {trouble} and version 6 is written")
+def step_trouble(context, trouble):
+    store = context.store
+    for word, name in (
+        ("history", "history"),
+        ("refuses", "refuses"),
+        ("does not answer", "silent"),
+    ):
+        if word in trouble:
+            store.trouble = name
+    if store.trouble in ("history", "refuses"):
+        # The call in progress ends first.
+        for call in store.waiting:
+            call.errback(errors.AnswerLost("connection lost"))
+        store.waiting = []
+    store.write()
+    if store.trouble == "silent":
+        context.peers.message("peer", types.GatewayReport({}, {TABLE: 6}, 0.1))
+        request = context.hub.sent[-1]
+        assert request == types.RecordRequest(TABLE, 5), request
+        rows = [["a", 6, b"v6"]]
+        context.peers.message("peer", types.RecordReply(TABLE, 5, 6, rows))
+
+
+@behave.then("the copy has version 6 within {within:f} s")
+def step_within(context, within):
+    for _ in range(round(within / 0.05)):
+        context.clock.advance(0.05)
+    assert context.followed.copy.get("a").version == 6, context.followed.copy.version
+
+
+@behave.when("a peer reports version 4")
+def step_behind(context):
+    context.peers.message("peer", types.GatewayReport({}, {TABLE: 4}, 0.1))
+
+
+@behave.then("the peer is not asked for records")
+def step_not_asked(context):
+    assert not any(isinstance(m, types.RecordRequest) for m in context.hub.sent)
