--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -131,7 +131,8 @@
 
 
 @behave.given(
-    "a waiting room with {count:d} calls, {started:d} of them started in the last second"
+    "a waiting room with {count:d} calls, {started:d} of them started in the last"
+    " second"
 )
 def step_busy_room(context, count, started):
     context.room = waiting.WaitingRoom()
