--- /dev/null
+++ b/features/replicas/loading.feature
@@ -0,0 +1,63 @@
+Feature: Loading of weights that an origin names
+  No engine serves partial or mixed weights, and a named version is in force in time
+  without all engines loading at once.
+
+  @always_1
+  Scenario Outline: The agent of an engine that <state> is told to <action>
+    Given an agent whose engine should serve version 2 within 8 s
+    When the engine <state>
+    Then after <after> s the agent is told to <action>
+
+    Examples:
+      | state                                        | after | action  |
+      | serves version 1 and pieces are missing      | 6.0   | wait    |
+      | serves version 1 and all pieces are held     | 6.0   | stage   |
+      | serves version 1 and rot was found in staging | 6.0  | stage   |
+      | serves version 1 and the pieces are staged   | 4.0   | wait    |
+      | serves version 1 and the pieces are staged   | 7.0   | load    |
+      | serves nothing and the pieces are staged     | 0.5   | load    |
+      | is busy with an order                        | 7.0   | wait    |
+      | serves version 2                             | 7.0   | wait    |
+      | is unknown                                   | 7.0   | wait    |
+      | restarted after the pieces were staged       | 7.0   | stage   |
+      | refused the order just now                   | 7.0   | wait    |
+
+  Scenario: Engines load one after the other, each in time
+    Given 12 engines that should serve version 2 within 8 s
+    Then they load between 5.0 and 7.0 s, and no 3 of them within 0.2 s
+    And every agent computes the same order
+
+  Scenario Outline: A version named while the one before <state> is <order>
+    Then a copy that <state> is <order>
+
+    Examples:
+      | state                        | order    |
+      | has just begun               | dropped  |
+      | is well under way            | finished |
+      | is staged and waits its turn | finished |
+      | is served                    | dropped  |
+
+  @always_1
+  Scenario Outline: An agent stages pieces at an engine where <trouble>
+    Given an agent with a complete copy of 4 pieces
+    When it stages them at an engine where <trouble>
+    Then the engine <outcome>
+
+    Examples:
+      | trouble                              | outcome                          |
+      | nothing lies                         | holds all pieces and is ready    |
+      | some pieces lie already              | holds all pieces and is ready    |
+      | a piece of the older version lies    | holds all pieces and is ready    |
+      | a piece rots as it is written        | is not told to load              |
+      | the second write has no answer       | is not told to load              |
+
+  Scenario Outline: An agent hears of weights <way>
+    Given an agent that starts
+    When <way> names version 3
+    Then the agent wants version 3
+    And the agent reads the store: <reads>
+
+    Examples:
+      | way               | reads |
+      | an entry instance | no    |
+      | the store         | yes   |
--- /dev/null
+++ b/features/steps/replicas.py
@@ -0,0 +1,399 @@
+"""Steps for the loading of weights, and for the evenness of their distribution."""
+
+import collections
+import random
+import types as plain_types
+
+import behave
+from twisted.internet import defer, task
+
+from cicadaplank.external import errors
+from cicadaplank.links import pacing
+from cicadaplank.messages import types
+from cicadaplank.replicas import loading, process
+from cicadaplank.weights import (
+    chunks,
+    manifests,
+    ownership,
+    transfers,
+    uploads,
+)
+from cicadaplank.world import machines
+
+MODEL = "m"
+TARGET = loading.Target(MODEL, 2, 0.0)
+NAMES = tuple(f"engine-{number}" for number in range(12))
+ME = NAMES[0]
+
+
+def engine(version=1, busy=False, started_ms=1):
+    versions = {MODEL: version} if version else {}
+    return loading.EngineState(versions, busy, 0, not versions, started_ms)
+
+
+@behave.given("an agent whose engine should serve version 2 within 8 s")
+def step_loading(context):
+    context.loading = loading.Loading(ME, 8.0)
+    context.loading.wanted(TARGET)
+    context.engine, context.has_copy = engine(), True
+
+
+@behave.when("the engine {state}")
+def step_state(context, state):
+    machine = context.loading
+    if "missing" in state:
+        context.has_copy = False
+    if "rot" in state:
+        machine.staged(TARGET, False)
+    if "staged" in state or state in ("is busy with an order", "refused the order"):
+        machine.staged(TARGET, True)
+    if state == "refused the order just now":
+        machine.staged(TARGET, True)
+        machine.order_answered(False, 6.9)
+    if state.startswith("serves nothing"):
+        context.engine = engine(0)
+    if state == "is busy with an order":
+        context.engine = engine(busy=True)
+    if state == "serves version 2":
+        context.engine = engine(2)
+    if state == "is unknown":
+        context.engine = None
+    if state.startswith("restarted"):
+        machine.restarted()
+
+
+@behave.then("after {after:f} s the agent is told to {action}")
+def step_action(context, after, action):
+    got = context.loading.next(context.engine, context.has_copy, NAMES, after)
+    kinds = {"wait": type(None), "stage": loading.Stage, "load": loading.Order}
+    assert type(got) is kinds[action], got
+
+
+@behave.given("12 engines that should serve version 2 within 8 s")
+def step_engines(context):
+    context.times = {}
+    for name in NAMES:
+        machine = loading.Loading(name, 8.0)
+        machine.wanted(TARGET)
+        machine.staged(TARGET, True)
+        at_s = 0.0
+        while machine.next(engine(), True, NAMES, at_s) is None:
+            at_s += 0.01
+        context.times[name] = at_s
+
+
+@behave.then("they load between 5.0 and 7.0 s, and no 3 of them within 0.2 s")
+def step_spread(context):
+    times = sorted(context.times.values())
+    assert 5.0 <= times[0] and times[-1] <= 7.0, times
+    assert all(b - a >= 0.2 for a, b in zip(times, times[2:], strict=False)), times
+
+
+@behave.then("every agent computes the same order")
+def step_same_order(context):
+    turns = {n: loading.turn_of(n, TARGET, NAMES) for n in NAMES}
+    shuffled = random.Random(1).sample(NAMES, len(NAMES))
+    assert turns == {n: loading.turn_of(n, TARGET, shuffled) for n in NAMES}
+    order = sorted(NAMES, key=turns.get)
+    assert order == sorted(NAMES, key=context.times.get)
+
+
+@behave.then("a copy that {state} is {order}")
+def step_order(context, state, order):
+    phase, progress = {
+        "has just begun": (loading.Phase.COPYING, 0.1),
+        "is well under way": (loading.Phase.COPYING, 0.6),
+        "is staged and waits its turn": (loading.Phase.WAITING, 1.0),
+        "is served": (loading.Phase.CURRENT, 1.0),
+    }[state]
+    finished = loading.finishes_first(phase, progress)
+    assert finished == (order == "finished")
+
+
+# Staging at an engine.
+
+
+class Engine:
+    """An engine that keeps what is staged, with a fault."""
+
+    def __init__(self, trouble):
+        self.trouble = trouble
+        self.held = {}
+        self.writes = 0
+        self.orders = []
+
+    async def state(self):
+        """Return the state of an engine that serves nothing."""
+        return engine(0)
+
+    async def put_piece(self, model, number, data):
+        """Stage a piece."""
+        self.writes += 1
+        if "no answer" in self.trouble and self.writes == 2:
+            raise errors.AnswerLost("no answer")
+        if "rots" in self.trouble and self.writes == 2:
+            data = b"rotten" + data[6:]
+        self.held[number] = data
+
+    async def piece(self, model, number):
+        """Return a staged piece."""
+        if number not in self.held:
+            raise errors.NotFound(404, "piece")
+        return self.held[number]
+
+    async def load(self, order):
+        """Keep an order."""
+        self.orders.append(order)
+        return True
+
+
+class Store:
+    """A store whose tables name a version."""
+
+    def __init__(self):
+        self.reads = 0
+
+    async def snapshot(self, table):
+        """Count the read; it never ends."""
+        self.reads += 1
+        return await defer.Deferred()
+
+
+class Members:
+    """No entry instance is registered."""
+
+    async def instances(self):
+        """Return no instance."""
+        return []
+
+
+def agent(trouble):
+    """Return an agent process with parts in memory."""
+    clock = task.Clock()
+    settings = process.Settings(
+        "side-1", "10.0.0.1", 7700, 7701, "r", "a", {"a": "r"}, "s", 1e6, 8.0
+    )
+    meaning = plain_types.SimpleNamespace(operator_table="op", endpoint_table="servers")
+    made = process.AgentProcess(
+        clock, settings, Store(), meaning, Members(), Engine(trouble), lambda a: None
+    )
+    return made
+
+
+@behave.given("an agent with a complete copy of 4 pieces")
+def step_agent_copy(context):
+    context.data = [bytes([number]) * 1000 for number in range(4)]
+    digests = [manifests.chunk_digest(data) for data in context.data]
+    context.manifest = manifests.from_digests(MODEL, "2", 1000, digests).unwrap()
+
+
+@behave.when("it stages them at an engine where {trouble}")
+def step_stage(context, trouble):
+    made = context.agent = agent(trouble)
+    held = made._engine.held
+    if trouble == "some pieces lie already":
+        held.update({0: context.data[0], 2: context.data[2]})
+    if trouble.startswith("a piece of the older version"):
+        held[1] = b"older" * 200
+    made.store.reserve(context.manifest)
+    for data in context.data:
+        made.store.put(manifests.chunk_digest(data), data)
+    copy = process._Copy(TARGET)
+    copy.manifest, copy.is_complete = context.manifest, True
+    made._present = made._newest = copy
+    made.loading.wanted(TARGET)
+    made._engine_state = engine(0)
+    made._decide()
+
+
+@behave.then("the engine holds all pieces and is ready")
+def step_ready(context):
+    fake = context.agent._engine
+    assert [fake.held[number] for number in range(4)] == context.data
+    assert len(fake.orders) == 1, fake.orders
+
+
+@behave.then("the engine is not told to load")
+def step_not_ready(context):
+    assert not context.agent._engine.orders
+
+
+# News of weights.
+
+
+@behave.given("an agent that starts")
+def step_agent_starts(context):
+    context.agent = agent("")
+
+
+@behave.when("{way} names version 3")
+def step_named(context, way):
+    notice = types.WeightsNotice(1, 1, {MODEL: 3}, [MODEL], "", {}, {})
+    made = context.agent
+    if way == "an entry instance":
+        hello = types.Hello("entry", "r", "a", 0)
+        connection = plain_types.SimpleNamespace(hello=hello, peer="10.0.0.9")
+        made.message_received(connection, plain_types.SimpleNamespace(message=notice))
+    else:
+        made._take_notice(notice)
+    made.operator.start()
+
+
+@behave.then("the agent wants version 3")
+def step_wants(context):
+    assert context.agent.loading.target.version == 3
+
+
+@behave.then("the agent reads the store: {reads}")
+def step_reads(context, reads):
+    assert bool(context.agent.operator._store.reads) == (reads == "yes")
+
+
+# Placement of chunks.
+
+
+def placement_of(count, machine_count, region_count, rng=None):
+    names = [f"m{n}" for n in range(machine_count)]
+    holders = [(name, f"r{n % region_count}") for n, name in enumerate(names)]
+    if rng:
+        rng.shuffle(holders)
+    digests = [manifests.chunk_digest(b"%d" % n) for n in range(count)]
+    owners = ownership.Ownership(holders)
+    return owners, ownership.Placement(owners, digests, None)
+
+
+@behave.given(
+    "the placement of {count:d} chunks on {machine_count:d} machines in"
+    " {region_count:d} regions"
+)
+def step_placement(context, count, machine_count, region_count):
+    context.sizes = count, machine_count, region_count
+    context.owners, context.placement = placement_of(*context.sizes)
+
+
+def loads(context, home):
+    """Return chunks by owner, and the largest part that is even, by region."""
+    count = context.sizes[0]
+    found, most = collections.Counter(), {}
+    for region in context.placement.regions:
+        mine = [
+            i
+            for i in range(count)
+            if (context.placement.home_region(i) == region) == home
+        ]
+        most[region] = -(-len(mine) // context.owners.size(region))
+        for index in mine:
+            found[region, context.placement.candidates(region, index)[0]] += 1
+    return found, most
+
+
+@behave.then("no owner takes more than its part of the chunks from the origin")
+def step_even_home(context):
+    found, most = loads(context, True)
+    assert all(n <= most[region] for (region, _), n in found.items()), found
+    assert sum(found.values()) == context.sizes[0]
+
+
+@behave.then("no owner takes more than its part of the chunks from other regions")
+def step_even_remote(context):
+    found, most = loads(context, False)
+    assert all(n <= most[region] for (region, _), n in found.items()), found
+
+
+@behave.then("every machine computes the same placement")
+def step_same_placement(context):
+    _, other = placement_of(*context.sizes, rng=random.Random(2))
+    for index in range(context.sizes[0]):
+        assert other.home_region(index) == context.placement.home_region(index)
+        for region in other.regions:
+            mine = context.placement.candidates(region, index)
+            assert other.candidates(region, index) == mine
+
+
+@behave.given("a transfer of 4 chunks that has begun")
+def step_transfer(context):
+    step_agent_copy(context)
+    me = machines.Instance("me", "agent", "h", 1, "r", "a")
+    context.transfers = transfers.Transfers(
+        me,
+        chunks.ChunkStore(1_000_000),
+        transfers.Rates(1e6, 1e6),
+        None,
+        random.Random(1),
+        0.0,
+    )
+    digest = context.manifest.digest
+    wanted = transfers.Wanted(digest, MODEL, ("me",))
+    context.transfers.rows_changed((wanted,), 0.0)
+    context.transfers.manifest_fetched(digest, context.manifest.to_json(), 0.0)
+
+
+@behave.when("another task stores a chunk and the origin sends it once more")
+def step_duplicate(context):
+    data = context.data[0]
+    digest = manifests.chunk_digest(data)
+    context.transfers.store.put(digest, data)
+    context.transfers.origin_replied(digest, data, 0.1)
+
+
+@behave.then("the transfer counts the chunk as held")
+def step_held(context):
+    assert context.transfers.progress(context.manifest.digest) == 0.25
+
+
+@behave.given("an upload queue for 100 kB/s with 4 local and 4 remote chunks of 10 kB")
+def step_uploads(context):
+    context.queue = uploads.UploadQueue(100_000, 100_000, 0.0)
+    for number in range(8):
+        offered = uploads.Upload(
+            f"peer-{number}", number, "digest", 10_000, number % 2 == 1
+        )
+        assert context.queue.offer(offered)
+
+
+@behave.when("0.5 s pass")
+def step_half_second(context):
+    context.sent = []
+    for number in range(51):
+        context.sent += context.queue.due(number * 0.01)
+
+
+@behave.then("at most 6 chunks were sent")
+def step_sent(context):
+    # 50 kB in 0.5 s, and the first chunk goes at once.
+    assert 4 <= len(context.sent) <= 6, len(context.sent)
+    assert {upload.remote for upload in context.sent} == {True, False}
+
+
+@behave.given("a paced writer for 40 kB/s")
+def step_pacer(context):
+    context.clock = task.Clock()
+    context.writer = pacing.PacedWriter(context.clock, 40_000)
+
+
+@behave.when("a frame of 40 kB is written")
+def step_frame(context):
+    context.frame = random.Random(1).randbytes(40_000)
+    context.written, context.ahead = b"", []
+    context.done = []
+
+    def write(data):
+        context.written += data
+        due = 40_000 * context.clock.seconds()
+        context.ahead.append(len(context.written) - due)
+        return True
+
+    context.writer.write(context.frame, write, lambda: context.done.append(True))
+    for _ in range(110):
+        context.clock.advance(0.01)
+
+
+@behave.then("at no time more than 2 slices were written ahead of the rate")
+def step_ahead(context):
+    assert max(context.ahead) <= 2 * pacing.SLICE_BYTES, max(context.ahead)
+
+
+@behave.then("the whole frame is written in order within 1.1 s")
+def step_written(context):
+    assert context.written == context.frame
+    assert context.done == [True]
--- /dev/null
+++ b/features/weights/evenness.feature
@@ -0,0 +1,33 @@
+Feature: Chunks divide evenly over owners and regions
+  The owner with most chunks, or the link with most traffic, decides how long a version
+  takes.
+
+  Scenario Outline: <chunks> chunks on <machines> machines in <regions> regions
+    Given the placement of <chunks> chunks on <machines> machines in <regions> regions
+    Then no owner takes more than its part of the chunks from the origin
+    And no owner takes more than its part of the chunks from other regions
+    And every machine computes the same placement
+
+    Examples:
+      | chunks | machines | regions |
+      | 48     | 14       | 3       |
+      | 48     | 7        | 3       |
+      | 48     | 2        | 2       |
+      | 3      | 12       | 3       |
+      | 100    | 1        | 1       |
+
+  Scenario: A chunk that another task stored counts as held
+    Given a transfer of 4 chunks that has begun
+    When another task stores a chunk and the origin sends it once more
+    Then the transfer counts the chunk as held
+
+  Scenario: Chunks of all regions share the rate of the machine's link
+    Given an upload queue for 100 kB/s with 4 local and 4 remote chunks of 10 kB
+    When 0.5 s pass
+    Then at most 6 chunks were sent
+
+  Scenario: Small packets pass between the slices of a large frame
+    Given a paced writer for 40 kB/s
+    When a frame of 40 kB is written
+    Then at no time more than 2 slices were written ahead of the rate
+    And the whole frame is written in order within 1.1 s
