--- a/cicadaplank/platform/settings.py
+++ b/cicadaplank/platform/settings.py
@@ -59,10 +59,8 @@
 
     def port(self, position):
         """Return a port of the system's own range."""
-        ports = self.get("ports", list, lambda p: len(p) == 2)
-        if ports is None or not all(isinstance(port, int) for port in ports):
-            return 0
-        return ports[0] + position
+        ports = self.get("ports", list, _is_port_range)
+        return ports[0] + position if _is_port_range(ports) else 0
 
     def check(self):
         """Raise :class:`SettingsError` when there was a fault."""
@@ -75,6 +73,11 @@
     return bool(host) and port.isdigit() and 0 < int(port) < 65536
 
 
+def _is_port_range(ports):
+    whole = isinstance(ports, list) and all(type(port) is int for port in ports)
+    return whole and len(ports) == 2 and 0 < ports[0] <= ports[1] < 65536
+
+
 def read(path):
     """Read a settings file.
 
--- /dev/null
+++ b/features/platform/adapter.feature
@@ -0,0 +1,87 @@
+Feature: The adapter to the users' platform
+  Names and formats are translated once; what another writer left behind, or what is
+  damaged, names nothing to use and loses nothing else.
+
+  Scenario Outline: A server's row with <row>
+    Given rows of servers of which one has <row>
+    Then it is <use> and the other row is used
+
+    Examples:
+      | row                       | use       |
+      | nothing unusual           | used      |
+      | the state draining        | leaving   |
+      | an unknown state          | not used  |
+      | an unknown service        | not used  |
+      | no address                | not used  |
+      | a port that is no number  | not used  |
+      | a zone of another type    | not used  |
+      | bytes that cannot be read | not used  |
+      | a list in place of fields | not used  |
+      | fields that are unknown   | used      |
+
+  Scenario Outline: What may be repeated follows from the kind: <route_type>, resumable <resumable>
+    Given a configuration with a route of type <route_type> that is resumable: <resumable>
+    Then its calls repeat "<repeat>"
+
+    Examples:
+      | route_type     | resumable | repeat    |
+      | idempotent     | no        | free      |
+      | non_idempotent | no        | never     |
+      | non_idempotent | yes       | never     |
+      | streaming      | no        | never     |
+      | streaming      | yes       | resumable |
+      | something new  | yes       | never     |
+
+  @always_7
+  Scenario: A configuration that cannot be read changes nothing
+    Given a configuration without services
+    Then it is rejected with an error that names op/config
+
+  Scenario Outline: An answer of the store with status <status> to a call for changes
+    Given a store that answers <status> to a call for changes
+    Then the call ends as <ends>
+
+    Examples:
+      | status | ends         |
+      | 200    | changes      |
+      | 410    | history lost |
+      | 429    | unavailable  |
+      | 503    | unavailable  |
+      | 403    | refused      |
+      | 500    | refused      |
+
+  Scenario Outline: A connection to the store that <fault>
+    Given a store whose connection <fault>
+    Then the call ends as <ends>
+
+    Examples:
+      | fault                     | ends        |
+      | cannot be opened          | unavailable |
+      | is reset                  | answer lost |
+      | goes silent               | answer lost |
+      | gives an answer cut short | answer lost |
+      | gives no JSON             | answer lost |
+
+  Scenario Outline: Settings with <fault>
+    Given settings of an <role> with <fault>
+    Then reading them <outcome>
+
+    Examples:
+      | role  | fault                  | outcome                                     |
+      | entry | nothing wrong          | succeeds                                    |
+      | agent | nothing wrong          | succeeds                                    |
+      | entry | an unknown field       | succeeds                                    |
+      | entry | no front address       | names listen.front                          |
+      | entry | a port that is no number | names listen.ready                        |
+      | entry | a negative ratio       | names bounds.retry_ratio                    |
+      | entry | no ports               | names ports                                 |
+      | entry | no name and no grace   | names name, bounds.grace_s                  |
+      | agent | no engine              | names engine.service, engine.address        |
+      | agent | a text as link         | names link_mbps                             |
+
+  Scenario: The template in deploy gives settings that both roles take
+    Given the template in deploy filled for an edge and a side machine
+    Then both roles take their settings
+
+  Scenario: No module outside the adapter knows the platform's names
+    Then no source file outside the adapter holds a name of the platform's wire
