--- a/features/gateway/calls.feature
+++ b/features/gateway/calls.feature
@@ -36,6 +36,7 @@
       | answers with an encoding             | runs once only | 502    | 1     | its own     |
       | answers what is not HTTP             | runs once only | 502    | 1     | its own     |
       | answers busy without a promise       | runs once only | 502    | 1     | its own     |
+      | answers 429 without a promise        | runs once only | 502    | 1     | its own     |
       | is silent                            | may repeat     | 200    | 2     | whole       |
       | is silent                            | runs once only | 504    | 1     | its own     |
 
@@ -43,6 +44,7 @@
       | behaviour             | kind           | status | sends | whole       |
       | fails                 | may repeat     | 200    | 2     | whole       |
       | fails                 | runs once only | 500    | 1     | whole       |
+      | answers 404           | may repeat     | 404    | 1     | whole       |
 
   Scenario: A call goes elsewhere when an endpoint takes no connection, and it is ejected
     Given a gateway with 2 endpoints and a route that runs once only
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -264,6 +264,10 @@
         protocol.dataReceived(b"\x00\x01\x02 garbage\r\n\r\n")
     elif behaviour == "answers busy without a promise":
         protocol.dataReceived(answer(503))
+    elif behaviour == "answers 429 without a promise":
+        protocol.dataReceived(answer(429))
+    elif behaviour == "answers 404":
+        protocol.dataReceived(answer(404))
     elif behaviour == "fails":
         protocol.dataReceived(answer(500))
     else:
