--- a/cicadaplank/gateway/records.py
+++ b/cicadaplank/gateway/records.py
@@ -75,7 +75,7 @@
         :returns: set of keys that changed. Nothing is taken when changes between this
             copy's version and ``base`` are missing.
         """
-        if False:
+        if base > self.version or version <= self.version:
             return set()
         changed = set()
         for record in sorted(records, key=lambda r: r.version):
