--- a/cicadaplank/cli/commands.py
+++ b/cicadaplank/cli/commands.py
@@ -1,9 +1,11 @@
 """All commands."""
 
+import contextlib
 import sys
 
 from cicadaplank import __version__
 from cicadaplank.cli import burn, calls, processes, results, tables, weights
+from cicadaplank.reports import explain
 
 
 class Settings:
@@ -70,6 +72,26 @@
         """
         burn.report(settings, history, urls, plot, json)
 
+    def explain(self, request, *files):
+        """Show what the logs say of one request, and what decided it.
+
+        :param request: identifier that the client sent with the attempt.
+        :param files: log files of any number of processes.
+        """
+        if not files:
+            raise results.CommandError("name at least one file", results.EXIT_USAGE)
+        try:
+            with contextlib.ExitStack() as stack:
+                opened = [
+                    stack.enter_context(open(file, errors="replace")) for file in files
+                ]
+                found = explain.lines_of(str(request), opened)
+        except OSError as fault:
+            raise results.CommandError(str(fault), results.EXIT_USAGE) from fault
+        for line in found:
+            print(line.text)
+        print(explain.summary(found))
+
     def version(self):
         """Print the version."""
         print(f"cicadaplank {__version__} python {sys.version.split()[0]}")
--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -158,8 +158,15 @@
 
     def _heard(self):
         self._back_off_s = BACK_OFF_S
-        if self.availability.answered(self._reactor.seconds()):
-            self._log("store_regained", table=self.table, version=self.copy.version)
+        now_s = self._reactor.seconds()
+        away_s = self.availability.age_s(now_s)
+        if self.availability.answered(now_s):
+            self._log(
+                "store_regained",
+                table=self.table,
+                version=self.copy.version,
+                away_s=away_s,
+            )
 
     def _sleep(self, delay_s):
         woken = defer.Deferred()
