Serve metrics on a port of their own

The range of the system's ports is drawn anew for each deployment, so that the port in the deploy file met none (7480, 7540 and 7120 were seen).

--- a/cicadaplank/platform/settings.py
+++ b/cicadaplank/platform/settings.py
@@ -7,9 +7,6 @@
 from cicadaplank.replicas import process as agent_process
 
 READY_PATH = "/v1/readyz"
-# Ports of the system's own range: streams between processes, and the metrics page.
-PEER_PORT = 0
-METRICS_PORT = 1
 
 
 class SettingsError(ValueError):
@@ -57,10 +54,14 @@
         host, _, port = text.rpartition(":")
         return entry_process.Address(host, int(port))
 
-    def port(self, position):
-        """Return a port of the system's own range."""
+    def peer_port(self):
+        """Return the first port of the system's own range."""
         ports = self.get("ports", list, _is_port_range)
-        return ports[0] + position if _is_port_range(ports) else 0
+        return ports[0] if _is_port_range(ports) else 0
+
+    def port(self, path):
+        """Return a port."""
+        return self.get(path, int, lambda port: 0 < port < 65536)
 
     def check(self):
         """Raise :class:`SettingsError` when there was a fault."""
@@ -118,8 +119,8 @@
         front=reader.address("listen.front"),
         ready=reader.address("listen.ready"),
         ready_path=READY_PATH,
-        peer=entry_process.Address(host, reader.port(PEER_PORT)),
-        metrics=entry_process.Address(host, reader.port(METRICS_PORT)),
+        peer=entry_process.Address(host, reader.peer_port()),
+        metrics=entry_process.Address(host, reader.port("metrics_port")),
         seeds=tuple(str(seed).rpartition(":")[0] for seed in seeds),
         bounds=gateway.Bounds(
             repeat_share=reader.number("bounds.retry_ratio"),
@@ -143,8 +144,8 @@
     settings = agent_process.Settings(
         name=reader.text("name"),
         host=reader.text("host"),
-        peer_port=reader.port(PEER_PORT),
-        metrics_port=reader.port(METRICS_PORT),
+        peer_port=reader.peer_port(),
+        metrics_port=reader.port("metrics_port"),
         region=reader.text("region"),
         data_centre=reader.text("data_centre"),
         regions=reader.get("regions", dict) or {},
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -75,6 +75,7 @@
       | entry | a port that is no number | names listen.ready                        |
       | entry | a negative ratio       | names bounds.retry_ratio                    |
       | entry | no ports               | names ports                                 |
+      | agent | no metrics port        | names metrics_port                          |
       | entry | no name and no grace   | names name, bounds.grace_s                  |
       | agent | no engine              | names engine.service, engine.address        |
       | agent | a text as link         | names link_mbps                             |
