See whether an endpoint that broke a call takes connections before the next call

Change: after a call that broke or stayed silent, and at the end of an ejection, the gateway opens a connection; until it is open the endpoint gets no calls. Test: 'An endpoint that broke a call gets none until it takes a connection' fails without the probe.

--- a/cicadaplank/gateway/endpoints.py
+++ b/cicadaplank/gateway/endpoints.py
@@ -89,6 +89,8 @@
         self._sent_since_told = 0
         self._peers = {}
         self.full_until_s = 0.0
+        # A connection is being opened to see whether it can be reached.
+        self.is_probed = False
 
     # Load.
 
@@ -162,6 +164,11 @@
             return 0.0
         return self._eject(now_s)
 
+    def reached(self, now_s):
+        """Take a connection that could be opened to see whether it can be reached."""
+        self._trial = False
+        self.ejected_until_s = min(self.ejected_until_s, now_s)
+
     def _eject(self, now_s):
         length_s = min(MAX_EJECT_S, EJECT_S * 2**self._ejections)
         self._ejections += 1
@@ -171,7 +178,7 @@
 
     def is_ejected(self, now_s):
         """Tell whether the endpoint gets no calls now."""
-        if now_s < self.ejected_until_s:
+        if now_s < self.ejected_until_s or self.is_probed:
             return True
         # One trial call at a time after an ejection.
         return self._trial and self.in_flight > 0
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -444,7 +444,6 @@
         """Count a failure of an endpoint, and eject it when they repeat."""
         if state is None:
             return
-        name = state.endpoint.name
         self._reporter.attempt_failed(call, state, ending, reason, now_s)
         if ending is outcomes.Ending.REFUSED:
             state.refused(now_s, calls.FULL_S)
@@ -453,22 +452,55 @@
         if ending is outcomes.Ending.MISDIRECTED:
             state.ejected_until_s = now_s + MISDIRECTED_S
             return
-        if ending in (outcomes.Ending.SILENT, outcomes.Ending.UNREACHABLE):
-            self.pool(state).drop_idle()
+        reason = f"{ending.value}: {reason}"
         if ending is outcomes.Ending.UNREACHABLE:
-            ejected_s = state.unreachable(now_s)
-        else:
-            may_eject = self.endpoints.may_eject(state.endpoint.service, now_s)
-            ejected_s = state.failed(now_s, may_eject)
-        if ejected_s:
+            self._unreachable(state, reason)
+            return
+        may_eject = self.endpoints.may_eject(state.endpoint.service, now_s)
+        self._ejected(state, state.failed(now_s, may_eject), reason)
+        if ending in (outcomes.Ending.SILENT, outcomes.Ending.BROKEN):
+            self._probe(state)
+
+    def _ejected(self, state, for_s, reason):
+        if for_s:
             self._reporter.event(
                 "endpoint_ejected",
-                endpoint=name,
-                for_s=ejected_s,
+                endpoint=state.endpoint.name,
+                for_s=for_s,
                 failure_share=state.failure_share,
-                reason=f"{ending.value}: {reason}",
+                reason=reason,
             )
 
+    def _unreachable(self, state, reason):
+        """Eject an endpoint, and look again when the ejection ends."""
+        for_s = state.unreachable(self.now_s())
+        self._ejected(state, for_s, reason)
+        if for_s:
+            self._reactor.callLater(for_s, self._probe, state)
+
+    def _probe(self, state):
+        """See whether an endpoint takes a connection, before a call waits for that.
+
+        Load pattern: a data centre is cut off, and every kept connection to its
+        endpoints is silent. Each call that is sent there would be late.
+        """
+        if state.is_gone or state.is_probed:
+            return
+        state.is_probed = True
+        self.pool(state).drop_idle()
+
+        def opened(connection):
+            state.is_probed = False
+            state.reached(self.now_s())
+            connection.give_back()
+            self.dispatch(state.endpoint.service)
+
+        def failed(reason):
+            state.is_probed = False
+            self._unreachable(state, f"probe: {reason}")
+
+        self.pool(state).take(opened, failed, reuse=False)
+
     # Time.
 
     def tick(self):
--- a/features/gateway/calls.feature
+++ b/features/gateway/calls.feature
@@ -74,6 +74,14 @@
     When a caller sends a call and its stream breaks after event 2
     Then the caller's connection is broken off
 
+  Scenario: An endpoint that broke a call gets none until it takes a connection
+    Given a gateway with 2 endpoints and a route that may repeat
+    When a caller sends a call and the first endpoint resets before the answer
+    And any other endpoint answers well, and the first takes no connection
+    Then further calls go to the other endpoint only
+    When the first endpoint takes connections again
+    Then it may get calls
+
   Scenario Outline: Work ends when the caller leaves while the call is <phase>
     Given a gateway with 1 endpoints and a route that may repeat
     When a caller leaves while the call is <phase>
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -186,6 +186,13 @@
         self.sent.append((host, protocol, transport))
         return protocol, transport
 
+    def accept_call(self):
+        """Take connections until a call comes on one; others are looked at only."""
+        while True:
+            protocol, transport = self.accept()
+            if transport.value():
+                return protocol, transport
+
     def refuse_dial(self):
         """Let the newest dial fail."""
         _, _, factory, _, _ = self.reactor.tcpClients[self.dialled]
@@ -303,8 +310,9 @@
     world = context.world
     world.run(0.1)
     while world.has_dial:
-        protocol, _ = world.accept()
-        protocol.dataReceived(answer())
+        protocol, transport = world.accept()
+        if transport.value():
+            protocol.dataReceived(answer())
         world.run(0.1)
 
 
@@ -336,6 +344,60 @@
     assert state.is_ejected(world.reactor.seconds() - 0.2)
 
 
+@behave.when("any other endpoint answers well, and the first takes no connection")
+def step_other_only(context):
+    world = context.world
+    context.first = world.sent[0][0]
+    dials = world.reactor.tcpClients
+    while world.has_dial:
+        if dials[world.dialled][0] == context.first:
+            world.refuse_dial()
+        else:
+            protocol, transport = world.accept()
+            protocol.dataReceived(answer())
+    assert status_of(world.client_transport.value()) == 200
+    assert world.sent[-1][0] != context.first
+
+
+def endpoints_of_calls(context, count):
+    """Send calls and return the hosts that were sent one."""
+    world = context.world
+    hosts = set()
+    for _ in range(count):
+        world.client.dataReceived(world.request(body=b"call"))
+        while world.has_dial:
+            world.accept()
+        host, protocol, _ = next(
+            entry for entry in world.sent if entry[2].take().startswith(b"POST")
+        )
+        hosts.add(host)
+        protocol.dataReceived(answer())
+        world.reactor.advance(0.01)
+    return hosts
+
+
+@behave.then("further calls go to the other endpoint only")
+def step_other_hosts(context):
+    for _, _, transport in context.world.sent:
+        transport.take()
+    assert context.first not in endpoints_of_calls(context, 20)
+
+
+@behave.when("the first endpoint takes connections again")
+def step_takes_again(context):
+    world = context.world
+    world.run(1.5)
+    assert world.has_dial, "nobody looked whether it can be reached"
+    world.accept()
+
+
+@behave.then("it may get calls")
+def step_may_get(context):
+    states = context.world.gateway.endpoints.all()
+    state = next(s for s in states if s.endpoint.host == context.first)
+    assert not state.is_ejected(context.world.reactor.seconds())
+
+
 def event(number):
     return b"id: %d\ndata: token %d\n\n" % (number, number)
 
@@ -373,7 +435,7 @@
 @behave.when("the other endpoint goes on from event {number:d}")
 def step_goes_on(context, number):
     world = context.world
-    protocol, transport = world.accept()
+    protocol, transport = world.accept_call()
     context.second = transport.value()
     # The endpoint repeats the event before; it must not reach the caller twice.
     first = max(1, number - 1)
