--- a/cicadaplank/cli/calls.py
+++ b/cicadaplank/cli/calls.py
@@ -8,6 +8,7 @@
 
 from cicadaplank.cli import loop, results
 from cicadaplank.entry import frontend
+from cicadaplank.platform import settings as platform_settings
 from cicadaplank.world import settings
 
 DEFAULT_TOKENS = 16
@@ -79,8 +80,9 @@
     faults = []
     lines = []
     for path in paths:
-        loaded = settings.load(pathlib.Path(path))
-        failed = loaded.swap().value_or([])
+        failed = platform_settings.faults_of(path)
+        if failed is None:
+            failed = settings.load(pathlib.Path(path)).swap().value_or([])
         faults += [f"{path}: {fault}" for fault in failed]
         lines += [] if failed else [f"{path}: valid"]
     if faults:
--- a/cicadaplank/platform/settings.py
+++ b/cicadaplank/platform/settings.py
@@ -158,5 +158,29 @@
     return settings
 
 
+def faults_of(path):
+    """Return the faults of a settings file.
+
+    :param path: path of the file.
+    :returns: list of texts, or None when the file is not in this format: only this one
+        names a store.
+    """
+    try:
+        document = read(path)
+    except SettingsError:
+        return None
+    if "store" not in document:
+        return None
+    is_agent = not isinstance(document.get("listen"), dict) or not document[
+        "listen"
+    ].get("front")
+    try:
+        (agent if is_agent else entry)(document)
+        store_address(document)
+    except SettingsError as fault:
+        return fault.faults
+    return []
+
+
 def _seconds(milliseconds):
     return None if milliseconds is None else milliseconds / 1000.0
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -80,6 +80,17 @@
       | agent | no engine              | names engine.service, engine.address        |
       | agent | a text as link         | names link_mbps                             |
 
+  Scenario Outline: The command that checks settings takes the platform's format: <fault>
+    Given settings of an entry with <fault>
+    When the file is checked from the command line
+    Then the exit code is <code> and the output names "<named>"
+
+    Examples:
+      | fault                  | code | named            |
+      | nothing wrong          | 0    | valid            |
+      | a negative ratio       | 2    | bounds.retry_ratio |
+      | no name and no grace   | 2    | bounds.grace_s   |
+
   Scenario: The template in deploy gives settings that both roles take
     Given the template in deploy filled for an edge and a side machine
     Then both roles take their settings
--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -5,6 +5,9 @@
 import json
 import pathlib
 import re
+import subprocess
+import sys
+import tempfile
 
 import behave
 from twisted.internet import defer, error, testing
@@ -243,6 +246,7 @@
         for parent in parents:
             place = place[parent]
         place[name] = value
+    context.document = document
     reader = {"entry": settings.entry, "agent": settings.agent}[role]
     try:
         context.faults = []
@@ -260,6 +264,23 @@
     assert sorted(named) == sorted(wanted), context.faults
 
 
+@behave.when("the file is checked from the command line")
+def step_command(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.json"
+        path.write_text(json.dumps(context.document))
+        command = [sys.executable, "-m", "cicadaplank", "settings", "check", str(path)]
+        context.done = subprocess.run(
+            command, cwd=ROOT, capture_output=True, text=True, timeout=30
+        )
+
+
+@behave.then('the exit code is {code:d} and the output names "{named}"')
+def step_code(context, code, named):
+    assert context.done.returncode == code, context.done.stderr
+    assert named in context.done.stdout + context.done.stderr
+
+
 @behave.given("the template in deploy filled for an edge and a side machine")
 def step_template(context):
     template = (ROOT / "deploy" / "settings.json").read_text()
