Remove what nothing uses from the gateway and the adapter

Reading the change as a newcomer: loads that endpoints tell, sizes of calls, engine models and expected versions were decoded and kept, and nothing decided by them. Calls in progress of all entries decide instead.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -27,8 +27,6 @@
 UNACKNOWLEDGED_S = 0.4
 # The endpoint is left alone for this time after it refused a call as full.
 FULL_S = 0.1
-# Tokens of a call that tells none.
-PLAIN_TOKENS = 1.0
 
 
 class Phase(enum.Enum):
@@ -95,9 +93,6 @@
         self.priority = route.priority
         if account is not None and account.priority is not None:
             self.priority = account.priority
-        self.tokens = PLAIN_TOKENS
-        if route.is_generation:
-            self.tokens += head.prompt_tokens / 30.0 + head.answer_tokens
         self._gateway = gateway
         self._client = client
         self._connection = None
@@ -153,7 +148,7 @@
         self.phase = Phase.DIALLING
         self._attempt += 1
         attempt = self._attempt
-        state.started(self.tokens)
+        state.started()
         may_repeat = self.route.repeat is not routes.Repeat.NEVER
         self._dial = self._gateway.pool(state).take(
             lambda connection: self._opened(connection, attempt),
@@ -202,7 +197,7 @@
         state, self.state = self.state, None
         self._connection = None
         if state is not None:
-            state.ended(self.tokens)
+            state.ended()
         return state
 
     # Answer of the endpoint.
@@ -213,8 +208,6 @@
             self._gateway.count("answers_of_other_calls")
             return False
         self._heard_s = self._gateway.now_s()
-        if head.load is not None:
-            self.state.load_told(head.load[0], head.load[1], self._heard_s)
         self._reply = head
         if self._is_good(head) and self.route.is_stream:
             self._splitter = events.EventSplitter()
--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -259,10 +259,6 @@
         """Return how many connections are open or being opened."""
         return len(self._all) + self._dialling
 
-    def has_room(self):
-        """Tell whether a call can be sent now."""
-        return bool(self._idle) or self.open_count < self.limit
-
     def take(self, opened, failed, reuse=True):
         """Get a connection.
 
--- a/cicadaplank/gateway/dialects.py
+++ b/cicadaplank/gateway/dialects.py
@@ -32,8 +32,6 @@
     :param wait_s: how long the client waits, or None.
     :param resume_after: identifier of the last event that the client has, or empty.
     :param model: model name, or empty.
-    :param prompt_tokens: tokens to read.
-    :param answer_tokens: estimated tokens to write, 0 when unknown.
     :param headers: list of ``(name, value)`` to pass on.
     """
 
@@ -46,8 +44,6 @@
     wait_s: float | None
     resume_after: bytes
     model: str
-    prompt_tokens: int
-    answer_tokens: int
     headers: list
 
 
@@ -59,7 +55,6 @@
     :param left_s: time that is left for the answer.
     :param account: client account, or empty.
     :param resume_after: identifier of the last event that arrived, or empty.
-    :param weights_version: version that the engine must serve, 0 for any.
     :param priority: 0 is most urgent, or None.
     """
 
@@ -67,7 +62,6 @@
     left_s: float
     account: str
     resume_after: bytes
-    weights_version: int
     priority: int | None
 
 
@@ -82,8 +76,6 @@
     :param is_not_run: whether the endpoint says that it did not run the call.
     :param is_misdirected: whether another endpoint has the address, or other weights.
     :param is_encoded: whether the body is transformed.
-    :param load: ``(running, waiting, slots)`` or None.
-    :param weights_version: version that answered, or 0.
     :param length: length of the body in bytes, or None.
     :param is_chunked: whether the body is sent in chunks.
     :param keeps_open: whether the connection may be used again.
@@ -97,8 +89,6 @@
     is_not_run: bool
     is_misdirected: bool
     is_encoded: bool
-    load: tuple | None
-    weights_version: int
     length: int | None
     is_chunked: bool
     keeps_open: bool
--- a/cicadaplank/gateway/endpoints.py
+++ b/cicadaplank/gateway/endpoints.py
@@ -19,8 +19,6 @@
 # Largest part of a service's endpoints that is ejected; more failures mean that
 # something else is wrong.
 MAX_EJECTED_SHARE = 0.5
-# A load that an endpoint told is not used any more after this time.
-LOAD_AGE_S = 1.0
 # Peers report their calls in progress every REPORT_S; older reports are dropped.
 PEER_LOAD_AGE_S = 1.5
 # Endpoints that are missing from the list just after an outage of the store are kept
@@ -42,7 +40,6 @@
     :param weights: dict from model name to the version that it serves.
     :param started_ms: Unix time of its start in milliseconds; 0 when it is unknown.
     :param warm_up_s: how much longer it stays slow after its start.
-    :param is_loading: whether it says that it loads weights.
     """
 
     name: str
@@ -55,7 +52,6 @@
     weights: dict
     started_ms: int = 0
     warm_up_s: float = 0.0
-    is_loading: bool = False
 
     @property
     def identity(self):
@@ -68,25 +64,18 @@
 
     :param endpoint: :class:`Endpoint`.
     :ivar in_flight: calls that this entry instance has in progress there.
-    :ivar tokens_in_flight: work of these calls in tokens.
     """
 
     def __init__(self, endpoint):
         self.endpoint = endpoint
         self.in_flight = 0
-        self.tokens_in_flight = 0.0
         self.failure_share = 0.0
         self.failures_in_a_row = 0
         self.ejected_until_s = 0.0
         self.is_gone = False
         self.missing_since_s = None
-        self.version_seen = {}
-        self.connections = 0
         self._ejections = 0
         self._trial = False
-        self._told = None
-        self._told_s = float("-inf")
-        self._sent_since_told = 0
         self._peers = {}
         self.full_until_s = 0.0
         # A connection is being opened to see whether it can be reached.
@@ -94,22 +83,13 @@
 
     # Load.
 
-    def started(self, tokens):
+    def started(self):
         """Count a call that is sent there."""
         self.in_flight += 1
-        self.tokens_in_flight += tokens
-        self._sent_since_told += 1
 
-    def ended(self, tokens):
+    def ended(self):
         """Count the end of a call."""
         self.in_flight -= 1
-        self.tokens_in_flight = max(0.0, self.tokens_in_flight - tokens)
-
-    def load_told(self, running, waiting, now_s):
-        """Take the load that the endpoint told with an answer."""
-        self._told = running + waiting
-        self._told_s = now_s
-        self._sent_since_told = 0
 
     def peer_load(self, peer, calls, now_s):
         """Take the calls in progress of another entry instance."""
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -405,7 +405,6 @@
             left_s,
             call.account.name if call.account else "",
             resume_after,
-            0,
             call.priority if call.route.is_generation else None,
         )
         body = call.request.body
--- a/cicadaplank/gateway/notices.py
+++ b/cicadaplank/gateway/notices.py
@@ -50,7 +50,7 @@
     hosts = {}
     for endpoint in endpoints.values():
         service = configuration.services.get(endpoint.service)
-        if endpoint.is_leaving or service is None or service.engine is None:
+        if endpoint.is_leaving or service is None or not service.has_engines:
             continue
         hosts.setdefault(endpoint.service, {})[endpoint.host] = endpoint.data_centre
     return types.WeightsNotice(
--- a/cicadaplank/gateway/outcomes.py
+++ b/cicadaplank/gateway/outcomes.py
@@ -79,11 +79,6 @@
         self.verdict = verdicts.combine(self.verdict, _VERDICTS[ending])
 
 
-def verdict_of(ending):
-    """Return the verdict of one attempt."""
-    return _VERDICTS[ending]
-
-
 def decide(history, ending, route, left_s, budget, now_s):
     """Decide what follows an attempt that gave no answer for the client.
 
--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -65,10 +65,6 @@
         """Take the address of a process whose name is its address."""
         self.known([machines.Instance(host, role, host, port, "", "")])
 
-    def forget(self, name):
-        """Stop connecting to an instance."""
-        self._known.pop(name, None)
-
     @property
     def live(self):
         """Return the number of other instances that reported lately."""
--- a/cicadaplank/gateway/placement.py
+++ b/cicadaplank/gateway/placement.py
@@ -13,9 +13,6 @@
 REMOTE_SURCHARGE = 0.4
 # Surcharge for an endpoint whose last calls all failed.
 FAILURE_SURCHARGE = 2.0
-# Calls beyond its slots that an endpoint may hold waiting. They let it start the next
-# call without a round trip.
-WAITING_AT_ENDPOINT = 0
 # Surcharge for an endpoint that said within the last moments that it is full.
 FULL_SURCHARGE = 1.0
 
@@ -74,7 +71,7 @@
     """Tell whether an endpoint would start one more call at once."""
     if now_s < state.full_until_s:
         return False
-    return state.calls(now_s) < state.endpoint.slots + WAITING_AT_ENDPOINT
+    return state.calls(now_s) < state.endpoint.slots
 
 
 def choose(states, demand, now_s, random):
@@ -96,17 +93,3 @@
         if load < best_cost:
             best, best_cost = state, load
     return best
-
-
-def capacity(states, demand, now_s):
-    """Return the slots of all endpoints that can serve a call.
-
-    :param states: list of endpoint states of the service.
-    :param demand: :class:`Demand`.
-    :param now_s: current time in seconds.
-    """
-    return sum(
-        state.endpoint.slots
-        for state in states
-        if serves(state.endpoint, demand) and now_s >= state.ejected_until_s
-    )
--- a/cicadaplank/gateway/routes.py
+++ b/cicadaplank/gateway/routes.py
@@ -72,37 +72,19 @@
     priority: int | None
 
 
-@dataclasses.dataclass(frozen=True)
-class EngineModel:
-    """Processing times of the model engines of a service.
-
-    :param slots: calls that an engine processes at once.
-    :param step_s: time of one token step.
-    :param step_per_call_s: further time of a step for each running call.
-    :param read_tokens_per_s: prompt tokens read in a second.
-    :param usual_answer_tokens: mean length of an answer.
-    """
-
-    slots: int
-    step_s: float
-    step_per_call_s: float
-    read_tokens_per_s: float
-    usual_answer_tokens: float
-
-
 @dataclasses.dataclass(frozen=True)
 class Service:
     """Service that endpoints belong to.
 
     :param name: service name.
     :param max_connections: connections that each endpoint accepts from all callers.
-    :param engine: :class:`EngineModel`, or None for a plain service.
+    :param has_engines: whether its endpoints are model engines.
     :param origin: ``host:port`` of an origin of weights, or empty.
     """
 
     name: str
     max_connections: int
-    engine: EngineModel | None
+    has_engines: bool
     origin: str
 
 
--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -119,18 +119,13 @@
         self._is_needed = is_needed
         self._back_off_s = BACK_OFF_S
         self._needs_snapshot = True
-        self._stopped = False
 
     def start(self):
         """Begin to follow the table."""
         defer.ensureDeferred(self._follow())
 
-    def stop(self):
-        """End after the call in progress."""
-        self._stopped = True
-
     async def _follow(self):
-        while not self._stopped:
+        while True:
             if not self._is_needed():
                 await self._sleep(MAX_BACK_OFF_S)
                 continue
--- a/cicadaplank/platform/__main__.py
+++ b/cicadaplank/platform/__main__.py
@@ -10,7 +10,7 @@
 
 SETTINGS_VARIABLE = "CICADAPLANK_SETTINGS"
 EXIT_USAGE = 2
-# Requests between two collections of cycles; calls leave few.
+# Log lines that are kept while nobody reads them; the rest is dropped.
 LINE_BUFFER_BYTES = 256 * 1024
 
 
--- a/cicadaplank/platform/headers.py
+++ b/cicadaplank/platform/headers.py
@@ -11,13 +11,9 @@
 TENANT = b"x-tenant"
 PRIORITY = b"x-request-priority"
 MODEL = b"x-model"
-TOKEN_COUNTS = b"x-token-counts"
-LENGTH_HINT = b"x-length-hint"
 LAST_EVENT = b"last-event-id"
 SIGNATURE = b"x-server-signature"
 NOT_EXECUTED = b"x-not-executed"
-LOAD = b"x-server-load"
-WEIGHTS_VERSION = b"x-weight-versions"
 AUTHORIZATION = b"authorization"
 # The route of a request through several servers; only the system may set it.
 SERVER_PATH = b"path"
@@ -108,27 +104,17 @@
             for header, (name, _) in zip(headers, lowered, strict=True)
             if name not in dropped
         ]
-        counts = first.get(TOKEN_COUNTS, b"").split(b",")
-        most = _whole(counts[1]) if len(counts) == 2 else 0
         wait_ms = _number(first.get(DEADLINE))
         return dialects.CallHead(
             method=method,
             target=target,
-            path=urllib.parse.unquote(
-                target.partition(b"?")[0].decode("latin-1"), "latin-1"
-            )
-            if b"%" in target
-            else target.partition(b"?")[0].decode("latin-1"),
-            host=hosts[0].decode("latin-1").rpartition(":")[0].lower()
-            if b":" in hosts[0]
-            else hosts[0].decode("latin-1").lower(),
+            path=_path(target),
+            host=_host(hosts[0]),
             attempt=first.get(ATTEMPT, b""),
             key=_key(first.get(AUTHORIZATION, b"")),
             wait_s=None if wait_ms is None else wait_ms / 1000.0,
             resume_after=first.get(LAST_EVENT, b""),
             model=first.get(MODEL, b"").decode("latin-1"),
-            prompt_tokens=_whole(counts[0]),
-            answer_tokens=_whole(first.get(LENGTH_HINT), most),
             headers=passed,
         )
 
@@ -143,8 +129,6 @@
             lines.append(b"X-Tenant: " + forwarding.account.encode())
         if forwarding.resume_after:
             lines.append(b"Last-Event-Id: " + forwarding.resume_after)
-        if forwarding.weights_version:
-            lines.append(b"X-Expect-Version: %d" % forwarding.weights_version)
         if forwarding.priority is not None:
             priority = min(LEAST_URGENT, max(0, forwarding.priority))
             lines.append(b"X-Request-Priority: %d" % priority)
@@ -175,8 +159,6 @@
             is_not_run=NOT_EXECUTED in first,
             is_misdirected=status == 421,
             is_encoded=encoding.lower() != b"identity",
-            load=_load(first.get(LOAD)),
-            weights_version=_whole(first.get(WEIGHTS_VERSION)),
             length=None if length is None else _whole(length),
             is_chunked=b"chunked" in first.get(b"transfer-encoding", b"").lower(),
             keeps_open=b"close" not in named,
@@ -211,20 +193,21 @@
         return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
+def _path(target):
+    path = target.partition(b"?")[0].decode("latin-1")
+    return urllib.parse.unquote(path, "latin-1") if "%" in path else path
+
+
+def _host(value):
+    host = value.decode("latin-1").lower()
+    return host.rpartition(":")[0] if ":" in host else host
+
+
 def _key(value):
     scheme, _, key = value.partition(b" ")
     return key.strip().decode("latin-1") if scheme.lower() == b"bearer" else ""
 
 
-def _load(value):
-    """Return running, waiting and slots of ``X-Server-Load``, or None."""
-    parts = (value or b"").split(b",")
-    numbers = [_number(part) for part in parts]
-    if len(numbers) != 3 or None in numbers:
-        return None
-    return tuple(int(number) for number in numbers)
-
-
 def _idle_timeout_s(value):
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
--- a/cicadaplank/platform/rows.py
+++ b/cicadaplank/platform/rows.py
@@ -116,20 +116,10 @@
 
 
 def _service(value):
-    engine = value.get("engine")
-    model = None
-    if engine:
-        model = routes.EngineModel(
-            slots=int(engine["slots"]),
-            step_s=engine["step_ms"] / 1000.0,
-            step_per_call_s=engine.get("per_seq_ms", 0.0) / 1000.0,
-            read_tokens_per_s=float(engine["read_per_s"]),
-            usual_answer_tokens=float((engine.get("usual") or {}).get("answer", 0)),
-        )
     return routes.Service(
         name=value["name"],
         max_connections=int(value.get("max_conns") or 0),
-        engine=model,
+        has_engines=bool(value.get("engine")),
         origin=value.get("origin") or "",
     )
 
--- a/cicadaplank/platform/store.py
+++ b/cicadaplank/platform/store.py
@@ -6,6 +6,7 @@
 
 from cicadaplank.external import errors
 from cicadaplank.gateway import records, sync
+from cicadaplank.platform import client
 from cicadaplank.world import machines
 
 # Rows of one answer of the store.
@@ -19,11 +20,11 @@
 class Store:
     """Reads and writes rows.
 
-    :param client: :class:`cicadaplank.platform.client.Client`.
+    :param calls: :class:`cicadaplank.platform.client.Client`.
     """
 
-    def __init__(self, client):
-        self._client = client
+    def __init__(self, calls):
+        self._client = calls
 
     async def _get(self, path, query, timeout_s):
         status, answer = await self._client.json(
@@ -47,7 +48,7 @@
             query = {"table": table, "part": "", "limit": PAGE_ROWS}
             if start is not None:
                 query["from"] = start
-            answer = await self._get("/v1/rows-get", query, None or 1.5)
+            answer = await self._get("/v1/rows-get", query, client.TIMEOUT_S)
             page = [r for r in map(_record, answer["rows"]) if r is not None]
             found += page
             # Later pages may show later changes; those are read again.
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -130,7 +130,7 @@
         self.configuration = routes.Configuration(
             1,
             (route,),
-            {SERVICE: routes.Service(SERVICE, 96, None, "")},
+            {SERVICE: routes.Service(SERVICE, 96, False, "")},
             routes.ClientLimits(1000, 2000, 3.0, 15.0),
             {KEY: routes.Account("account-1", None)},
         )
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -42,7 +42,7 @@
             endpoint(name, zone, int(slots), mark == "L", version)
         )
         for _ in range(int(own)):
-            state.started(1)
+            state.started()
         state.peer_load("peer", int(others or 0), 10.0)
         if mark == "E":
             state.unreachable(10.0)
