--- /dev/null
+++ b/standins/rowstore.py
@@ -0,0 +1,132 @@
+"""Stand-ins of the users' platform: a store of rows and a back end."""
+
+import base64
+import http.server
+import json
+import threading
+import time
+import urllib.parse
+
+LOOPBACK = "127.0.0.1"
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        """Write no log."""
+
+    def reply(self, status, body, headers=()):
+        """Send an answer with a length."""
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class _Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+
+    def __init__(self, handler):
+        super().__init__((LOOPBACK, 0), handler)
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    @property
+    def address(self):
+        """Return ``host:port``."""
+        return f"{LOOPBACK}:{self.server_port}"
+
+    def stop(self):
+        """Stop serving."""
+        self.shutdown()
+        self.server_close()
+
+
+class RowStore(_Server):
+    """Store of rows with long polls for changes.
+
+    :ivar is_down: answers 503 to everything while True.
+    """
+
+    def __init__(self):
+        self.is_down = False
+        self.version = 0
+        self._rows = {}
+        self._changed = threading.Condition()
+        super().__init__(_StoreHandler)
+
+    def put(self, table, key, value):
+        """Write one row; the value is sent as JSON."""
+        with self._changed:
+            self.version += 1
+            data = base64.b64encode(json.dumps(value).encode()).decode()
+            row = {"table": table, "part": "", "key": key, "value": data}
+            self._rows[table, key] = {**row, "ver": self.version}
+            self._changed.notify_all()
+
+    def rows(self, table, after=-1, wait_s=0.0):
+        """Return the rows of a table that changed after a version, and the version."""
+        deadline_s = time.monotonic() + wait_s
+        with self._changed:
+            while True:
+                found = [
+                    row
+                    for (name, _), row in self._rows.items()
+                    if name == table and row["ver"] > after
+                ]
+                left_s = deadline_s - time.monotonic()
+                if found or left_s <= 0:
+                    return found, self.version
+                self._changed.wait(left_s)
+
+
+class _StoreHandler(_Handler):
+    def do_GET(self):
+        """Answer reads."""
+        path, _, query = self.path.partition("?")
+        fields = dict(urllib.parse.parse_qsl(query))
+        after, wait_s = -1, 0.0
+        if path == "/v1/rows-feed":
+            after, wait_s = int(fields["after"]), int(fields["wait_ms"]) / 1000
+        found, version = self.server.rows(fields["table"], after, wait_s)
+        if self.server.is_down:
+            self.reply(503, b"")
+            return
+        answer = {"rows": found, "has_more": False, "ver": version, "now_ms": 1}
+        self.reply(200, json.dumps(answer).encode())
+
+    def do_POST(self):
+        """Answer writes."""
+        body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+        for row in body["puts"]:
+            value = json.loads(base64.b64decode(row["value"]))
+            self.server.put(row["table"], row["key"], value)
+        self.reply(200, json.dumps({"ver": self.server.version, "now_ms": 1}).encode())
+
+
+class BackEnd(_Server):
+    """Back end that answers after a time.
+
+    :param delay_s: time that a request takes.
+    :ivar seen: headers of the requests that it ran.
+    """
+
+    def __init__(self, delay_s=0.0):
+        self.delay_s = delay_s
+        self.seen = []
+        super().__init__(_BackEndHandler)
+
+
+class _BackEndHandler(_Handler):
+    def do_POST(self):
+        """Run a request."""
+        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        self.server.seen.append(dict(self.headers.items()))
+        time.sleep(self.server.delay_s)
+        headers = [
+            ("X-Attempt-Id", self.headers["X-Attempt-Id"]),
+            ("X-Server-Signature", "s.1"),
+        ]
+        self.reply(200, b"answer to " + body, headers)
