--- a/features/gateway/calls.feature
+++ b/features/gateway/calls.feature
@@ -111,8 +111,15 @@
     And the connection to the endpoint is closed
 
   @always_6
-  Scenario: A planned stop accepts nothing new after a while and ends what it has
+  Scenario: A planned stop ends the call in progress and closes its connection
     Given a gateway with 1 endpoints and a route that may repeat
     When a caller sends a call and the process is stopped
     And the endpoint answers 2 s later
     Then the caller gets 200 and the connection is closed
+
+  @always_6
+  Scenario: A process that stops takes no new connection after 3 s while a call goes on
+    Given an entry process with a call in progress
+    When it gets the stop signal
+    Then it is not ready, and takes connections for 3 s and none after that
+    And it goes on until the call has ended
--- /dev/null
+++ b/features/steps/gateway_stop.py
@@ -0,0 +1,70 @@
+"""Steps for the planned stop of an entry process."""
+
+import types
+
+import behave
+from twisted.internet import testing
+
+from cicadaplank.gateway import gateway, process
+from cicadaplank.platform import headers
+
+BOUNDS = gateway.Bounds(0.2, 100, 10, 8.0)
+
+
+class Port:
+    """Listening port that tells whether it still listens."""
+
+    is_open = True
+
+    def stopListening(self):
+        """Stop listening."""
+        self.is_open = False
+
+
+@behave.given("an entry process with a call in progress")
+def step_process(context):
+    address = process.Address("127.0.0.1", 1)
+    settings = process.Settings(
+        name="edge-1",
+        region="r",
+        data_centre="a",
+        front=address,
+        ready=address,
+        ready_path="/ready",
+        peer=address,
+        metrics=address,
+        seeds=(),
+        bounds=BOUNDS,
+        grace_s=8,
+    )
+    meaning = types.SimpleNamespace(operator_table="op", endpoint_table="servers")
+    context.reactor = testing.MemoryReactorClock()
+    context.process = process.EntryProcess(
+        context.reactor, settings, None, meaning, None, headers.Headers(), None
+    )
+    context.port = context.process._front = Port()
+    context.call = object()
+    context.process.gateway._calls.add(context.call)
+
+
+@behave.when("it gets the stop signal")
+def step_signal(context):
+    context.process.stop()
+
+
+@behave.then("it is not ready, and takes connections for 3 s and none after that")
+def step_connections(context):
+    assert not context.process.is_ready
+    context.reactor.advance(2.9)
+    assert context.port.is_open
+    context.reactor.advance(0.2)
+    assert not context.port.is_open
+
+
+@behave.then("it goes on until the call has ended")
+def step_goes_on(context):
+    context.reactor.pump([0.1] * 20)
+    assert not context.reactor.hasStopped
+    context.process.gateway._calls.clear()
+    context.reactor.pump([0.1] * 4)
+    assert context.reactor.hasStopped
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -397,3 +397,43 @@
 def step_written(context):
     assert context.written == context.frame
     assert context.done == [True]
+
+
+@behave.given(
+    "a transfer of 40 chunks at the pace of an agent, and 6 peers that hold all"
+)
+def step_pace(context):
+    digests = [manifests.chunk_digest(b"%d" % number) for number in range(40)]
+    manifest = manifests.from_digests(MODEL, "2", 1000, digests).unwrap()
+    names = [f"m{number}" for number in range(7)]
+    agents = [machines.Instance(n, "agent", "h", 1, "r", "a") for n in names]
+    made = transfers.Transfers(
+        agents[0],
+        chunks.ChunkStore(1_000_000),
+        transfers.Rates(1e5, 1e5),
+        None,
+        random.Random(1),
+        0.0,
+        process.PACE,
+    )
+    wanted = transfers.Wanted(manifest.digest, MODEL, tuple(names))
+    context.actions = list(made.instances_changed(agents, 0.0))
+    context.actions += made.rows_changed((wanted,), 0.0)
+    context.actions += made.manifest_fetched(manifest.digest, manifest.to_json(), 0.0)
+    whole = types.ChunkMap(manifest.digest, b"\xff" * 5)
+    for name in names[1:]:
+        context.actions += made.message_received(name, whole, 0.1)
+
+
+@behave.then(
+    "at most 3 chunks are requested from peers at a time, and 1 from the origin"
+)
+def step_in_flight(context):
+    near = [
+        a
+        for a in context.actions
+        if isinstance(a, transfers.Send) and isinstance(a.message, types.ChunkRequest)
+    ]
+    origin = [a for a in context.actions if isinstance(a, transfers.FetchChunk)]
+    assert 0 < len(near) <= 3, len(near)
+    assert len(origin) <= 1, len(origin)
--- a/features/weights/evenness.feature
+++ b/features/weights/evenness.feature
@@ -31,3 +31,7 @@
     When a frame of 40 kB is written
     Then at no time more than 2 slices were written ahead of the rate
     And the whole frame is written in order within 1.1 s
+
+  Scenario: Few chunks are on their way, since calls to the machine wait behind them
+    Given a transfer of 40 chunks at the pace of an agent, and 6 peers that hold all
+    Then at most 3 chunks are requested from peers at a time, and 1 from the origin
