Send the chunk that was sent least first where a link is slow

The trace showed why: the slow owner put the same chunk on its link up to 11 times, one for each peer that asked, while chunks that nobody else had waited behind (64 sendings, 61 of its own 8 chunks; 57e9, the last one, left at 18.1 s). What was handed to the link could no longer be put in another order, and the owner did not know that it waited.

Change: the edge tells the transfers when a chunk has left the machine (the transport has room again); at most two are on the link. When a chunk takes three times its time to leave, the link is slow, and the chunk that was sent least goes first. A peer that takes nothing stops counting after 20 chunks' time and is refused until it does.

Each new scenario fails without its part of the mechanism.

--- a/bench/swarm.py
+++ b/bench/swarm.py
@@ -277,6 +277,7 @@
             return
         size_bytes = len(message.data)
         left_s = self.up[sender].send(size_bytes, self.now_s)
+        self.at(left_s, self.event, sender, "chunk_left", receiver, message.transfer)
         if a.region != b.region:
             left_s = self._cross(a.region, b.region, size_bytes, left_s)
         self.at(left_s + hop_s, self._receive, size_bytes, *arguments)
--- a/cicadaplank/agent/weights.py
+++ b/cicadaplank/agent/weights.py
@@ -6,6 +6,7 @@
 from twisted.internet import defer
 
 from cicadaplank.external import engines, errors
+from cicadaplank.messages import types
 from cicadaplank.weights import activation, chunks, transfers
 
 MANIFEST_PREFIX = "manifests/"
@@ -192,7 +193,7 @@
     def _send(self, action):
         connection = self._daemon.hub.connection(action.peer)
         if connection is not None:
-            connection.send(action.message)
+            connection.send(action.message, self._left(action))
             return
         instance = self._daemon.peers.get(action.peer)
         if instance is None:
@@ -204,10 +205,19 @@
 
     def _send_on(self, connection, action):
         if connection is not None:
-            connection.send(action.message)
+            connection.send(action.message, self._left(action))
         else:
             self._daemon.reactor.callLater(0, self.peer_lost, action.peer)
 
+    def _left(self, action):
+        """Return what tells the transfers that a chunk has left, None for the rest."""
+        if not isinstance(action.message, types.ChunkReply):
+            return None
+        arguments = (action.peer, action.message.transfer)
+        return lambda: self._carry_out(
+            self.transfers.chunk_left(*arguments, self._daemon.now_s)
+        )
+
     def _fetch_manifest(self, action):
         digest = action.manifest_digest
         fetched = self._objects.get(MANIFEST_PREFIX + digest)
--- a/cicadaplank/links/streams.py
+++ b/cicadaplank/links/streams.py
@@ -65,6 +65,8 @@
         self._is_pacing = False
         self._queue = collections.deque()
         self._queued_bytes = 0
+        # Called once the transport has room again after the frames written so far.
+        self._written = []
         self._hello_timer = None
 
     def connectionMade(self):
@@ -90,30 +92,42 @@
             return False
         return self._queued_bytes + codec.MAX_FRAME_BYTES <= MAX_QUEUED_BYTES
 
-    def send(self, message):
+    def send(self, message, done=None):
         """Send a message.
 
         :param message: one of :mod:`cicadaplank.messages.types`.
+        :param done: called once the message is written and the transport has room
+            again, or when it was given up. A link that is slower than the messages
+            that are sent over it delays the call.
         :returns: False when the send queue is full or the connection is closing.
         """
         frame = self.hub.encode(message)
         if self.transport is None or self.transport.disconnecting:
+            self._call(done)
             return False
         if not self._paused and not self._queue and not self._is_pacing:
-            self._write(frame)
+            self._write(frame, done)
             return True
         if self._queued_bytes + len(frame) > MAX_QUEUED_BYTES:
             self.hub.counters["send_queue_full"] += 1
+            self._call(done)
             return False
-        self._queue.append(frame)
+        self._queue.append((frame, done))
         self._queued_bytes += len(frame)
         return True
 
-    def _write(self, frame):
+    def _call(self, done):
+        if done is not None:
+            self.hub.call_later(0, done)
+
+    def _write(self, frame, done):
         self.hub.counters["bytes_sent"] += len(frame)
+        if done is not None:
+            self._written.append(done)
         pacer = self.hub.pacer
         if pacer is None or len(frame) <= pacing.SMALL_BYTES:
             self.sendString(frame)
+            self._report_written()
             return
         self._is_pacing = True
         whole = struct.pack(self.structFormat, len(frame)) + frame
@@ -127,8 +141,16 @@
 
     def _paced(self):
         self._is_pacing = False
+        self._report_written()
         self._write_queued()
 
+    def _report_written(self):
+        if self._paused or self._is_pacing:
+            return
+        written, self._written = self._written, []
+        for done in written:
+            self._call(done)
+
     def pauseProducing(self):
         """Queue frames until the transport has room again."""
         self._paused = True
@@ -136,16 +158,20 @@
     def resumeProducing(self):
         """Write the queued frames until the transport is full."""
         self._paused = False
+        self._report_written()
         self._write_queued()
 
     def _write_queued(self):
         while self._queue and not self._paused and not self._is_pacing:
-            frame = self._queue.popleft()
+            frame, done = self._queue.popleft()
             self._queued_bytes -= len(frame)
-            self._write(frame)
+            self._write(frame, done)
 
     def stopProducing(self):
         """Drop the queued frames; the connection has ended."""
+        for done in (*self._written, *(done for _, done in self._queue)):
+            self._call(done)
+        self._written.clear()
         self._queue.clear()
 
     def stringReceived(self, string):
--- a/cicadaplank/weights/transfers.py
+++ b/cicadaplank/weights/transfers.py
@@ -526,7 +526,7 @@
                 len(data),
                 not self._is_local(source.name),
             )
-            if self._uploads.offer(upload):
+            if self._uploads.offer(upload, now_s):
                 return []
             reason = "busy"
         refusal = types.ChunkRefused(message.transfer, message.chunk_digest, reason)
@@ -648,6 +648,16 @@
         for version, mask in self._masks(request.chunk_digest):
             version.copy.in_flight &= ~mask
 
+    def chunk_left(self, peer, transfer, now_s):
+        """A chunk that was to be sent has left this machine, or was given up.
+
+        :param peer: instance name.
+        :param transfer: its identifier of the request.
+        :param now_s: current time in seconds.
+        """
+        self._uploads.left(peer, transfer, now_s)
+        return self.tick(now_s)
+
     def progress(self, manifest_digest):
         """Return which part of a version is held, 0.0 when nothing is known of it.
 
--- a/features/links/streams.feature
+++ b/features/links/streams.feature
@@ -43,6 +43,20 @@
     When the stream peer reads again
     Then the stream peer gets every accepted message in order
 
+  Scenario: A message counts as sent only when the link took it
+    Given a stream connection whose transport is full after each message
+    When 2 messages are sent over the full connection
+    Then 0 messages are reported as sent
+    When the transport of the full connection has room again
+    Then 1 message is reported as sent
+
+  Scenario: Messages on a connection that ends are reported as given up
+    Given a stream hub "alpha"
+    And a connected peer that reads nothing
+    When the stream hub sends 1 MB messages until one is refused
+    And the stream peer closes the connection
+    Then every accepted message is reported as sent
+
   Scenario: A port refuses connections above the bound and takes new ones later
     Given a stream hub "alpha"
     When 1030 connections to the stream hub are opened
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -348,14 +348,16 @@
         offered = uploads.Upload(
             f"peer-{number}", number, "digest", 10_000, number % 2 == 1
         )
-        assert context.queue.offer(offered)
+        assert context.queue.offer(offered, 0.0)
 
 
 @behave.when("0.5 s pass")
 def step_half_second(context):
     context.sent = []
     for number in range(51):
-        context.sent += context.queue.due(number * 0.01)
+        for upload in context.queue.due(number * 0.01):
+            context.sent.append(upload)
+            context.queue.left(upload.peer, upload.transfer, number * 0.01)
 
 
 @behave.then("at most 6 chunks were sent")
@@ -365,6 +367,63 @@
     assert {upload.remote for upload in context.sent} == {True, False}
 
 
+@behave.given("an upload queue for 100 kB/s on a link of {rate:d} kB/s")
+def step_queue_on_link(context, rate):
+    context.queue = uploads.UploadQueue(100_000, 100_000, 0.0)
+    context.chunk_s = 10 / rate
+    context.frozen = ""
+
+
+@behave.given('the peer "{peer}" takes nothing and asked for 4 chunks of 10 kB')
+def step_frozen_peer(context, peer):
+    context.frozen = peer
+    for number in range(4):
+        upload = uploads.Upload(peer, number, f"frozen-{number}", 10_000)
+        assert context.queue.offer(upload, 0.0)
+
+
+@behave.when('6 peers ask for chunk "a" and then 2 for chunk "b", 10 kB each')
+def step_ask(context):
+    for number, digest in enumerate("aaaaaabb"):
+        upload = uploads.Upload(f"peer-{number}", number, digest, 10_000)
+        assert context.queue.offer(upload, 0.0)
+    context.sent, on_link, free_s = [], [], 0.0
+    for now_s in (step * 0.01 for step in range(500)):
+        while on_link and on_link[0][0] <= now_s:
+            left_s, upload = on_link.pop(0)
+            context.queue.left(upload.peer, upload.transfer, left_s)
+        for upload in context.queue.due(now_s):
+            if upload.peer == context.frozen:
+                continue
+            free_s = max(free_s, now_s) + context.chunk_s
+            on_link.append((free_s, upload))
+            context.sent.append((now_s, upload))
+
+
+@behave.then('chunk "b" is sent before chunk "a" is sent for the 4th time')
+def step_least_sent_first(context):
+    order = [upload.chunk_digest for _, upload in context.sent]
+    assert sorted(order) == list("aaaaaabb"), order
+    assert order[: order.index("b")].count("a") < 4, order
+
+
+@behave.then("the chunks are sent in the order of the requests")
+def step_request_order(context):
+    assert [upload.transfer for _, upload in context.sent] == list(range(8))
+
+
+@behave.then("all 8 chunks for the other peers are sent within {limit_s:f} s")
+def step_others_sent(context, limit_s):
+    # The window is taken until the frozen peer's chunks count as stalled, after 2 s.
+    assert len(context.sent) == 8, context.sent
+    assert context.sent[-1][0] <= limit_s, context.sent[-1]
+
+
+@behave.then('the upload queue refuses more requests of the peer "{peer}"')
+def step_refuses(context, peer):
+    assert not context.queue.offer(uploads.Upload(peer, 9, "z", 10_000), 5.0)
+
+
 @behave.given("a paced writer for 40 kB/s")
 def step_pacer(context):
     context.clock = task.Clock()
--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -1,9 +1,10 @@
 """Steps for stream connections, over real sockets on loopback."""
 
+import collections
 import time
 
 import behave
-from twisted.internet import defer, endpoints, protocol, reactor, task
+from twisted.internet import defer, endpoints, protocol, reactor, task, testing
 
 from cicadaplank.links import streams
 from cicadaplank.messages import codec, types
@@ -239,7 +240,13 @@
 def step_fill(context):
     def run():
         context.accepted = 0
-        while context.slow.send(types.WorkData("a", context.accepted, bytes(MEBIBYTE))):
+        context.reported = collections.Counter()
+
+        def send(number):
+            message = types.WorkData("a", number, bytes(MEBIBYTE))
+            return context.slow.send(message, lambda: context.reported.update([number]))
+
+        while send(context.accepted):
             context.accepted += 1
             assert context.accepted < 100, "the queue has no bound"
         # Later the kernel may take more bytes, which makes room.
@@ -257,6 +264,69 @@
     assert not context.had_room
 
 
+class FullTransport(testing.StringTransport):
+    """A transport whose buffer is full after each write."""
+
+    def write(self, data):
+        """Take data and report the buffer as full."""
+        super().write(data)
+        if self.producer is not None:
+            self.producer.pauseProducing()
+
+    def setTcpNoDelay(self, enabled):
+        """Take the option and do nothing."""
+
+
+@behave.given("a stream connection whose transport is full after each message")
+def step_full_connection(context):
+    context.clock = task.Clock()
+    hello = types.Hello("agent", "north", "dc1", 1)
+    hub = streams.PeerHub(
+        context.clock,
+        streams.Identity("alpha", hello),
+        None,
+        lambda: 1,
+        lambda event, **fields: None,
+    )
+    context.slow = streams.PeerConnection(hub)
+    context.slow.makeConnection(FullTransport())
+    context.slow.resumeProducing()
+    context.reported = []
+
+
+@behave.when("{count:d} messages are sent over the full connection")
+def step_send_full(context, count):
+    for number in range(count):
+        message = types.WorkData("a", number, b"data")
+        assert context.slow.send(message, lambda n=number: context.reported.append(n))
+
+
+@behave.when("the transport of the full connection has room again")
+def step_room(context):
+    context.slow.resumeProducing()
+
+
+@behave.then("{count:d} {unit} reported as sent")
+def step_reported(context, count, unit):
+    context.clock.advance(0)
+    assert context.reported == list(range(count)), context.reported
+
+
+@behave.then("every accepted message is reported as sent")
+def step_all_reported(context):
+    expected = dict.fromkeys(range(context.accepted + 1), 1)
+
+    async def run():
+        await reactors.eventually(lambda: context.reported == expected, "reports")
+
+    reactors.run(run)
+
+
+@behave.when("the stream peer closes the connection")
+def step_peer_closes(context):
+    reactors.run(context.peer.transport.abortConnection)
+
+
 @behave.when("the stream peer reads again")
 def step_read_again(context):
     reactors.run(context.peer.transport.resumeProducing)
--- a/features/weights/evenness.feature
+++ b/features/weights/evenness.feature
@@ -26,6 +26,23 @@
     When 0.5 s pass
     Then at most 6 chunks were sent
 
+  Scenario: On a slow link the chunk that was sent least goes first
+    Given an upload queue for 100 kB/s on a link of 20 kB/s
+    When 6 peers ask for chunk "a" and then 2 for chunk "b", 10 kB each
+    Then chunk "b" is sent before chunk "a" is sent for the 4th time
+
+  Scenario: On a link that keeps up chunks are sent in the order of the requests
+    Given an upload queue for 100 kB/s on a link of 100 kB/s
+    When 6 peers ask for chunk "a" and then 2 for chunk "b", 10 kB each
+    Then the chunks are sent in the order of the requests
+
+  Scenario: A peer that takes nothing does not hold the others up
+    Given an upload queue for 100 kB/s on a link of 100 kB/s
+    And the peer "frozen" takes nothing and asked for 4 chunks of 10 kB
+    When 6 peers ask for chunk "a" and then 2 for chunk "b", 10 kB each
+    Then all 8 chunks for the other peers are sent within 3.5 s
+    And the upload queue refuses more requests of the peer "frozen"
+
   Scenario: Small packets pass between the slices of a large frame
     Given a paced writer for 40 kB/s
     When a frame of 40 kB is written
