Show store calls, ages of versions, queue times, attempts, ejections and memory

Store calls are counted by outcome around the store that the processes follow, so that neither the adapter nor the sync knows of metrics; refusals carry their reason, at most 40 different ones. The scenario with the real process reads them from its metrics page; it failed at the first name before. A step that reached into the sync for its store holds the store itself now.

--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -61,10 +61,12 @@
     """A version of weights that was named.
 
     :param version: number.
+    :param heard_s: when this process heard of it.
     :param required_s: time from which older versions get no calls.
     """
 
     version: int
+    heard_s: float
     required_s: float
 
 
@@ -91,9 +93,14 @@
         if known and version <= known[-1].version:
             return
         required_s = now_s + self._allowed_s if is_new else now_s
-        known.append(Named(version, required_s))
+        known.append(Named(version, now_s, required_s))
         del known[:-MAX_NAMED]
 
+    def age_s(self, model, now_s):
+        """Return the time since the newest version was heard of, 0.0 for none."""
+        known = self._named.get(model)
+        return now_s - known[-1].heard_s if known else 0.0
+
     def least(self, model, now_s):
         """Return the oldest version that is allowed, 0 for any."""
         required = [
@@ -462,6 +469,7 @@
 
     def _ejected(self, state, for_s, reason):
         if for_s:
+            self._reporter.count("ejections", service=state.endpoint.service)
             self._reporter.event(
                 "endpoint_ejected",
                 endpoint=state.endpoint.name,
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -138,6 +138,7 @@
         self._told_s = float("-inf")
         reporter = reporting.Reporter(self.events, self.metrics, reactor.seconds)
         self._reporter = reporter
+        store = sync.MeteredStore(store, reporter.count)
         self.gateway = gateway.Gateway(
             reactor,
             dialect,
@@ -288,6 +289,15 @@
         metric.set_gauge("peers", self.peers.live)
         metric.set_gauge("store_age_seconds", self.peers.store_age_s(now_s))
         metric.set_gauge("configuration_version", self.gateway.configuration_version)
+        for table in (self.operator, self.listed):
+            metric.set_gauge("table_version", table.copy.version, table=table.table)
+            age_s = table.version_age_s(now_s)
+            metric.set_gauge("table_version_age_seconds", age_s, table=table.table)
+        for model, version in self._meaning.named_weights(self.operator.copy).items():
+            metric.set_gauge("weights_named", version, model=model)
+            age_s = self.gateway.requirement.age_s(model, now_s)
+            metric.set_gauge("weights_named_age_seconds", age_s, model=model)
+        metric.set_gauge("peak_memory_bytes", metrics.peak_memory_bytes())
         self.gateway.update_metrics(metric)
         body, _ = metric.render()
         return 200, "text/plain; version=0.0.4", body
--- a/cicadaplank/gateway/reporting.py
+++ b/cicadaplank/gateway/reporting.py
@@ -17,6 +17,11 @@
 BURST_LINES = 100
 # Upper bounds of the latency histograms in seconds.
 LATENCY_BOUNDS_S = (0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+# Time from the arrival of a call until it is first sent to an endpoint.
+QUEUE_BOUNDS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0)
+# Reasons that get a label of their own; texts of endpoints may be part of a reason.
+MAX_REASONS = 40
+OTHER_REASON = "other"
 
 
 class Reporter:
@@ -34,6 +39,7 @@
         now_s = clock_s()
         self._answered = links.TokenBucket(ANSWERED_LINES_PER_S, BURST_LINES, now_s)
         self._others = links.TokenBucket(OTHER_LINES_PER_S, BURST_LINES, now_s)
+        self._reasons = set()
 
     def unix_s(self):
         """Return the time of day in Unix seconds."""
@@ -43,6 +49,14 @@
         """Add to a counter."""
         self.metrics.count(name, amount, **labels)
 
+    def _label(self, reason):
+        """Return the label of a reason: its part before what differs by call."""
+        label = reason.partition(":")[0]
+        if label in self._reasons or len(self._reasons) < MAX_REASONS:
+            self._reasons.add(label)
+            return label
+        return OTHER_REASON
+
     def event(self, event, level="info", bucket=None, **fields):
         """Write a line unless too many were written."""
         bucket = bucket or self._others
@@ -53,7 +67,12 @@
 
     def turned_away(self, request, status, reason, version):
         """Report a request that was answered without looking for an endpoint."""
-        self.count("requests", outcome="turned_away", status=status)
+        self.count(
+            "requests",
+            outcome="turned_away",
+            status=status,
+            reason=self._label(reason),
+        )
         self.event(
             "request_turned_away",
             request=request.head.attempt.decode("latin-1"),
@@ -111,10 +130,18 @@
     def ended(self, call, outcome, verdict, version):
         """Report the end of a call."""
         elapsed_s = self._clock_s() - call.request.arrived_s
-        self.count("requests", outcome=outcome, service=call.service)
+        service, reason = call.service, call.reason
+        self.count(
+            "requests", outcome=outcome, service=service, reason=self._label(reason)
+        )
+        self.count("attempts", call.history.sends, service=service)
+        if call.sent_after_s is not None:
+            self.metrics.observe(
+                "queue_seconds", call.sent_after_s, QUEUE_BOUNDS_S, service=service
+            )
         if outcome == "answered":
             self.metrics.observe(
-                "answer_seconds", elapsed_s, LATENCY_BOUNDS_S, service=call.service
+                "answer_seconds", elapsed_s, LATENCY_BOUNDS_S, service=service
             )
         self.event(
             "call_ended",
@@ -123,7 +150,7 @@
             route=call.route.name,
             outcome=outcome,
             verdict=verdict.value,
-            reason=call.reason,
+            reason=reason,
             attempts=call.history.sends,
             failed_dials=call.history.dials,
             endpoint=call.endpoint_name,
--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -5,6 +5,7 @@
 
 from twisted.internet import defer
 
+from cicadaplank.external import errors
 from cicadaplank.gateway import records
 
 # A call for changes returns after this time when there are none. A connection that has
@@ -54,6 +55,44 @@
         """
 
 
+class MeteredStore:
+    """A store whose calls are counted by outcome.
+
+    :param store: :class:`Store`.
+    :param count: callable ``count(name, **labels)``.
+    """
+
+    def __init__(self, store, count):
+        self._store = store
+        self._count = count
+
+    async def snapshot(self, table):
+        """Return what the store's call returns."""
+        return await self._metered("snapshot", self._store.snapshot(table))
+
+    async def changes(self, table, after, wait_s):
+        """Return what the store's call returns."""
+        return await self._metered("changes", self._store.changes(table, after, wait_s))
+
+    async def _metered(self, call, answer):
+        outcome = "failed"
+        try:
+            answered = await answer
+            outcome = "answered"
+            return answered
+        except HistoryLostError:
+            outcome = "history_lost"
+            raise
+        except errors.Unavailable:
+            outcome = "unavailable"
+            raise
+        except errors.AnswerLost:
+            outcome = "answer_lost"
+            raise
+        finally:
+            self._count("store_calls", call=call, outcome=outcome)
+
+
 class Availability:
     """When the store was heard, and how long it was away.
 
@@ -112,6 +151,7 @@
         self.table = table
         self.copy = records.RecordTable()
         self.availability = Availability(reactor.seconds())
+        self._changed_s = reactor.seconds()
         self._reactor = reactor
         self._store = store
         self._changed = changed
@@ -153,9 +193,20 @@
             self._heard()
             changed = self.copy.merge(taken.records, taken.version, base)
         if changed:
-            self._changed(changed)
+            self._tell(changed)
         return changed
 
+    def _tell(self, changed):
+        self._changed_s = self._reactor.seconds()
+        self._changed(changed)
+
+    def version_age_s(self, now_s):
+        """Return the time since the copy last changed.
+
+        :param now_s: current time in seconds.
+        """
+        return now_s - self._changed_s
+
     def _heard(self):
         self._back_off_s = BACK_OFF_S
         now_s = self._reactor.seconds()
@@ -185,4 +236,4 @@
             changed = self.copy.merge(taken.records, taken.version, base)
         if changed:
             self._log("records_from_peer", table=self.table, version=taken.version)
-            self._changed(changed)
+            self._tell(changed)
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -132,6 +132,7 @@
             settings.name, "agent", settings.region, settings.data_centre
         )
         self.counts = collections.Counter()
+        store = sync.MeteredStore(store, self.metrics.count)
         self.loading = loading.Loading(settings.host, settings.weights_s)
         self._meaning = meaning
         self._members = members
@@ -253,6 +254,10 @@
         metric.set_gauge("notice_age_seconds", self.now_s - self._heard_s)
         target = self.loading.target
         metric.set_gauge("weights_wanted", target.version if target else 0)
+        if target:
+            age_s = self.now_s - target.named_s
+            metric.set_gauge("weights_wanted_age_seconds", age_s)
+        metric.set_gauge("peak_memory_bytes", metrics.peak_memory_bytes())
         state = self._engine_state
         served = max(state.versions.values(), default=0) if state else 0
         metric.set_gauge("weights_served", served)
--- a/cicadaplank/reports/metrics.py
+++ b/cicadaplank/reports/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a process, shown as text for a klein route."""
 
 import enum
+import resource
 import time
 
 import aioprometheus
@@ -24,6 +25,12 @@
 END = b"# EOF\n"
 
 
+def peak_memory_bytes():
+    """Return the largest memory that this process has held."""
+    # Linux gives it in KiB.
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+
+
 class Outcome(enum.Enum):
     """How a request ended for its caller.
 
--- a/features/platform/process.feature
+++ b/features/platform/process.feature
@@ -11,6 +11,20 @@
     Then calls to the new path are answered and calls to the old one get 404
     When the store goes down
     Then calls to the new path are still answered
+    And the metrics page shows
+      | name                      | labels                               | at least |
+      | requests_total            | outcome="answered", service="s"      | 3        |
+      | requests_total            | outcome="turned_away", status="404"  | 1        |
+      | attempts_total            | service="s"                          | 3        |
+      | queue_seconds_count       | service="s"                          | 3        |
+      | store_calls_total         | call="changes", outcome="answered"   | 1        |
+      | store_calls_total         | outcome="unavailable"                | 1        |
+      | table_version             | table="op"                           | 2        |
+      | table_version_age_seconds | table="op"                           | 0        |
+      | configuration_version     | process="edge-1"                     | 2        |
+      | store_age_seconds         | process="edge-1"                     | 0.001    |
+      | peak_memory_bytes         | process="edge-1"                     | 1000000  |
+      | endpoints_known           | process="edge-1"                     | 1        |
     When the process gets SIGTERM during a call
     Then it is not ready at once
     And the call is answered in full
--- a/features/steps/platform_process.py
+++ b/features/steps/platform_process.py
@@ -90,6 +90,7 @@
     context.front = f"{rowstore.LOOPBACK}:{free_port()}"
     context.ready = f"{rowstore.LOOPBACK}:{free_port()}"
     first = free_port()
+    context.metrics_port = free_port()
     document = {
         "name": "edge-1",
         "host": rowstore.LOOPBACK,
@@ -97,7 +98,7 @@
         "data_centre": "a",
         "listen": {"front": context.front, "ready": context.ready},
         "ports": [first, first],
-        "metrics_port": free_port(),
+        "metrics_port": context.metrics_port,
         "seeds": [],
         "store": context.store.address,
         "bounds": {
@@ -177,6 +178,24 @@
     assert ask(context.front, "POST", "/new/1", b"three")[1] == b"answer to three"
 
 
+@behave.then("the metrics page shows")
+def step_metrics(context):
+    address = f"{rowstore.LOOPBACK}:{context.metrics_port}"
+    status, body = ask(address, "GET", "/metrics")
+    assert status == 200, status
+    lines = body.decode().splitlines()
+    for row in context.table:
+        labels = [label.strip() for label in row["labels"].split(",")]
+        values = [
+            float(line.rpartition(" ")[2])
+            for line in lines
+            if line.startswith(f"cicadaplank_{row['name']}{{")
+            and all(label in line for label in labels)
+        ]
+        assert values, (row["name"], body.decode())
+        assert max(values) >= float(row["at least"]), (row["name"], values)
+
+
 @behave.when("the process gets SIGTERM during a call")
 def step_term(context):
     context.answers = []
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -167,15 +167,16 @@
         return []
 
 
-def agent(trouble):
+def agent(trouble, store=None):
     """Return an agent process with parts in memory."""
+    store = store or Store()
     clock = task.Clock()
     settings = process.Settings(
         "side-1", "10.0.0.1", 7700, 7701, "r", "a", {"a": "r"}, "s", 1e6, 8.0
     )
     meaning = plain_types.SimpleNamespace(operator_table="op", endpoint_table="servers")
     made = process.AgentProcess(
-        clock, settings, Store(), meaning, Members(), Engine(trouble), lambda a: None
+        clock, settings, store, meaning, Members(), Engine(trouble), lambda a: None
     )
     return made
 
@@ -223,7 +224,8 @@
 
 @behave.given("an agent that starts")
 def step_agent_starts(context):
-    context.agent = agent("")
+    context.store = Store()
+    context.agent = agent("", context.store)
 
 
 @behave.when("{way} names version 3")
@@ -246,7 +248,7 @@
 
 @behave.then("the agent reads the store: {reads}")
 def step_reads(context, reads):
-    assert bool(context.agent.operator._store.reads) == (reads == "yes")
+    assert bool(context.store.reads) == (reads == "yes")
 
 
 # Placement of chunks.
