Read settings again on SIGHUP in agents too

Change: one watch for both processes reads the file on SIGHUP and every 5 s, applies what differs and logs a faulty file once; the agent takes a new link rate and a new time for weights. The scenario starts both real processes; the agent died before at the first SIGHUP.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -13,6 +13,7 @@
     gateway,
     notices,
     peers,
+    reloading,
     reporting,
     status,
     sync,
@@ -29,8 +30,6 @@
 EXIT_MARGIN_S = 0.4
 # Other entry instances are looked up in the store this often.
 MEMBERS_S = 10.0
-# Settings may change without a signal; the file is read again this often.
-SETTINGS_S = 5.0
 # Period in which a process that stops looks for calls in progress.
 LAST_LOOK_S = 0.1
 ENTRY = "entry"
@@ -131,7 +130,9 @@
         )
         self._members = members
         self._meaning = meaning
-        self._reload = reload
+        self.watch = reloading.SettingsWatch(
+            reactor, settings, reload, self._settings_changed, self.events.log
+        )
         self._is_first_list = True
         self._stopping_s = None
         self._front = None
@@ -202,10 +203,9 @@
         self.listed.start()
         self._tick()
         self._read_members()
-        self._watch_settings()
+        self.watch.start()
         signal.signal(signal.SIGTERM, self._signalled(self.stop))
         signal.signal(signal.SIGINT, self._signalled(self.stop))
-        signal.signal(signal.SIGHUP, self._signalled(self.reload))
         globalLogPublisher.addObserver(self._observe)
         self.events.log("started", front=f"{settings.front.host}:{settings.front.port}")
 
@@ -223,24 +223,11 @@
             text = failure.getTraceback().strip().replace("\n", " | ")
             self._reporter.event("unexpected_error", "error", detail=text[-480:])
 
-    def reload(self):
-        """Read the settings again; faulty ones change nothing."""
-        try:
-            settings = self._reload()
-        except ValueError as fault:
-            self.events.log("settings_rejected", "error", reason=str(fault))
-            return
-        if settings == self.settings:
-            return
+    def _settings_changed(self, settings):
         self.settings = settings
         self.gateway.set_bounds(settings.bounds)
         for host in settings.seeds:
             self.peers.seed(host, settings.peer.port, "entry")
-        self.events.log("settings_reloaded")
-
-    def _watch_settings(self):
-        self.reactor.callLater(SETTINGS_S, self._watch_settings)
-        self.reload()
 
     def stop(self):
         """Begin a planned stop: not ready at once, calls in progress go on."""
--- a/cicadaplank/links/pacing.py
+++ b/cicadaplank/links/pacing.py
@@ -21,7 +21,7 @@
 
     def __init__(self, reactor, bytes_per_s):
         self._reactor = reactor
-        self._bytes_per_s = bytes_per_s
+        self.bytes_per_s = bytes_per_s
         self._frames = collections.deque()
         self._is_busy = False
         self._next_s = 0.0
@@ -47,7 +47,7 @@
             rest, write, done = entry
             piece = rest[:SLICE_BYTES]
             entry[0] = rest[SLICE_BYTES:]
-            self._next_s += len(piece) / self._bytes_per_s
+            self._next_s += len(piece) / self.bytes_per_s
             if not write(bytes(piece)) or not entry[0]:
                 self._frames.popleft()
                 done()
--- a/cicadaplank/platform/__main__.py
+++ b/cicadaplank/platform/__main__.py
@@ -73,7 +73,7 @@
 
         :param path: settings file; by default the one that the platform names.
         """
-        _, document, checked, address = _read(path, settings.agent)
+        path, document, checked, address = _read(path, settings.agent)
         reactor = _reactor()
         from cicadaplank.platform import client, rows, servers, store
         from cicadaplank.replicas import process
@@ -87,6 +87,7 @@
             store.Members(rows_store),
             servers.ModelServer(client.Client(reactor, document["engine"]["address"])),
             lambda origin: servers.Origin(client.Client(reactor, origin)),
+            lambda: settings.agent(settings.read(path)),
         )
         _run(reactor, agent)
 
--- a/cicadaplank/replicas/loading.py
+++ b/cicadaplank/replicas/loading.py
@@ -135,7 +135,7 @@
         self.phase = Phase.COPYING
         self.may_cut = False
         self._name = name
-        self._allowed_s = allowed_s
+        self.allowed_s = allowed_s
         self._staged_for = None
         self._is_staging = False
         self._ordered_s = float("-inf")
@@ -217,4 +217,4 @@
             return True
         turn = turn_of(self._name, self.target, names)
         share = FIRST_TURN_SHARE + turn * (LAST_TURN_SHARE - FIRST_TURN_SHARE)
-        return now_s >= self.target.named_s + share * self._allowed_s
+        return now_s >= self.target.named_s + share * self.allowed_s
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -10,7 +10,7 @@
 from twisted.logger import LogLevel, globalLogPublisher
 
 from cicadaplank.external import errors
-from cicadaplank.gateway import notices, status, sync
+from cicadaplank.gateway import notices, reloading, status, sync
 from cicadaplank.links import pacing, streams
 from cicadaplank.messages import types
 from cicadaplank.replicas import loading
@@ -122,15 +122,21 @@
     :param members: :class:`cicadaplank.gateway.process.Members`.
     :param engine: :class:`Engine`.
     :param origin_at: callable that returns an :class:`Origin` for ``host:port``.
+    :param reload: callable that reads the settings again, or raises ``ValueError``.
     """
 
-    def __init__(self, reactor, settings, store, meaning, members, engine, origin_at):
+    def __init__(
+        self, reactor, settings, store, meaning, members, engine, origin_at, reload
+    ):
         self.reactor = reactor
         self.settings = settings
         self.events = events.Events(settings.name)
         self.metrics = metrics.Metrics(
             settings.name, "agent", settings.region, settings.data_centre
         )
+        self.watch = reloading.SettingsWatch(
+            reactor, settings, reload, self._settings_changed, self.events.log
+        )
         self.counts = collections.Counter()
         store = sync.MeteredStore(store, self.metrics.count)
         self.loading = loading.Loading(settings.host, settings.weights_s)
@@ -229,11 +235,21 @@
         self.listed.start()
         self._read_members()
         self._tick()
+        self.watch.start()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._signalled)
         globalLogPublisher.addObserver(self._observe)
         self._log("started", peer_port=settings.peer_port)
 
+    def _settings_changed(self, settings):
+        self.settings = settings
+        rate = LINK_SHARE * settings.link_bytes_per_s
+        self.hub.pacer.bytes_per_s = rate
+        self._carry_out(
+            self.transfers.rates_changed(transfers.Rates(rate, rate), self.now_s)
+        )
+        self.loading.allowed_s = settings.weights_s
+
     def _signalled(self, number, frame):
         self.reactor.callFromThread(self.stop)
 
--- a/cicadaplank/weights/transfers.py
+++ b/cicadaplank/weights/transfers.py
@@ -365,11 +365,24 @@
             self._rate_share = max(MIN_RATE_SHARE, self._rate_share * 0.7)
         else:
             self._rate_share = min(1.0, self._rate_share + 0.05)
+        self._set_rate()
+        return self.tick(now_s)
+
+    def rates_changed(self, rates, now_s):
+        """The rates of the links for transfers changed.
+
+        :param rates: :class:`Rates`.
+        :param now_s: current time in seconds.
+        """
+        self.rates = rates
+        self._set_rate()
+        return self.tick(now_s)
+
+    def _set_rate(self):
         self._uploads.set_rate(
             self.rates.machine_bytes_per_s * self._rate_share,
             self.rates.region_bytes_per_s * self._rate_share,
         )
-        return self.tick(now_s)
 
     # Manifests.
 
--- a/features/platform/process.feature
+++ b/features/platform/process.feature
@@ -30,3 +30,18 @@
     And the call is answered in full
     And the process exits with 0 within 8 s
     And every line that it wrote can be read as key=value pairs
+
+  Scenario Outline: The <role> process takes changed settings and outlives faulty ones
+    Given a store with a configuration and a back end that needs 0.5 s
+    When the <role> process is started
+    Then it logs "started"
+    When its settings change and it gets SIGHUP
+    Then it logs "settings_reloaded"
+    When its settings become faulty and it gets SIGHUP
+    Then it logs "settings_rejected"
+    And it runs on until it gets SIGTERM
+
+    Examples:
+      | role  |
+      | entry |
+      | agent |
--- a/features/steps/platform_process.py
+++ b/features/steps/platform_process.py
@@ -83,22 +83,21 @@
     context.store.put("servers", "i-1", server)
 
 
-@behave.when("the entry process is started")
-def step_start(context):
-    folder = tempfile.TemporaryDirectory()
-    context.cleanups.append(folder.cleanup)
-    context.front = f"{rowstore.LOOPBACK}:{free_port()}"
-    context.ready = f"{rowstore.LOOPBACK}:{free_port()}"
+def settings_document(context):
+    """Return settings that both roles can read."""
     first = free_port()
     context.metrics_port = free_port()
-    document = {
+    return {
         "name": "edge-1",
         "host": rowstore.LOOPBACK,
         "region": "r",
         "data_centre": "a",
+        "regions": {"a": "r"},
         "listen": {"front": context.front, "ready": context.ready},
         "ports": [first, first],
         "metrics_port": context.metrics_port,
+        "link_mbps": 4.7,
+        "engine": {"address": context.back_end.address, "service": SERVICE},
         "seeds": [],
         "store": context.store.address,
         "bounds": {
@@ -109,20 +108,48 @@
             "grace_s": 8,
         },
     }
-    path = pathlib.Path(folder.name) / "settings.json"
-    path.write_text(json.dumps(document))
+
+
+@behave.when("the {role} process is started")
+def step_start(context, role):
+    folder = tempfile.TemporaryDirectory()
+    context.cleanups.append(folder.cleanup)
+    context.front = f"{rowstore.LOOPBACK}:{free_port()}"
+    context.ready = f"{rowstore.LOOPBACK}:{free_port()}"
+    context.document = settings_document(context)
+    context.settings = pathlib.Path(folder.name) / "settings.json"
+    context.settings.write_text(json.dumps(context.document))
     context.log = pathlib.Path(folder.name) / "log.txt"
     with context.log.open("w") as log:
         context.process = subprocess.Popen(
-            [sys.executable, "-m", "cicadaplank.platform", "entry"],
+            [sys.executable, "-m", "cicadaplank.platform", role],
             cwd=ROOT,
-            env={**os.environ, "CICADAPLANK_SETTINGS": str(path)},
+            env={**os.environ, "CICADAPLANK_SETTINGS": str(context.settings)},
             stdout=log,
             stderr=subprocess.STDOUT,
         )
     context.cleanups.append(lambda: stop(context.process))
 
 
+@behave.then('it logs "{event}"')
+def step_logs(context, event):
+    wait_for(lambda: f"event={event}" in context.log.read_text(), event)
+
+
+@behave.when("its settings {change} and it gets SIGHUP")
+def step_hup(context, change):
+    context.document["bounds"]["version_ms"] = 9000 if change == "change" else "soon"
+    context.settings.write_text(json.dumps(context.document))
+    context.process.send_signal(signal.SIGHUP)
+
+
+@behave.then("it runs on until it gets SIGTERM")
+def step_runs_on(context):
+    assert context.process.poll() is None, context.log.read_text()
+    context.process.send_signal(signal.SIGTERM)
+    assert context.process.wait(LIMIT_S) == 0, context.log.read_text()
+
+
 def stop(process):
     if process.poll() is None:
         process.kill()
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -175,10 +175,16 @@
         "side-1", "10.0.0.1", 7700, 7701, "r", "a", {"a": "r"}, "s", 1e6, 8.0
     )
     meaning = plain_types.SimpleNamespace(operator_table="op", endpoint_table="servers")
-    made = process.AgentProcess(
-        clock, settings, store, meaning, Members(), Engine(trouble), lambda a: None
+    return process.AgentProcess(
+        clock,
+        settings,
+        store,
+        meaning,
+        Members(),
+        Engine(trouble),
+        lambda address: None,
+        lambda: settings,
     )
-    return made
 
 
 @behave.given("an agent with a complete copy of 4 pieces")
