--- a/bench/swarm.py
+++ b/bench/swarm.py
@@ -13,7 +13,7 @@
 import random
 
 from cicadaplank.messages import types
-from cicadaplank.weights import chunks, manifests, transfers
+from cicadaplank.weights import chunks, effects, manifests, transfers
 from cicadaplank.world import machines
 
 SCALE = 1024
@@ -229,15 +229,15 @@
             self.event(name, "tick")
 
     def _do(self, name, action):
-        if isinstance(action, transfers.Send):
+        if isinstance(action, effects.Send):
             self._send(name, action.peer, action.message)
-        elif isinstance(action, transfers.FetchChunk):
+        elif isinstance(action, effects.FetchChunk):
             self._fetch(name, action)
-        elif isinstance(action, transfers.FetchManifest):
+        elif isinstance(action, effects.FetchManifest):
             self._read_store(name, action.manifest_digest)
         else:
             self.seen.append((self.now_s, name, action))
-            if isinstance(action, transfers.CopyComplete):
+            if isinstance(action, effects.CopyComplete):
                 self._check_copy(name, action.manifest_digest)
                 self.completed_s[name, action.manifest_digest] = self.now_s
 
--- a/cicadaplank/agent/weights.py
+++ b/cicadaplank/agent/weights.py
@@ -7,7 +7,7 @@
 
 from cicadaplank.external import engines, errors
 from cicadaplank.messages import types
-from cicadaplank.weights import activation, chunks, transfers
+from cicadaplank.weights import activation, chunks, effects, transfers
 
 MANIFEST_PREFIX = "manifests/"
 # Chunks handed to the engine at the same time before a load command.
@@ -60,12 +60,12 @@
     def handlers(self):
         """Return the handlers of the actions of this task's decision objects."""
         return {
-            transfers.Send: self._send,
-            transfers.FetchManifest: self._fetch_manifest,
-            transfers.FetchChunk: self._fetch_chunk,
-            transfers.CopyComplete: self._copy_complete,
-            transfers.MemoryTooSmall: self._memory_too_small,
-            transfers.PeerExcluded: self._peer_excluded,
+            effects.Send: self._send,
+            effects.FetchManifest: self._fetch_manifest,
+            effects.FetchChunk: self._fetch_chunk,
+            effects.CopyComplete: self._copy_complete,
+            effects.MemoryTooSmall: self._memory_too_small,
+            effects.PeerExcluded: self._peer_excluded,
             activation.SendLoad: self._send_load,
             activation.ReadEngine: lambda action: self.check_engine(),
             activation.SendUnload: self._send_unload,
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -15,7 +15,7 @@
 from cicadaplank.messages import types
 from cicadaplank.replicas import loading
 from cicadaplank.reports import events, metrics
-from cicadaplank.weights import chunks, manifests, transfers
+from cicadaplank.weights import chunks, effects, manifests, transfers
 from cicadaplank.world import machines, rendezvous
 
 TICK_S = 0.1
@@ -209,12 +209,12 @@
             pacing.PacedWriter(reactor, rate),
         )
         self._handlers = {
-            transfers.Send: self._send,
-            transfers.FetchManifest: self._give_manifest,
-            transfers.FetchChunk: self._fetch_chunk,
-            transfers.CopyComplete: self._copy_complete,
-            transfers.MemoryTooSmall: self._memory_too_small,
-            transfers.PeerExcluded: self._peer_excluded,
+            effects.Send: self._send,
+            effects.FetchManifest: self._give_manifest,
+            effects.FetchChunk: self._fetch_chunk,
+            effects.CopyComplete: self._copy_complete,
+            effects.MemoryTooSmall: self._memory_too_small,
+            effects.PeerExcluded: self._peer_excluded,
         }
 
     @property
--- a/cicadaplank/weights/transfers.py
+++ b/cicadaplank/weights/transfers.py
@@ -15,6 +15,7 @@
 from cicadaplank.weights import (
     chunks,
     copies,
+    effects,
     manifests,
     sources,
     uploads,
@@ -115,85 +116,6 @@
     max_origin_back_off_s: float = MAX_ORIGIN_BACK_OFF_S
 
 
-@dataclasses.dataclass(frozen=True)
-class Send:
-    """Send a message to a peer; open a stream when there is none.
-
-    When the stream cannot be opened or breaks, the edge calls ``peer_lost``. A message
-    that cannot be queued may be dropped.
-
-    :param peer: instance name.
-    :param message: one of :mod:`cicadaplank.messages.types`.
-    """
-
-    peer: str
-    message: object
-
-
-@dataclasses.dataclass(frozen=True)
-class FetchManifest:
-    """Read a manifest from the object store.
-
-    Answer with ``manifest_fetched`` or ``manifest_failed``.
-
-    :param manifest_digest: digest in the accepted row.
-    """
-
-    manifest_digest: str
-
-
-@dataclasses.dataclass(frozen=True)
-class FetchChunk:
-    """Fetch a chunk from the origin.
-
-    Answer with ``origin_replied`` or ``origin_failed``.
-
-    :param chunk_digest: SHA-256 in hex.
-    :param size_bytes: expected size.
-    """
-
-    chunk_digest: str
-    size_bytes: int
-
-
-@dataclasses.dataclass(frozen=True)
-class CopyComplete:
-    """Every chunk of a version is held and checked.
-
-    :param manifest_digest: digest in the accepted row.
-    :param row: row name.
-    """
-
-    manifest_digest: str
-    row: str
-
-
-@dataclasses.dataclass(frozen=True)
-class MemoryTooSmall:
-    """A version is not copied because the chunk store has too little memory.
-
-    :param manifest_digest: digest in the accepted row.
-    :param row: row name.
-    :param missing_bytes: memory that is missing.
-    """
-
-    manifest_digest: str
-    row: str
-    missing_bytes: int
-
-
-@dataclasses.dataclass(frozen=True)
-class PeerExcluded:
-    """A peer sent too many corrupt chunks and is asked for nothing more.
-
-    :param peer: instance name.
-    :param corrupt: corrupt chunks.
-    """
-
-    peer: str
-    corrupt: int
-
-
 @dataclasses.dataclass
 class _Request:
     """One chunk request in flight; ``peer`` is empty for the origin."""
@@ -402,7 +324,7 @@
             return self.manifest_failed(manifest_digest, 0.0, now_s)
         version.manifest = parsed.unwrap()
         reply = types.ManifestReply(manifest_digest, text)
-        actions = [Send(peer, reply) for peer in version.manifest_waiters]
+        actions = [effects.Send(peer, reply) for peer in version.manifest_waiters]
         version.manifest_waiters.clear()
         actions += self._begin(version, now_s)
         return tuple(actions) + self.tick(now_s)
@@ -425,7 +347,7 @@
         if not self.store.reserve(version.manifest):
             missing = self.store.shortfall_bytes(version.manifest)
             wanted = version.wanted
-            return [MemoryTooSmall(wanted.manifest_digest, wanted.row, missing)]
+            return [effects.MemoryTooSmall(wanted.manifest_digest, wanted.row, missing)]
         version.begin(self.store, now_s)
         for request in self._requests.values():
             version.copy.in_flight |= version.copy.mask(request.chunk_digest)
@@ -438,12 +360,12 @@
         version.manifest_retry_s = now_s + ORIGIN_TIMEOUT_S
         if version.manifest_asked:
             version.manifest_asked = False
-            return [FetchManifest(digest)]
+            return [effects.FetchManifest(digest)]
         version.manifest_asked = True
         request = types.ManifestRequest(digest)
-        actions = [Send(peer, request) for peer in sorted(version.neighbours)]
+        actions = [effects.Send(peer, request) for peer in sorted(version.neighbours)]
         if len(version.candidates_before_me(digest)) <= 1:
-            return [FetchManifest(digest), *actions]
+            return [effects.FetchManifest(digest), *actions]
         # The object store is read by two instances of each region, and by others only
         # when no neighbour passes the manifest on.
         delay_s = MANIFEST_PATIENCE_S * self._rng.uniform(1.0, 2.0)
@@ -489,7 +411,7 @@
             return []
         if version.manifest:
             text = version.manifest.to_json()
-            return [Send(source.name, types.ManifestReply(digest, text))]
+            return [effects.Send(source.name, types.ManifestReply(digest, text))]
         waiters = version.manifest_waiters
         if source.name not in waiters and len(waiters) < MAX_MANIFEST_WAITERS:
             waiters.append(source.name)
@@ -503,7 +425,7 @@
         digest = message.manifest_digest
         version = self._versions.get(digest)
         if version is None:
-            return [Send(source.name, types.ChunkMap(digest, b""))]
+            return [effects.Send(source.name, types.ChunkMap(digest, b""))]
         if len(version.subscribers) < MAX_SUBSCRIBERS:
             version.subscribers.add(source.name)
         else:
@@ -512,7 +434,7 @@
         near = holder and self._is_local(source.name)
         if near and len(version.neighbours) < versions.MAX_NEIGHBOURS:
             version.neighbours.add(source.name)
-        return [Send(source.name, self._map(version))]
+        return [effects.Send(source.name, self._map(version))]
 
     def _map(self, version):
         digest = version.wanted.manifest_digest
@@ -543,7 +465,7 @@
                 return []
             reason = "busy"
         refusal = types.ChunkRefused(message.transfer, message.chunk_digest, reason)
-        return [Send(source.name, refusal)]
+        return [effects.Send(source.name, refusal)]
 
     def _on_chunk_reply(self, source, message, now_s):
         digest = message.chunk_digest
@@ -560,7 +482,7 @@
         if not source.note_corrupt():
             return []
         self._lose(source.name, now_s)
-        return [PeerExcluded(source.name, source.corrupt)]
+        return [effects.PeerExcluded(source.name, source.corrupt)]
 
     def _stored(self, digest, outcome, now_s):
         actions = []
@@ -579,7 +501,9 @@
         version.complete = True
         rows = [row for row in version.rows if row not in version.reported]
         version.reported.update(rows)
-        return [CopyComplete(version.wanted.manifest_digest, row) for row in rows]
+        return [
+            effects.CopyComplete(version.wanted.manifest_digest, row) for row in rows
+        ]
 
     def _deny(self, peer, digest, now_s):
         for version in self._versions.values():
@@ -722,8 +646,10 @@
         data = self.store.get(digest)
         if data is None:
             refusal = types.ChunkRefused(upload.transfer, digest, "missing")
-            return Send(upload.peer, refusal)
-        return Send(upload.peer, types.ChunkReply(upload.transfer, digest, data))
+            return effects.Send(upload.peer, refusal)
+        return effects.Send(
+            upload.peer, types.ChunkReply(upload.transfer, digest, data)
+        )
 
     def _expire(self, now_s):
         for transfer, request in list(self._requests.items()):
@@ -749,7 +675,7 @@
         version.announce_due = False
         version.announced_s = now_s
         message = self._map(version)
-        return [Send(peer, message) for peer in sorted(version.subscribers)]
+        return [effects.Send(peer, message) for peer in sorted(version.subscribers)]
 
     def _review(self, version, now_s):
         """Probe, replace silent and slow neighbours, and take over from owners."""
@@ -815,7 +741,7 @@
                 version.probed_s[peer] = now_s
                 source.asked(now_s)
                 request = types.ChunkMapRequest(version.wanted.manifest_digest)
-                actions.append(Send(peer, request))
+                actions.append(effects.Send(peer, request))
         return actions
 
     def _window(self):
@@ -860,7 +786,7 @@
         deadline_s = now_s + timeout_s * source.patience
         transfer = self._add(digest, source.name, deadline_s, remote, now_s)
         source.outstanding += 1
-        return Send(source.name, types.ChunkRequest(transfer, digest))
+        return effects.Send(source.name, types.ChunkRequest(transfer, digest))
 
     def _queue_s(self, version, remote):
         """Return how long a chunk may wait at a source and on links that work."""
@@ -918,7 +844,7 @@
             version.probed_s[name] = now_s
             self._source(name).asked(now_s)
         request = types.ChunkMapRequest(version.wanted.manifest_digest)
-        return [Send(name, request) for name in names]
+        return [effects.Send(name, request) for name in names]
 
     def _request_remote(self, version, due, now_s):
         actions = []
@@ -956,7 +882,9 @@
             self._add(digest, "", now_s + ORIGIN_TIMEOUT_S, False, now_s)
             due &= ~version.copy.in_flight
             busy += 1
-            actions.append(FetchChunk(digest, version.manifest.chunk_size(index)))
+            actions.append(
+                effects.FetchChunk(digest, version.manifest.chunk_size(index))
+            )
         return actions
 
 
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -13,6 +13,7 @@
 from cicadaplank.replicas import loading, process
 from cicadaplank.weights import (
     chunks,
+    effects,
     manifests,
     ownership,
     transfers,
@@ -499,8 +500,8 @@
     near = [
         a
         for a in context.actions
-        if isinstance(a, transfers.Send) and isinstance(a.message, types.ChunkRequest)
+        if isinstance(a, effects.Send) and isinstance(a.message, types.ChunkRequest)
     ]
-    origin = [a for a in context.actions if isinstance(a, transfers.FetchChunk)]
+    origin = [a for a in context.actions if isinstance(a, effects.FetchChunk)]
     assert 0 < len(near) <= 3, len(near)
     assert len(origin) <= 1, len(origin)
--- a/features/steps/weights.py
+++ b/features/steps/weights.py
@@ -14,6 +14,7 @@
 from cicadaplank.weights import (
     activation,
     chunks,
+    effects,
     manifests,
     ownership,
     transfers,
@@ -399,7 +400,7 @@
 def excluded_peers(network):
     """Return the names of the peers that some agent excluded."""
     actions = (action for _, _, action in network.seen)
-    return {a.peer for a in actions if isinstance(a, transfers.PeerExcluded)}
+    return {a.peer for a in actions if isinstance(a, effects.PeerExcluded)}
 
 
 @behave.then("the origin of the swarm sent at most {copies:f} copies")
@@ -569,7 +570,7 @@
         rows = {
             (action.row, action.manifest_digest)
             for _, who, action in network.seen
-            if who == name and isinstance(action, transfers.CopyComplete)
+            if who == name and isinstance(action, effects.CopyComplete)
         }
         for entry in network.wanted[name]:
             assert (entry.row, entry.manifest_digest) in rows, f"{name}: {entry.row}"
@@ -591,7 +592,7 @@
     reports = {
         name: action.missing_bytes
         for _, name, action in context.network.seen
-        if isinstance(action, transfers.MemoryTooSmall)
+        if isinstance(action, effects.MemoryTooSmall)
     }
     expected = dict.fromkeys(names_of(context.network), count * CHUNK_BYTES)
     assert reports == expected, reports
