Let four instances of a data centre follow the store, and compress what peers pass on

The configuration had 1,100 routes, 300 KB, and each of some 30 instances in other regions took it over the same 16 Mbit/s (9 MB for each change), so that reports, weights and calls waited too. Change: in a data centre the first four instances read the store, the others take the records from their reports and read it themselves when those are not heard (1 s) or do not hear the store (2.5 s). Peers compress large values. An instance that takes records from others learns from their reports that the store was away, so that lapsed records of endpoints are kept.

--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import zlib
 
 from cicadaplank.gateway import records, sync
 from cicadaplank.messages import types
@@ -23,6 +24,18 @@
 ASK_S = 0.5
 # A connection over which nothing came for this time has gone silent.
 SILENT_S = 2.5
+# Instances of a data centre that follow the store; the others take the records from
+# them. A large configuration would cross a link between regions once for each.
+READERS = 4
+# A reader counts as long as it reported within this time.
+READER_REPORT_S = 1.0
+# The others ask the store themselves when no reader heard it for this time: a call for
+# changes takes 2 s when there are none.
+READER_AGE_S = 2.5
+# Values of this size are compressed for peers. A configuration of 1,100 routes has
+# 300 KB, and a tenth of that when it is compressed.
+COMPRESSED_BYTES = 1024
+MAX_VALUE_BYTES = 16 * 1024 * 1024
 # A report is used for this time.
 REPORT_AGE_S = 3.0
 
@@ -53,6 +66,8 @@
         self._dialled_s = float("-inf")
         self._counted_s = float("-inf")
         self._near_count = 0
+        # When the store was last away for all instances that were heard.
+        self._away_s = float("-inf")
 
     def known(self, instances):
         """Take further instances to connect to.
@@ -89,6 +104,36 @@
             best_s = min(best_s, report.store_age_s + now_s - at_s)
         return best_s
 
+    def reads_store(self):
+        """Tell whether this instance follows the store itself now."""
+        now_s = self._reactor.seconds()
+        readers = self._near_reports(now_s)
+        before = sorted(name for name in readers if name < self._me.name)
+        if len(before) < READERS:
+            return True
+        ages_s = [
+            readers[name][0].store_age_s + now_s - readers[name][1]
+            for name in before[:READERS]
+        ]
+        return min(ages_s) > READER_AGE_S
+
+    def _near_reports(self, now_s):
+        return {
+            name: (report, at_s)
+            for name, (report, at_s) in self._reports.items()
+            if now_s - at_s <= READER_REPORT_S
+            and self._hub.connection(name) is not None
+            and self._is_near(name)
+        }
+
+    def may_have_lapsed(self):
+        """Tell whether records that are missing may be written again soon.
+
+        It is so when the store has just been away, also for an instance that takes the
+        records from others.
+        """
+        return self._reactor.seconds() - self._away_s < sync.RETURN_S
+
     def _is_ahead(self, report):
         return any(
             report.newest.get(table, -1) > each.copy.version
@@ -109,6 +154,8 @@
             if now_s - self._reported_s[is_near] >= period_s:
                 self._reported_s[is_near] = now_s
                 self._report(now_s, is_near)
+                if self.store_age_s(now_s) > sync.AWAY_S:
+                    self._away_s = now_s
         if now_s - self._dialled_s >= DIAL_S:
             self._dialled_s = now_s
             self._drop_silent(now_s)
@@ -186,7 +233,7 @@
         if changes is None:
             base = -1
             changes = tuple(each.copy.values().values())
-        rows = [[record.key, record.version, record.value] for record in changes]
+        rows = [_row(record) for record in changes]
         version = each.copy.version
         reply = types.RecordReply(message.table, base, version, rows)
         self._hub.send(peer, reply)
@@ -203,13 +250,34 @@
         each.from_peer(sync.Changes(tuple(rows), message.version), message.base)
 
 
+def _row(record):
+    """Return a record as a row of a :class:`types.RecordReply`."""
+    value = record.value
+    if value is None or len(value) < COMPRESSED_BYTES:
+        return [record.key, record.version, value]
+    return [record.key, record.version, zlib.compress(value, 1), True]
+
+
 def _record(row):
     """Return a row of a :class:`types.RecordReply` as a record, or None."""
-    if not isinstance(row, list) or len(row) != 3:
+    if not isinstance(row, list) or len(row) not in (3, 4):
         return None
-    key, version, value = row
+    key, version, value = row[:3]
     if not isinstance(key, str) or not isinstance(version, int):
         return None
     if value is not None and not isinstance(value, bytes):
         return None
+    if len(row) == 4:
+        value = _decompressed(value)
+        if value is None:
+            return None
     return records.Record(key, version, value)
+
+
+def _decompressed(value):
+    unpacked = zlib.decompressobj()
+    try:
+        data = unpacked.decompress(value or b"", MAX_VALUE_BYTES)
+    except zlib.error:
+        return None
+    return data if unpacked.eof else None
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -150,10 +150,20 @@
         )
         self.listener = clients.Listener(reactor, self.gateway, self._rejected)
         self.operator = sync.TableSync(
-            reactor, store, meaning.operator_table, self._operator_changed, self._log
+            reactor,
+            store,
+            meaning.operator_table,
+            self._operator_changed,
+            self._log,
+            self._reads_store,
         )
         self.listed = sync.TableSync(
-            reactor, store, meaning.endpoint_table, self._endpoints_changed, self._log
+            reactor,
+            store,
+            meaning.endpoint_table,
+            self._endpoints_changed,
+            self._log,
+            self._reads_store,
         )
         self.instance = machines.Instance(
             settings.peer.host,
@@ -299,6 +309,9 @@
         """Tell whether the configuration is known to be the newest."""
         return self.peers.store_age_s(self.reactor.seconds()) < sync.CURRENT_S
 
+    def _reads_store(self):
+        return self.peers.reads_store()
+
     def _operator_changed(self, changed):
         copy = self.operator.copy
         try:
@@ -365,7 +378,10 @@
         if unreadable:
             self._log("unreadable_records", table=self.listed.table, count=unreadable)
         now_s = self.reactor.seconds()
-        lapsed = self.listed.availability.may_have_lapsed(now_s)
+        lapsed = (
+            self.listed.availability.may_have_lapsed(now_s)
+            or self.peers.may_have_lapsed()
+        )
         self.gateway.endpoints_changed(listed, lapsed)
         self._tell_agents()
         if lapsed and set(self.gateway.endpoints.names()) - set(listed):
--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -104,6 +104,7 @@
         self._started_s = now_s
         self._returned_s = float("-inf")
         self._failed = False
+        self._is_paused = False
 
     def answered(self, now_s):
         """Take an answer of the store.
@@ -111,13 +112,20 @@
         :returns: True when it had been away.
         """
         since_s = self._started_s if self.heard_s is None else self.heard_s
-        was_away = self._failed or now_s - since_s > AWAY_S
+        was_silent = now_s - since_s > AWAY_S and not self._is_paused
+        was_away = self._failed or was_silent
+        self._is_paused = False
         if was_away and self.heard_s is not None:
             self._returned_s = now_s
         self.heard_s = now_s
         self._failed = False
         return was_away
 
+    def paused(self):
+        """Note that the store is not asked for a while; its silence means nothing."""
+        self._failed = False
+        self._is_paused = True
+
     def failed(self):
         """Take a failed call.
 
@@ -167,6 +175,7 @@
     async def _follow(self):
         while True:
             if not self._is_needed():
+                self.availability.paused()
                 await self._sleep(MAX_BACK_OFF_S)
                 continue
             try:
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -451,6 +451,7 @@
     :param base: version after which the records are complete, -1 for all records.
     :param version: version up to which they are complete.
     :param rows: list of ``[key, version, value]``; the value of a removed one is None.
+        A fourth element says that the value is compressed.
     """
 
     table: str
--- a/features/gateway/records.feature
+++ b/features/gateway/records.feature
@@ -60,6 +60,48 @@
       | 2     | 4      | 9    | 9   | 70   |
       | 14    | 30     | 9    | 1   | 260  |
 
+  Scenario Outline: An instance among <others> of its data centre <case>
+    Given a store with version 5 of a table
+    And <others> peers of its data centre that heard the store <age> s ago
+    Then the instance follows the store itself: <reads>
+
+    # Each reader of a data centre takes the configuration across a narrow link.
+    Examples:
+      | others | age | reads | case                             |
+      | 3      | 0.1 | yes   | is one of the readers            |
+      | 9      | 0.1 | no    | takes the records from others    |
+      | 9      | 3.0 | yes   | reads as its readers do not hear |
+
+  Scenario: An instance reads the store when its readers are not heard any more
+    Given a store with version 5 of a table
+    And 9 peers of its data centre that heard the store 0.1 s ago
+    When 1.2 s pass without a report
+    Then the instance follows the store itself: yes
+
+  Scenario: An instance that takes the records from others learns that the store was away
+    Given a store with version 5 of a table
+    And its own last answer is 9 s old
+    And 9 peers of its data centre that heard the store 4.0 s ago
+    When it reports to its peers
+    Then records that are missing may be written again soon
+    When 9 peers heard the store again and 3 s pass
+    Then records that are missing are gone
+
+  Scenario Outline: Records of <size> bytes come whole from a peer
+    Given a store with version 5 of a table
+    When a record of <size> bytes is passed on by a peer
+    Then the copy holds it, and <sent> bytes were sent at most
+
+    Examples:
+      | size   | sent  |
+      | 100    | 200   |
+      | 300000 | 30000 |
+
+  Scenario: A record that was damaged on its way is not taken
+    Given a store with version 5 of a table
+    When a compressed record of a peer is damaged
+    Then the copy still has version 5
+
   Scenario: The reports of peers add up, the newest of each counts, and old ones do not
     Given an endpoint with 2 calls of its own
     When peers report 3, 4, 5
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -2,8 +2,10 @@
 
 import random
 import re
+import zlib
 
 import behave
+import msgpack
 from twisted.internet import defer, task
 
 from bench import burst
@@ -312,6 +314,7 @@
     def __init__(self, clock):
         self.clock = clock
         self.version = 5
+        self.value = b""
         self.trouble = "works"
         self.failures = 3
         self.calls = 0
@@ -319,12 +322,14 @@
 
     def taken(self):
         """Return every record at the present version."""
-        record = records.Record("a", self.version, b"v%d" % self.version)
+        value = self.value or b"v%d" % self.version
+        record = records.Record("a", self.version, value)
         return sync.Changes((record,), self.version)
 
-    def write(self):
+    def write(self, value=b""):
         """Write the next version."""
         self.version += 1
+        self.value = value
         if self.trouble == "works":
             waiting_calls, self.waiting = self.waiting, []
             for call in waiting_calls:
@@ -432,6 +437,80 @@
     assert not any(isinstance(m, types.RecordRequest) for m in context.hub.sent)
 
 
+@behave.given("{count:d} peers of its data centre that heard the store {age_s:f} s ago")
+def step_near_peers(context, count, age_s):
+    for number in range(count):
+        report = types.GatewayReport({}, {TABLE: 5}, age_s)
+        context.peers.message(f"a-{number}", report)
+
+
+@behave.given("its own last answer is 9 s old")
+def step_own_old(context):
+    context.clock.rightNow += 9.0
+
+
+@behave.when("it reports to its peers")
+def step_reports(context):
+    context.peers.tick()
+
+
+@behave.then("records that are missing may be written again soon")
+def step_lapsed(context):
+    assert context.peers.may_have_lapsed()
+
+
+@behave.when("9 peers heard the store again and 3 s pass")
+def step_heard_again(context):
+    step_near_peers(context, 9, 0.1)
+    context.peers.tick()
+    context.clock.rightNow += 3.0
+
+
+@behave.then("records that are missing are gone")
+def step_not_lapsed(context):
+    assert not context.peers.may_have_lapsed()
+
+
+@behave.when("{duration_s:f} s pass without a report")
+def step_pass_quietly(context, duration_s):
+    context.clock.advance(duration_s)
+
+
+@behave.then("the instance follows the store itself: {reads}")
+def step_reads_store(context, reads):
+    assert context.peers.reads_store() == (reads == "yes")
+
+
+@behave.when("a record of {size:d} bytes is passed on by a peer")
+def step_passed_on(context, size):
+    context.value = (b'{"name": "route", "prefix": "/p/"},' * size)[:size]
+    context.store.write(context.value)
+    # Another instance answers with what this one holds.
+    context.clock.advance(0.5)
+    context.peers.message("peer", types.RecordRequest(TABLE, 5))
+    context.reply = context.hub.sent[-1]
+    context.followed.copy = records.RecordTable()
+    context.followed.copy.replace((), 5)
+    context.peers.message("peer", context.reply)
+
+
+@behave.then("the copy holds it, and {size:d} bytes were sent at most")
+def step_holds(context, size):
+    assert context.followed.copy.get("a").value == context.value
+    assert len(msgpack.packb(context.reply.rows)) <= size
+
+
+@behave.when("a compressed record of a peer is damaged")
+def step_damaged(context):
+    rows = [["a", 6, zlib.compress(b"value" * 1000)[:-8], True]]
+    context.peers.message("peer", types.RecordReply(TABLE, 5, 6, rows))
+
+
+@behave.then("the copy still has version 5")
+def step_still_5(context):
+    assert context.followed.copy.version == 5
+
+
 class Mesh:
     """Counts what is sent to peers near and far."""
 
--- /dev/null
+++ b/features/steps/soak_seeds.py
@@ -0,0 +1,16 @@
+"""Steps that play seeds of the soak."""
+
+import behave
+
+from soak import fleet
+
+
+@behave.when("the soak plays seed {seed:d} with {faults:d} faults in {length_s:d} s")
+def step_play(context, seed, faults, length_s):
+    context.violations, context.requests = fleet.play(seed, length_s, faults)
+
+
+@behave.then("nothing that must hold was violated in at least {count:d} requests")
+def step_violations(context, count):
+    assert not context.violations, "\n".join(context.violations[:10])
+    assert context.requests >= count, context.requests
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Faults of real processes on loopback, checked from what callers and servers see."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,54 @@
+"""Plays seeds: ``python -m soak --seeds 1-50``; exits with 1 when one fails.
+
+Each line names the seed, so that ``--seeds N`` plays it again.
+"""
+
+import json
+import pathlib
+import sys
+import time
+
+import fire
+
+from soak import fleet
+
+# Seeds that failed once, with the cause.
+REGRESSIONS = pathlib.Path(__file__).with_name("regressions.json")
+
+
+def numbers(text):
+    """Return the seeds of a text such as ``1-50`` or ``3,7``."""
+    found = []
+    for part in str(text).strip("()").split(","):
+        first, _, last = part.strip().partition("-")
+        found += range(int(first), int(last or first) + 1)
+    return found
+
+
+def main(seeds="regressions", seconds=8.0, faults=12):
+    """Play seeds.
+
+    :param seeds: ``1-50``, ``3,7``, ``regressions``, or ``fresh-N`` for N new ones.
+    :param seconds: time in which faults begin.
+    :param faults: faults of each seed.
+    """
+    if seeds == "regressions":
+        chosen = [entry["seed"] for entry in json.loads(REGRESSIONS.read_text())]
+    elif str(seeds).startswith("fresh-"):
+        first = int(time.time())
+        chosen = range(first, first + int(str(seeds).partition("-")[2]))
+    else:
+        chosen = numbers(seeds)
+    failed = 0
+    for seed in chosen:
+        found, count = fleet.play(seed, seconds, faults)
+        failed += bool(found)
+        print(f"seed {seed}: {count} requests, {len(found)} violations", flush=True)
+        for text in found[:10]:
+            print(f"  {text}", flush=True)
+    print(f"{len(chosen) - failed} passed, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/soak/clients.py
@@ -0,0 +1,103 @@
+"""Clients of the soak, which keep connections open and send request after request."""
+
+import contextlib
+import http.client
+import json
+import random
+import threading
+import time
+
+from soak import checks
+
+TIMEOUT_S = 4.0
+PAUSE_S = (0.005, 0.04)
+EVENTS = 8
+KINDS = ("once", "free", "free", "stream")
+
+
+class Client(threading.Thread):
+    """One client, which uses one entry process after another.
+
+    :param name: its name; requests of all clients differ by it.
+    :param fleet: :class:`soak.fleet.Fleet`.
+    """
+
+    def __init__(self, name, fleet):
+        super().__init__(daemon=True)
+        self.seen = []
+        self.is_ending = False
+        self._name = name
+        self._fleet = fleet
+        self._rng = random.Random(f"{fleet.seed}-{name}")
+        self._connections = {}
+        self._count = 0
+
+    def run(self):
+        """Send requests until the end."""
+        while not self.is_ending:
+            self._one()
+            time.sleep(self._rng.uniform(*PAUSE_S))
+        for connection in self._connections.values():
+            connection.close()
+
+    def _one(self):
+        self._count += 1
+        request = f"r-{self._name}-{self._count}"
+        kind = self._rng.choice(KINDS)
+        entry = self._rng.randrange(len(self._fleet.entries))
+        process = self._fleet.entries[entry]
+        version = self._fleet.version - self._rng.choice((0, 0, 1))
+        life, address = process.life, process.front
+        events = EVENTS if kind == "stream" else 0
+        sent_s = time.monotonic()
+        status, body, whole = self._ask(address, version, kind, request, events)
+        self.seen.append(
+            checks.Seen(
+                request,
+                kind,
+                entry,
+                # An answer of a process that was replaced meanwhile proves nothing.
+                life if life == process.life else -1 - self._count,
+                status,
+                body,
+                events,
+                whole,
+                version,
+                sent_s,
+                time.monotonic(),
+            )
+        )
+
+    def _ask(self, address, version, kind, request, events):
+        connection = self._connections.get(address)
+        if connection is None:
+            connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
+            self._connections[address] = connection
+        headers = {
+            "Host": "host.example",
+            "Authorization": "Bearer key-1",
+            "X-Attempt-Id": request,
+            "X-Deadline-Ms": str(int(TIMEOUT_S * 1000)),
+        }
+        body = json.dumps({"id": request, "events": events})
+        status = 0
+        try:
+            connection.request("POST", f"/v{version}/{kind}/x", body, headers)
+            response = connection.getresponse()
+            status = response.status
+            answer = response.read()
+            if response.will_close:
+                self._forget(address)
+            return status, answer, True
+        except http.client.IncompleteRead as fault:
+            self._forget(address)
+            return status, fault.partial, False
+        except (OSError, http.client.HTTPException):
+            self._forget(address)
+            return status, b"", False
+
+    def _forget(self, address):
+        connection = self._connections.pop(address, None)
+        if connection is not None:
+            with contextlib.suppress(OSError):
+                connection.close()
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,67 @@
+"""The faults of one seed, as a list of events in the order of their times."""
+
+import dataclasses
+import random
+
+MODES = ("refuse", "error", "reset", "hang", "wrong", "cut")
+# Some kinds are drawn more often: they touch the work of more parts.
+KINDS = (
+    "server",
+    "server",
+    "link_delay",
+    "link_reset",
+    "link_silent",
+    "entry_kill",
+    "entry_freeze",
+    "entry_term",
+    "entry_term",
+    "store_down",
+    "store_silent",
+    "configuration",
+    "configuration",
+    "drain",
+    "hup",
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """One fault or change.
+
+    :param at_s: time from the start.
+    :param kind: one of :data:`KINDS`.
+    :param target: number of the process, server or link.
+    :param for_s: how long it lasts.
+    :param detail: mode of a server, or the direction of a link.
+    """
+
+    at_s: float
+    kind: str
+    target: int
+    for_s: float
+    detail: str
+
+
+def draw(seed, length_s, count):
+    """Draw the events of a seed. Some come in bursts, at the same instant or twice.
+
+    :param seed: integer.
+    :param length_s: time in which they begin.
+    :param count: number of events.
+    :returns: list of :class:`Event`.
+    """
+    rng = random.Random(seed)
+    found = []
+    while len(found) < count:
+        kind = rng.choice(KINDS)
+        at_s = rng.uniform(0.5, length_s)
+        for_s = rng.uniform(0.3, 2.5)
+        detail = rng.choice(MODES) if kind == "server" else ""
+        if kind == "link_silent":
+            detail = rng.choice(("there", "back"))
+        found.append(Event(at_s, kind, rng.randrange(100), for_s, detail))
+        if rng.random() < 0.3:
+            # The same again soon, perhaps elsewhere.
+            again_s = min(length_s, at_s + rng.choice((0.0, 0.3, 1.5)))
+            found.append(Event(again_s, kind, rng.randrange(100), for_s, detail))
+    return sorted(found[:count], key=lambda event: event.at_s)
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -33,6 +33,9 @@
         super().__init__((LOOPBACK, 0), handler)
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
+    def handle_error(self, request, client_address):
+        """Pass over connections that their clients break off."""
+
     @property
     def address(self):
         """Return ``host:port``."""
