--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -13,7 +13,7 @@
 from cicadaplank.gateway import notices, reloading, status, sync
 from cicadaplank.links import pacing, streams
 from cicadaplank.messages import types
-from cicadaplank.replicas import loading
+from cicadaplank.replicas import loading, staging
 from cicadaplank.reports import events, metrics
 from cicadaplank.weights import chunks, effects, manifests, transfers
 from cicadaplank.world import machines, rendezvous
@@ -82,25 +82,6 @@
     weights_s: float
 
 
-class Engine(typing.Protocol):
-    """The engine beside this agent. Coroutines raise ``errors.PlatformError``."""
-
-    def state(self):
-        """Return :class:`cicadaplank.replicas.loading.EngineState`."""
-
-    def put_piece(self, model, number, data):
-        """Stage a piece."""
-
-    def piece(self, model, number):
-        """Return a staged piece."""
-
-    def load(self, order):
-        """Order the engine to load what is staged; returns whether it does.
-
-        :param order: :class:`cicadaplank.replicas.loading.Order`.
-        """
-
-
 class Origin(typing.Protocol):
     """The origin of weights. Coroutines raise ``errors.PlatformError``."""
 
@@ -122,7 +103,7 @@
     :param store: :class:`cicadaplank.gateway.sync.Store`.
     :param meaning: :class:`cicadaplank.gateway.process.Records`.
     :param members: :class:`cicadaplank.gateway.process.Members`.
-    :param engine: :class:`Engine`.
+    :param engine: :class:`cicadaplank.replicas.staging.Engine`.
     :param origin_at: callable that returns an :class:`Origin` for ``host:port``.
     :param reload: callable that reads the settings again, or raises ``ValueError``.
     """
@@ -439,15 +420,7 @@
         """Take the pieces that lie at the engine, so that peers can have them."""
         if self.store.held_bytes or not self.store.reserve(manifest):
             return
-        adopted = 0
-        for number, digest in enumerate(manifest.chunk_digests):
-            try:
-                data = await self._engine.piece(target.model, number)
-            except errors.NotFound:
-                continue
-            if manifests.chunk_digest(data) == digest:
-                self.store.put(digest, data)
-                adopted += 1
+        adopted = await staging.adopt(self._engine, target.model, manifest, self.store)
         self._log("pieces_adopted", version=target.version, pieces=adopted)
 
     def _adoption_failed(self, failure):
@@ -684,33 +657,19 @@
         self.loading.staged(self.loading.target, False)
 
     async def _stage(self, target):
-        """Stage every piece that does not lie at the engine as it should."""
         manifest = self._present.manifest
-        missing = []
         try:
-            for number in range(len(manifest.chunk_digests)):
-                if not await self._lies_there(target, manifest, number):
-                    missing.append(number)
-            for number in missing:
-                data = self.store.get(manifest.chunk_digests[number])
-                await self._engine.put_piece(target.model, number, data)
-                if not await self._lies_there(target, manifest, number):
-                    raise errors.AnswerLost(f"piece {number} is not as it was staged")
+            count = await staging.stage(
+                self._engine, target.model, manifest, self.store
+            )
         except errors.PlatformError as fault:
             self._log("staging_failed", version=target.version, reason=str(fault))
             self.loading.staged(target, False)
             return
-        self._log("staged", version=target.version, pieces=len(missing))
+        self._log("staged", version=target.version, pieces=count)
         self.loading.staged(target, manifest is self._present.manifest)
         self._decide()
 
-    async def _lies_there(self, target, manifest, number):
-        try:
-            data = await self._engine.piece(target.model, number)
-        except errors.NotFound:
-            return False
-        return manifests.chunk_digest(data) == manifest.chunk_digests[number]
-
     def _order(self, action):
         target = action.target
         self._log(
--- a/tools/scores.py
+++ b/tools/scores.py
@@ -26,7 +26,7 @@
 def row(entry, names):
     """Return one row of a site's table."""
     days = {day["name"]: day for day in entry["days"]}
-    cells = [entry["at"][0][11:16], entry["head"][:8]]
+    cells = [entry["at"][0][5:16].replace("T", " "), entry["head"][:8]]
     cells[1] += " dirty" if entry["dirty"] else ""
     cells += [f"{entry['score']:.3f}", "yes" if entry["figures"].get("gate") else "no"]
     for name in names:
