--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,7 +18,7 @@
 SEED = 20261203
 # Decision objects and in-memory messages, each subject on a core of its own; then the
 # subject with real processes, alone on the machine.
-IN_MEMORY = ("weights", "requests", "routing", "limits", "goodput", "table")
+IN_MEMORY = ("weights", "requests", "routing", "limits", "goodput", "table", "burst")
 SUBJECTS = (*IN_MEMORY, "processes")
 # Goals of docs/design.md, section 1.7: key to (comparison, bound).
 GOALS = {
