--- a/features/soak/seeds.feature
+++ b/features/soak/seeds.feature
@@ -10,4 +10,5 @@
     Examples:
       | seed |
       | 2    |
+      | 3    |
       | 5    |
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -450,7 +450,7 @@
 
 
 @behave.when("it reports to its peers")
-def step_reports(context):
+def step_tell_peers(context):
     context.peers.tick()
 
 
