--- a/features/steps/deltas.py
+++ b/features/steps/deltas.py
@@ -10,7 +10,13 @@
 from cicadaplank.world import contracts
 
 NAMES = strategies.sampled_from(["a", "b", "c", "d", "e"])
-SETTINGS = hypothesis.settings(derandomize=True, max_examples=300, database=None)
+SETTINGS = hypothesis.settings(
+    derandomize=True,
+    max_examples=300,
+    database=None,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
 FIELDS = ["changed", "removed", "order", "halves", "name", "limits", "holders", "a"]
 DOCUMENTS = strategies.recursive(
     strategies.none() | strategies.integers() | strategies.text(max_size=3) | NAMES,
--- a/features/steps/reports.py
+++ b/features/steps/reports.py
@@ -98,7 +98,13 @@
 def step_lost(context):
     context.compared = 0
 
-    @hypothesis.settings(derandomize=True, max_examples=100, database=None)
+    @hypothesis.settings(
+        derandomize=True,
+        max_examples=100,
+        database=None,
+        deadline=None,
+        suppress_health_check=[hypothesis.HealthCheck.too_slow],
+    )
     @hypothesis.given(context.growth, strategies.randoms(use_true_random=False))
     def compare(growth, rng):
         found = []
--- a/features/steps/weights_store.py
+++ b/features/steps/weights_store.py
@@ -187,7 +187,13 @@
         swarm.model(4, CHUNK_BYTES, SEED + 1, "adapter", "v3"),
     ]
 
-    @hypothesis.settings(derandomize=True, max_examples=200, database=None)
+    @hypothesis.settings(
+        derandomize=True,
+        max_examples=200,
+        database=None,
+        deadline=None,
+        suppress_health_check=[hypothesis.HealthCheck.too_slow],
+    )
     @hypothesis.given(OPERATIONS)
     def check(operations):
         store = chunks.ChunkStore(9 * CHUNK_BYTES)
