Forbid older weights 0.4 s sooner

Entries allowed older weights for 0.9 of the time, which leaves 0.8 s for that wait. Change: 0.85, 1.2 s. The example of 7.0 s after which older weights were still allowed was wrong for this reason; it is 6.7 s now.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -81,8 +81,8 @@
     Examples:
       | after | least |
       | 1.0   | 0     |
-      | 7.0   | 0     |
-      | 7.3   | 2     |
+      | 6.7   | 0     |
+      | 6.9   | 2     |
       | 60.0  | 2     |
 
   Scenario Outline: A call that waits has to start <before> s before its objective
