--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -27,8 +27,8 @@
 # A request that crashes endpoints comes again within this time.
 SUSPICION_S = 120.0
 # Part of the time until old weights are forbidden after which calls go to the new ones
-# only. The rest covers calls that wait at an engine, 1.0 s were seen, and news that came
-# late.
+# only. The rest covers calls that wait at an engine (1.0 s was seen), and news that
+# came late.
 WEIGHTS_SHARE = 0.85
 # Time to come back when no endpoint can serve a call.
 NO_ENDPOINT_S = 1.0
