Mend what a reading of the whole change found

The two roles built the store twice in the same way; agent and replica processes each had the same function that reports a chunk that has left; the limit of chunks on a link stood twice; a gateway kept the last report of every entry instance that it ever heard. Change: one function each, and a report is dropped when its connection ends (what it said ages out as before).

--- a/cicadaplank/agent/weights.py
+++ b/cicadaplank/agent/weights.py
@@ -6,7 +6,6 @@
 from twisted.internet import defer
 
 from cicadaplank.external import engines, errors
-from cicadaplank.messages import types
 from cicadaplank.weights import activation, chunks, effects, transfers
 
 MANIFEST_PREFIX = "manifests/"
@@ -193,7 +192,9 @@
     def _send(self, action):
         connection = self._daemon.hub.connection(action.peer)
         if connection is not None:
-            connection.send(action.message, self._left(action))
+            connection.send(
+                action.message, effects.after_sending(action, self._chunk_left)
+            )
             return
         instance = self._daemon.peers.get(action.peer)
         if instance is None:
@@ -205,18 +206,14 @@
 
     def _send_on(self, connection, action):
         if connection is not None:
-            connection.send(action.message, self._left(action))
+            connection.send(
+                action.message, effects.after_sending(action, self._chunk_left)
+            )
         else:
             self._daemon.reactor.callLater(0, self.peer_lost, action.peer)
 
-    def _left(self, action):
-        """Return what tells the transfers that a chunk has left, None for the rest."""
-        if not isinstance(action.message, types.ChunkReply):
-            return None
-        arguments = (action.peer, action.message.transfer)
-        return lambda: self._carry_out(
-            self.transfers.chunk_left(*arguments, self._daemon.now_s)
-        )
+    def _chunk_left(self, peer, transfer):
+        self._carry_out(self.transfers.chunk_left(peer, transfer, self._daemon.now_s))
 
     def _fetch_manifest(self, action):
         digest = action.manifest_digest
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -233,6 +233,13 @@
                 state.peer_load(peer, loads.get(name, 0), now_s)
         self._peer_loads[peer] = loads
 
+    def peer_lost(self, peer):
+        """Forget the report of an entry instance; what it said ages out.
+
+        :param peer: name of the instance.
+        """
+        self._peer_loads.pop(peer, None)
+
     def loads(self):
         """Return the calls in progress by endpoint name."""
         states = self.endpoints.all()
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -422,6 +422,7 @@
 
     def connection_lost(self, connection):
         """Take the end of a peer's connection."""
+        self.gateway.peer_lost(connection.peer)
 
     def _tick(self):
         self.reactor.callLater(gateway.TICK_S, self._tick)
--- a/cicadaplank/platform/__main__.py
+++ b/cicadaplank/platform/__main__.py
@@ -43,6 +43,14 @@
     reactor.run(installSignalHandlers=False)
 
 
+def _store(reactor, address):
+    """Return the store, the meaning of its records and the registered instances."""
+    from cicadaplank.platform import client, rows, store
+
+    rows_store = store.Store(client.Client(reactor, address))
+    return rows_store, rows.Rows(), store.Members(rows_store)
+
+
 class Roles:
     """Roles of the system on the platform."""
 
@@ -54,15 +62,12 @@
         path, document, checked, address = _read(path, settings.entry)
         reactor = _reactor()
         from cicadaplank.gateway import process
-        from cicadaplank.platform import client, headers, rows, store
+        from cicadaplank.platform import headers
 
-        rows_store = store.Store(client.Client(reactor, address))
         entry = process.EntryProcess(
             reactor,
             checked,
-            rows_store,
-            rows.Rows(),
-            store.Members(rows_store),
+            *_store(reactor, address),
             headers.Headers(),
             lambda: settings.entry(settings.read(path)),
         )
@@ -75,16 +80,13 @@
         """
         path, document, checked, address = _read(path, settings.agent)
         reactor = _reactor()
-        from cicadaplank.platform import client, rows, servers, store
+        from cicadaplank.platform import client, servers
         from cicadaplank.replicas import process
 
-        rows_store = store.Store(client.Client(reactor, address))
         agent = process.AgentProcess(
             reactor,
             checked,
-            rows_store,
-            rows.Rows(),
-            store.Members(rows_store),
+            *_store(reactor, address),
             servers.ModelServer(client.Client(reactor, document["engine"]["address"])),
             lambda origin: servers.Origin(client.origin_client(reactor, origin)),
             lambda: settings.agent(settings.read(path)),
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -482,7 +482,9 @@
     def _send(self, action):
         connection = self.hub.connection(action.peer)
         if connection is not None:
-            connection.send(action.message, self._left(action))
+            connection.send(
+                action.message, effects.after_sending(action, self._chunk_left)
+            )
             return
         host = action.peer
         instance = dataclasses.replace(self._me, name=host, host=host)
@@ -491,18 +493,14 @@
             if connection is None:
                 self._carry_out(self.transfers.peer_lost(host, self.now_s))
             else:
-                connection.send(action.message, self._left(action))
+                connection.send(
+                    action.message, effects.after_sending(action, self._chunk_left)
+                )
 
         self.hub.dial(instance).addCallback(dialled)
 
-    def _left(self, action):
-        """Return what tells the transfers that a chunk has left, None for the rest."""
-        if not isinstance(action.message, types.ChunkReply):
-            return None
-        arguments = (action.peer, action.message.transfer)
-        return lambda: self._carry_out(
-            self.transfers.chunk_left(*arguments, self.now_s)
-        )
+    def _chunk_left(self, peer, transfer):
+        self._carry_out(self.transfers.chunk_left(peer, transfer, self.now_s))
 
     def _give_manifest(self, action):
         copy = self._copy_of(action.manifest_digest)
--- a/cicadaplank/weights/effects.py
+++ b/cicadaplank/weights/effects.py
@@ -1,6 +1,9 @@
 """What :class:`cicadaplank.weights.transfers.Transfers` asks its edge to do."""
 
 import dataclasses
+import functools
+
+from cicadaplank.messages import types
 
 
 @dataclasses.dataclass(frozen=True)
@@ -80,3 +83,15 @@
 
     peer: str
     corrupt: int
+
+
+def after_sending(action, left):
+    """Return what the edge calls when a message has left this machine.
+
+    :param action: :class:`Send`.
+    :param left: called with peer and transfer when a chunk has left.
+    :returns: callable, or None for messages that are no chunks.
+    """
+    if not isinstance(action.message, types.ChunkReply):
+        return None
+    return functools.partial(left, action.peer, action.message.transfer)
--- a/cicadaplank/weights/uploads.py
+++ b/cicadaplank/weights/uploads.py
@@ -110,6 +110,11 @@
             kept = [upload for upload in queue if upload.peer != peer]
             self._queues[remote] = collections.deque(kept)
 
+    @property
+    def _on_link_limit(self):
+        # On a slow link a second chunk would only hold other packets up.
+        return 1 if self._is_slow else MAX_ON_LINK
+
     def _stalled(self, now_s):
         """Return the peers that do not take what is on its way to them."""
         return {
@@ -165,9 +170,9 @@
 
     def _next(self, now_s):
         """Take the chunk that comes first of those that may be sent now."""
-        # On a slow link a second chunk would only hold other packets up.
-        limit = 1 if self._is_slow else MAX_ON_LINK
-        if self._free_s[False] > now_s or len(self._counted(now_s)) >= limit:
+        if self._free_s[False] > now_s:
+            return None
+        if len(self._counted(now_s)) >= self._on_link_limit:
             return None
         ready = [
             upload
@@ -194,7 +199,7 @@
         times = [self._free_s[remote] for remote, q in self._queues.items() if q]
         if not times:
             return None
-        limit = 1 if self._is_slow else MAX_ON_LINK
+        limit = self._on_link_limit
         on_link = sorted(chunk.stalled_s for chunk in self._on_link.values())
         window_s = on_link[-limit] if len(on_link) >= limit else 0.0
         return max(min(times), self._free_s[False], window_s)
--- a/features/gateway/calls.feature
+++ b/features/gateway/calls.feature
@@ -128,3 +128,8 @@
     Given an entry process with a call in progress
     When 44 other instances are registered and none of them reports
     Then its part of the common repeats is one of 45
+
+  Scenario: Reports of instances that have gone take no memory
+    Given an entry process with a call in progress
+    When 1000 instances report a call, and their connections end
+    Then it keeps no report of them
--- a/features/steps/gateway_stop.py
+++ b/features/steps/gateway_stop.py
@@ -69,6 +69,19 @@
     assert context.process.gateway.budget("s").members == 45
 
 
+@behave.when("1000 instances report a call, and their connections end")
+def step_peers_end(context):
+    for number in range(1000):
+        name = f"10.0.{number // 250}.{number % 250}"
+        context.process.gateway.peer_loads(name, {"e": 1})
+        context.process.connection_lost(types.SimpleNamespace(peer=name))
+
+
+@behave.then("it keeps no report of them")
+def step_no_reports(context):
+    assert not context.process.gateway._peer_loads
+
+
 @behave.then("it is not ready, and takes connections for 3 s and none after that")
 def step_connections(context):
     assert not context.process.is_ready
