Close connections to an origin after each call

Cause: an origin of weights takes 48 connections from all callers together and resets further ones. Each agent kept its one or two connections open for later calls, so the first 25 of 58 agents used all of them and locked the others out of manifests and pieces. The connections of agents that had lost power stayed in use at the origin. This is exhaustion of a shared bounded resource by clients that hold it while idle.

The scenario "Idle agents lock other agents out of an origin" failed before: ASSERT FAILED: True.

Change: a pool can be told to keep no idle connection, and the origin's client does so. Connections to the store and to model servers are kept as before.

--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -260,6 +260,8 @@
     :param limit: number of connections from which a new one replaces an idle one. Calls
         in progress may exceed it.
     :param connect_timeout_s: timeout of a connection attempt in seconds.
+    :param keeps_idle: whether connections stay open for later calls. Not for a server
+        that has fewer connections than it has clients.
     """
 
     def __init__(
@@ -270,6 +272,7 @@
         port,
         limit,
         connect_timeout_s=CONNECT_TIMEOUT_S,
+        keeps_idle=True,
     ):
         self.dialect = dialect
         self.counts = collections.Counter()
@@ -278,6 +281,7 @@
         self._host = host
         self._port = port
         self._connect_timeout_s = connect_timeout_s
+        self._keeps_idle = keeps_idle
         self._idle = []
         self._open = set()
         self._connecting_count = 0
@@ -331,8 +335,9 @@
         return None
 
     def release(self, connection):
-        """Make a connection available for the next call."""
-        if self._closed:
+        """Make a connection available for the next call, or close it."""
+        if self._closed or not self._keeps_idle:
+            connection.is_broken = True
             connection.transport.loseConnection()
             return
         connection.resume()
--- a/cicadaplank/platform/client.py
+++ b/cicadaplank/platform/client.py
@@ -27,6 +27,7 @@
     :param max_connections: maximum number of open connections.
     :param connect_timeout_s: seconds in which a connection has to open. After a network
         outage, a short time-out reconnects to the store sooner.
+    :param keeps_idle: whether connections stay open between calls.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         address,
         max_connections=MAX_CONNECTIONS,
         connect_timeout_s=connections.CONNECT_TIMEOUT_S,
+        keeps_idle=True,
     ):
         host, _, port = address.rpartition(":")
         self.address = address
@@ -46,6 +48,7 @@
             int(port),
             max_connections,
             connect_timeout_s,
+            keeps_idle,
         )
 
     def call(self, method, path, query=None, body=None, timeout_s=TIMEOUT_S):
@@ -97,8 +100,21 @@
 
 
 def origin_client(reactor, address):
-    """Return a :class:`Client` with the connect time-out for an origin of weights."""
-    return Client(reactor, address, connect_timeout_s=ORIGIN_CONNECT_TIMEOUT_S)
+    """Return a :class:`Client` of an origin of weights.
+
+    It closes each connection after its call. An origin has fewer connections than there
+    are agents, and a connection of an instance that has lost power stays in use there
+    until the origin's idle timeout.
+
+    :param reactor: Twisted reactor.
+    :param address: ``host:port``.
+    """
+    return Client(
+        reactor,
+        address,
+        connect_timeout_s=ORIGIN_CONNECT_TIMEOUT_S,
+        keeps_idle=False,
+    )
 
 
 class _Exchange:
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -60,6 +60,16 @@
       | the store | 0.2    |
       | an origin | 1.0    |
 
+  Scenario Outline: Idle agents lock other agents out of <what>: <kept>
+    When a call is sent to <what>
+    And it is answered
+    Then its connection is kept for the next call: <kept>
+
+    Examples:
+      | what      | kept |
+      | the store | yes  |
+      | an origin | no   |
+
   Scenario Outline: A connection to the store that <fault>
     Given a store whose connection <fault>
     Then the call ends as <ends>
--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -351,3 +351,21 @@
 def step_opens_in(context, time_s):
     timeout_s = context.reactor.tcpClients[0][3]
     assert timeout_s == time_s, timeout_s
+
+
+@behave.when("it is answered")
+def step_answered(context):
+    factory = context.reactor.tcpClients[0][2]
+    context.connection = factory.buildProtocol(None)
+    transport = testing.StringTransport()
+    transport.setTcpNoDelay = lambda enabled: None
+    context.connection.makeConnection(transport)
+    context.connection.dataReceived(
+        b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\n{}"
+    )
+
+
+@behave.then("its connection is kept for the next call: {kept}")
+def step_kept(context, kept):
+    is_kept = not context.connection.transport.disconnecting
+    assert is_kept == (kept == "yes"), is_kept
