Log how old a named version is and on which weights a call ran

Cause: weights_named was written only for versions that were named while the process ran, without the time that it counts from, and call_ended did not tell the version of the engine. Change: weights_named has the age of the naming and its source, also for versions found at the start (assumed); call_ended has the version that the last endpoint had published when the call was sent. WeightsRequirement and NamedVersion move to a module of their own unchanged but for these fields; what is decided is as before.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -90,6 +90,9 @@
         self.reason = ""
         self.last_event = b""
         self.endpoint_name = ""
+        # Version of the weights of the last endpoint that the call was sent to, as that
+        # endpoint published it.
+        self.weights_version = None
         # Seconds since the arrival, for the log.
         self.sent_after_s = None
         self.first_event_s = None
@@ -130,15 +133,26 @@
 
         :returns: :class:`placement.Demand`.
         """
-        model = self.request.head.model if self.route.is_generation else ""
         return placement.Demand(
             self.service,
             self._gateway.data_centre,
-            model,
-            self._gateway.min_version(model),
+            self._model,
+            self._gateway.min_version(self._model),
             self.excluded,
         )
 
+    @property
+    def _model(self):
+        """Model whose weights the call needs, or empty."""
+        return self.request.head.model if self.route.is_generation else ""
+
+    def _endpoint_version(self):
+        """Return the version of the weights that the endpoint serves, None if unknown.
+
+        The list of endpoints shows a change some hundred milliseconds late.
+        """
+        return self.state.endpoint.weights.get(self._model)
+
     def queue_entry(self):
         """Return the queue entry of this call.
 
@@ -201,6 +215,7 @@
         if self.sent_after_s is None:
             self.sent_after_s = now_s - self.request.arrived_s
         self.history.sends += 1
+        self.weights_version = self._endpoint_version()
         if self.route.retry_policy is not routes.RetryPolicy.NEVER:
             connection.set_unacknowledged_timeout(ACK_TIMEOUT_S)
         connection.send(self._gateway.encode_call(self, self.state, left_s), self)
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -15,6 +15,7 @@
     connections,
     dialects,
     endpoints,
+    named_versions,
     outcomes,
     placement,
     routes,
@@ -28,10 +29,6 @@
 # Time for which a crash counts against a request: one that crashes endpoints is sent
 # again within it.
 SUSPICION_S = 120.0
-# Share of the time until old weights are forbidden after which calls are sent to the
-# new weights only. The rest covers calls that wait at an engine (1.0 s was observed)
-# and delayed notices of the new version.
-WEIGHTS_SWITCH_SHARE = 0.85
 # Retry time given to clients when no better estimate is known, for example when no
 # endpoint can serve a call.
 DEFAULT_RETRY_AFTER_S = 1.0
@@ -40,8 +37,6 @@
 MISDIRECTED_EJECTION_S = 1.0
 # An endpoint's connections are divided among at least this many entry instances.
 MIN_MEMBERS = 8
-# Limit of the named versions that are kept for each model.
-MAX_NAMED_VERSIONS = 16
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,70 +57,6 @@
     weights_s: float
 
 
-@dataclasses.dataclass(frozen=True)
-class NamedVersion:
-    """A version of a model's weights that the operator named as the one to serve.
-
-    :param version: version number.
-    :param heard_s: time in seconds at which this process learned of it.
-    :param required_s: time in seconds from which older versions get no calls.
-    """
-
-    version: int
-    heard_s: float
-    required_s: float
-
-
-class WeightsRequirement:
-    """Tracks the oldest version of each model's weights that calls may run on.
-
-    :param weights_s: seconds from the naming of a version until older ones are
-        forbidden.
-    """
-
-    def __init__(self, weights_s):
-        self._grace_s = WEIGHTS_SWITCH_SHARE * weights_s
-        self._named = collections.defaultdict(list)
-
-    def record_named_version(self, model, version, now_s, is_new):
-        """Record a named version; older versions than the newest one are ignored.
-
-        :param model: model name.
-        :param version: version number; newer ones are higher.
-        :param now_s: current time in seconds.
-        :param is_new: whether older versions stay allowed for a while. False when the
-            version was named before this process started, perhaps long ago.
-        """
-        versions = self._named[model]
-        if versions and version <= versions[-1].version:
-            return
-        required_s = now_s + self._grace_s if is_new else now_s
-        versions.append(NamedVersion(version, now_s, required_s))
-        del versions[:-MAX_NAMED_VERSIONS]
-
-    def age_s(self, model, now_s):
-        """Return the seconds since this process learned of the newest version.
-
-        :param model: model name.
-        :param now_s: current time in seconds.
-        :returns: seconds, 0.0 when no version was named.
-        """
-        versions = self._named.get(model)
-        return now_s - versions[-1].heard_s if versions else 0.0
-
-    def min_version(self, model, now_s):
-        """Return the oldest version that calls may run on now.
-
-        :param model: model name.
-        :param now_s: current time in seconds.
-        :returns: version number, 0 when any version is allowed.
-        """
-        required = [
-            n.version for n in self._named.get(model, ()) if n.required_s <= now_s
-        ]
-        return max(required, default=0)
-
-
 class Gateway:
     """Calls, queues, connections and endpoints of one entry instance.
 
@@ -142,7 +73,7 @@
         self.data_centre = data_centre
         self.endpoints = endpoints.Endpoints()
         self.suspects = crash_tracking.CrashTracker(CRASH_LIMIT, SUSPICION_S)
-        self.weights_requirement = WeightsRequirement(bounds.weights_s)
+        self.weights_requirement = named_versions.WeightsRequirement(bounds.weights_s)
         self.route_index = None
         self.members = 1
         # Returns whether the configuration is known to be the newest.
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -356,13 +356,22 @@
         is_new = not self._is_first_read
         self._is_first_read = False
         for model, version in self._decoder.named_weights(copy).items():
-            self.gateway.weights_requirement.record_named_version(
+            found = self.gateway.weights_requirement.record_named_version(
                 model, version, now_s, is_new
             )
-            if is_new:
-                self._log("weights_named", model=model, version=version)
+            self._log_named(model, found, now_s)
         self._notify_agents()
 
+    def _log_named(self, model, found, now_s):
+        for named in found:
+            self._log(
+                "weights_named",
+                model=model,
+                version=named.version,
+                age_s=now_s - named.named_s,
+                source=named.source.value,
+            )
+
     def _notify_agents(self):
         """Send the current notice to every connected agent."""
         self._agents_notified_s = self.reactor.seconds()
--- a/cicadaplank/gateway/reporting.py
+++ b/cicadaplank/gateway/reporting.py
@@ -184,6 +184,7 @@
             attempts=call.history.sends,
             failed_dials=call.history.dials,
             endpoint=call.endpoint_name,
+            weights=call.weights_version,
             sent_after_s=call.sent_after_s,
             first_event_s=call.first_event_s,
             longest_gap_s=call.longest_gap_s,
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -13,7 +13,7 @@
 from cicadaplank.gateway import (
     budget,
     endpoints,
-    gateway,
+    named_versions,
     peers,
     placement,
     records,
@@ -254,9 +254,9 @@
     "weights that are due 8 s after version 2 was named, and version 1 before"
 )
 def step_weights(context):
-    context.requirement = gateway.WeightsRequirement(8.0)
+    context.requirement = named_versions.WeightsRequirement(8.0)
     context.requirement.record_named_version(MODEL, 1, 0.0, True)
-    context.requirement = gateway.WeightsRequirement(8.0)
+    context.requirement = named_versions.WeightsRequirement(8.0)
     context.requirement.record_named_version(MODEL, 2, 0.0, True)
 
 
--- /dev/null
+++ b/features/steps/gateway_weights.py
@@ -0,0 +1,169 @@
+"""Steps for the versions of weights that calls may run on."""
+
+import dataclasses
+import types as plain_types
+
+import behave
+from twisted.internet import testing
+
+from cicadaplank.gateway import gateway, process, reporting
+from cicadaplank.platform import headers
+from cicadaplank.reports import metrics
+from features.steps import gateway as gateway_steps
+
+MODEL = "m"
+ALLOWED_S = 8.0
+BOUNDS = gateway.Bounds(0.2, 100, 10, ALLOWED_S)
+OBJECTIVE_S = 2.0
+TIMEOUT_S = 4.0
+
+
+class Log:
+    """Keeps log lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def log(self, event, level="info", **fields):
+        """Keep a line."""
+        self.lines.append((event, fields))
+
+    def of(self, event):
+        """Return the fields of each line of an event."""
+        return [fields for name, fields in self.lines if name == event]
+
+
+class Entry:
+    """An entry process without sockets, whose reads and reports a scenario plays."""
+
+    def __init__(self, reactor, name):
+        address = process.Address(name, 1)
+        settings = process.Settings(
+            name=name,
+            region="r",
+            data_centre="a",
+            front=address,
+            ready=address,
+            ready_path="/ready",
+            peer=address,
+            metrics=address,
+            seeds=(),
+            bounds=BOUNDS,
+            grace_s=8,
+        )
+        self.row = {}
+        decoder = plain_types.SimpleNamespace(
+            operator_table="op",
+            endpoint_table="servers",
+            configuration=lambda copy: None,
+            named_weights=lambda copy: dict(self.row),
+            models=lambda copy: [MODEL],
+        )
+        self.log = Log()
+        self.process = process.EntryProcess(
+            reactor, settings, None, decoder, None, headers.PlatformDialect(), None
+        )
+        self.process.events.log = self.log.log
+
+    def read(self, version):
+        """Read the operator's record with a version of the weights."""
+        self.row = {MODEL: version}
+        self.process._operator_changed({"op/version/m"})
+
+    @property
+    def min_version(self):
+        """Oldest version that calls may run on now."""
+        return self.process.gateway.min_version(MODEL)
+
+
+def advance_to(context, time_s):
+    """Advance the clock to a time."""
+    context.reactor.advance(time_s - context.reactor.seconds())
+
+
+def numbers(described):
+    """Read ``1, 2`` as a list of numbers."""
+    return [int(number) for number in described.split(", ")]
+
+
+@behave.given("an entry process that starts at {start_s:d} s")
+def step_entry(context, start_s):
+    context.reactor = testing.MemoryReactorClock()
+    context.reactor.advance(start_s)
+    context.entry = Entry(context.reactor, "10.0.0.1")
+
+
+@behave.when("it reads versions {versions} of the weights at {times} s")
+def step_reads(context, versions, times):
+    for version, time_s in zip(numbers(versions), numbers(times), strict=True):
+        advance_to(context, time_s)
+        context.entry.read(version)
+
+
+@behave.then(
+    "it logs version {version:d} with an age of {age_s:f} s from the source {source}"
+)
+def step_logged(context, version, age_s, source):
+    expected = {"model": MODEL, "version": version, "age_s": age_s, "source": source}
+    assert expected in context.entry.log.of("weights_named"), context.entry.log.lines
+
+
+# Calls.
+
+
+def weights_of(world, versions):
+    """List the engines with the versions that they serve."""
+    template = next(iter(world.listed.values()))
+    listed = {
+        name: dataclasses.replace(
+            template, name=name, host=f"10.0.0.{number}", weights={MODEL: version}
+        )
+        for number, (name, version) in enumerate(sorted(versions.items()), 1)
+    }
+    world.gateway.set_endpoints(listed, False)
+
+
+@behave.given(
+    "a gateway whose engines {names} serve version {version:d} and a route that {kind}"
+)
+def step_engines(context, names, version, kind):
+    world = context.world = gateway_steps.World(2, kind)
+    context.log = Log()
+    world.gateway._reporter = reporting.Reporter(
+        context.log, metrics.Metrics("edge-1", "entry", "r", "a"), world.reactor.seconds
+    )
+    route = dataclasses.replace(
+        world.configuration.routes[0],
+        objective_s=OBJECTIVE_S,
+        timeout_s=TIMEOUT_S,
+        is_generation=True,
+    )
+    world.gateway.set_configuration(
+        dataclasses.replace(world.configuration, routes=(route,))
+    )
+    context.versions = dict.fromkeys(names.split(" and "), version)
+    weights_of(world, context.versions)
+
+
+@behave.when("a call is sent {after_s:f} s after version {version:d} was named")
+def step_sent(context, after_s, version):
+    world = context.world
+    world.gateway.weights_requirement.record_named_version(
+        MODEL, version, world.reactor.seconds(), True
+    )
+    world.run(after_s)
+    extra = b"X-Model: %b\r\n" % MODEL.encode()
+    world.client.dataReceived(world.request(extra, body=b"call"))
+    context.protocol, context.transport = world.accept()
+    context.first = world.sent[0][0]
+
+
+@behave.when("the engine x answers")
+def step_answers(context):
+    context.protocol.dataReceived(gateway_steps.answer())
+
+
+@behave.then("the log of the call names version {version:d}")
+def step_call_log(context, version):
+    (line,) = context.log.of("call_ended")
+    assert line["weights"] == version, line
