Share the time at which weights were named between entry instances

Cause: each entry instance counted the allowed time from the moment at which it read the operator's record. The record holds the newest version only, so an instance that misses version 2 because version 3 has replaced it never enforced its bound. Change: reports of entry instances carry the ages of the named versions that still limit calls, and each instance keeps the earliest time that any of them knows. Reports follow each other every 0.2 s or a little more, so one that was held up is corrected by the next. A version that an instance never read is enforced likewise. Ages that an instance only assumes are not reported. Malformed reports are counted and ignored; the number of versions and models is bounded. Failed before, on: "ASSERT FAILED: calls may run on version 1" in all five rows of "An entry instance requires new weights in time although ...". A GatewayReport has a field more: builds before and after this change reject each other's reports and close the connection.

--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -1,9 +1,9 @@
 """Exchange of load reports and store records between entry instances.
 
-Each instance reports its calls in progress by endpoint and the newest change in its
-copies of the store's tables. An instance whose copy is older than that of a peer
-requests the missing records from it, so that copies stay current also for instances
-that do not read the store or cannot reach it.
+Each instance reports its calls in progress by endpoint, the newest change in its
+copies of the store's tables and how long ago weights were named. An instance whose copy
+is older than that of a peer requests the missing records from it, so that copies stay
+current also for instances that do not read the store or cannot reach it.
 """
 
 import collections
@@ -50,15 +50,18 @@
     :param hub: :class:`cicadaplank.links.streams.PeerHub`.
     :param syncs: dict from table name to :class:`sync.TableSync`.
     :param loads: callable that returns a dict from endpoint name to calls in progress.
+    :param weights_ages_s: callable that takes the time in seconds and returns the ages
+        of named weights, see :class:`types.GatewayReport`.
     """
 
-    def __init__(self, reactor, me, hub, syncs, loads):
+    def __init__(self, reactor, me, hub, syncs, loads, weights_ages_s):
         self.counts = collections.Counter()
         self._reactor = reactor
         self._me = me
         self._hub = hub
         self._syncs = syncs
         self._loads = loads
+        self._weights_ages_s = weights_ages_s
         self._last_received_s = {}
         self._instances = {}
         self._reports = {}
@@ -204,7 +207,12 @@
         newest = {
             t: table_sync.copy.newest_change for t, table_sync in self._syncs.items()
         }
-        message = types.GatewayReport(self._loads(), newest, max(ages, default=0.0))
+        message = types.GatewayReport(
+            self._loads(),
+            newest,
+            max(ages, default=0.0),
+            self._weights_ages_s(now_s),
+        )
         names = [name for name in self._connected() if self._is_local(name) == is_local]
         self._hub.send_all(names, message)
 
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -206,6 +206,7 @@
             self.hub,
             {each.table: each for each in (self.operator, self.listed)},
             self.gateway.loads,
+            self.gateway.weights_requirement.ages_s,
         )
         for host in settings.seeds:
             self.peers.add_seed(host, settings.peer.port, "entry")
@@ -322,6 +323,8 @@
             metric.set_gauge("weights_named", version, model=model)
             age_s = self.gateway.weights_requirement.age_s(model, now_s)
             metric.set_gauge("weights_named_age_seconds", age_s, model=model)
+        rejected = self.gateway.weights_requirement.rejected
+        metric.set_gauge("weights_ages_rejected", rejected)
         metric.set_gauge("peak_memory_bytes", metrics.peak_memory_bytes())
         self.gateway.update_metrics(metric)
         body, _ = metric.render()
@@ -362,6 +365,12 @@
             self._log_named(model, found, now_s)
         self._notify_agents()
 
+    def _record_weights_ages(self, ages_s):
+        now_s = self.reactor.seconds()
+        requirement = self.gateway.weights_requirement
+        for model, found in requirement.record_reported_ages(ages_s, now_s).items():
+            self._log_named(model, found, now_s)
+
     def _log_named(self, model, found, now_s):
         for named in found:
             self._log(
@@ -463,6 +472,7 @@
         if self.peers.message(connection.peer, message):
             if isinstance(message, types.GatewayReport):
                 self.gateway.set_peer_loads(connection.peer, message.loads)
+                self._record_weights_ages(message.weights_ages_s)
         elif isinstance(message, types.SuspectReport):
             reported = self.gateway.suspects.merge_report(
                 connection.peer, message, self.gateway.unix_s()
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -432,11 +432,14 @@
     :param newest: maps table name to the version of the newest change that the sender
         has.
     :param store_age_s: seconds since the store last answered the sender.
+    :param weights_ages_s: maps model name to a list of ``[version, age_s]`` with the
+        seconds since the operator named each version, as far as the sender knows.
     """
 
     loads: dict
     newest: dict
     store_age_s: float
+    weights_ages_s: dict
 
 
 @dataclasses.dataclass(frozen=True)
