Use an assumed time of naming only until a peer knows the time

Callers of an entry instance that restarted after a naming were refused every generation until engines had loaded the new version, although the older one was still allowed; and an instance that missed version 2 because version 3 had replaced it sent calls to version 1 after the bound of version 2 when no peer told it. Cause: both are one: the record holds the newest version only, so a process does not see the naming of the versions in its first read, nor of those between two reads. It forbade the former at once and ignored the latter. Change: such versions are a gap with the earliest time at which they can have been named: long ago for the first read, else the last time at which the copy was known to be current. The newest version of a gap that no peer reports counts as named then, which is safe and may forbid the older ones too early, at once after a long outage of the store. An age of a peer replaces it, unless it is younger than the read that showed the version: then the peer was cut off. Without a peer that knows, a restarted instance behaves as before.

--- a/cicadaplank/gateway/named_versions.py
+++ b/cicadaplank/gateway/named_versions.py
@@ -17,6 +17,8 @@
 MAX_NAMED_VERSIONS = 16
 # Limit of the models of which versions are kept.
 MAX_MODELS = 64
+# Limit of the gaps between read versions that are kept for each model.
+MAX_GAPS = 16
 # A time of naming that is corrected by less than this is not logged again.
 LOGGED_CORRECTION_S = 0.1
 
@@ -25,8 +27,9 @@
     """How this process knows when a version was named.
 
     ``STORE``: it read the operator's record before and after the change. ``PEER``: an
-    entry instance reported it. ``ASSUMED``: it found the version in its first read of
-    the record, so the version may have been named long ago.
+    entry instance reported it. ``ASSUMED``: it only knows that the version may have
+    been named as early as that, because it found the version in its first read of the
+    record, or read a newer one without having seen this one.
     """
 
     STORE = "store"
@@ -50,6 +53,27 @@
     source: Source
 
 
+@dataclasses.dataclass(frozen=True)
+class Gap:
+    """Versions of which this process did not see the naming.
+
+    The operator's record holds the newest version only, so that any of them may have
+    been named and replaced between two reads, or before the first read.
+
+    :param first: oldest version of the gap.
+    :param last: newest version of the gap.
+    :param earliest_s: time in seconds before which none of them was named. For the gap
+        before the first read it is long enough ago to forbid older versions at once.
+    :param heard_s: time in seconds of the read after the gap, before which all of them
+        were named.
+    """
+
+    first: int
+    last: int
+    earliest_s: float
+    heard_s: float
+
+
 class WeightsRequirement:
     """Tracks the oldest version of each model's weights that calls may run on.
 
@@ -62,11 +86,9 @@
         self.rejected = 0
         self._allowed_s = weights_s
         self._grace_s = WEIGHTS_SWITCH_SHARE * weights_s
-        # By model: the newest version in the operator's record, and each named version.
-        self._read = {}
-        self._named = {}
+        self._models = {}
 
-    def record_named_version(self, model, version, now_s, is_new):
+    def record_named_version(self, model, version, now_s, confirmed_s):
         """Record the version that was read in the operator's record.
 
         Older versions than the one that was read before are ignored.
@@ -74,18 +96,25 @@
         :param model: model name.
         :param version: version number; newer ones are higher.
         :param now_s: current time in seconds.
-        :param is_new: whether older versions stay allowed for a while. False when the
-            version was named before this process started, perhaps long ago.
-        :returns: tuple of each :class:`NamedVersion` that became known.
+        :param confirmed_s: time in seconds at which the record was last known to hold
+            the version that was read before. None for the first read of this process:
+            the versions may have been named long ago.
+        :returns: tuple of each :class:`NamedVersion` that became known or is assumed.
         """
-        if version <= self._read.get(model, 0):
+        versions = self._models.setdefault(model, _ModelVersions())
+        previous = versions.newest_read
+        if version <= previous:
             return ()
-        self._read[model] = version
-        found = NamedVersion(version, now_s, now_s, Source.STORE)
-        if not is_new:
-            named_s = now_s - self._allowed_s
-            found = NamedVersion(version, named_s, now_s, Source.ASSUMED)
-        return self._learn(model, found, now_s)
+        versions.newest_read = version
+        learned = ()
+        if confirmed_s is None:
+            gap = Gap(previous + 1, version, now_s - self._allowed_s, now_s)
+        else:
+            gap = Gap(previous + 1, version - 1, confirmed_s, now_s)
+            learned = versions.learn(NamedVersion(version, now_s, now_s, Source.STORE))
+        assumed = versions.add_gap(gap)
+        versions.drop_superseded(now_s - self._allowed_s)
+        return assumed + learned
 
     def record_reported_ages(self, ages_s, now_s):
         """Record the ages that an entry instance reported.
@@ -103,47 +132,20 @@
             if not self._is_valid(model, entries):
                 self.rejected += 1
                 continue
+            versions = self._models.setdefault(model, _ModelVersions())
+            learned = ()
             for version, age_s in entries:
-                reported = NamedVersion(version, now_s - age_s, now_s, Source.PEER)
-                found[model] = found.get(model, ()) + self._learn(
-                    model, reported, now_s
-                )
+                named = NamedVersion(version, now_s - age_s, now_s, Source.PEER)
+                learned += versions.learn(named)
+                versions.drop_superseded(now_s - self._allowed_s)
+            found[model] = learned
         return found
 
     def _is_valid(self, model, entries):
-        if model not in self._named and len(self._named) >= MAX_MODELS:
+        if model not in self._models and len(self._models) >= MAX_MODELS:
             return False
         return isinstance(entries, list) and all(map(_is_age, entries))
 
-    def _learn(self, model, found, now_s):
-        versions = self._named.setdefault(model, {})
-        known = versions.get(found.version)
-        if known is None:
-            versions[found.version] = found
-            self._drop_superseded(versions, now_s)
-            return (found,) if found.version in versions else ()
-        if found.source is Source.ASSUMED or found.named_s >= known.named_s:
-            return ()
-        found = dataclasses.replace(found, heard_s=known.heard_s)
-        versions[found.version] = found
-        is_logged = known.named_s - found.named_s >= LOGGED_CORRECTION_S
-        return (found,) if is_logged else ()
-
-    def _drop_superseded(self, versions, now_s):
-        """Drop versions that a newer one forbids, and the oldest beyond the limit."""
-        floor = max(
-            (
-                named.version
-                for named in versions.values()
-                if named.source is not Source.ASSUMED
-                and now_s - named.named_s >= self._allowed_s
-            ),
-            default=0,
-        )
-        for version in sorted(versions):
-            if version < floor or len(versions) > MAX_NAMED_VERSIONS:
-                del versions[version]
-
     def ages_s(self, now_s):
         """Return the ages to report: those of versions that still limit calls.
 
@@ -153,15 +155,13 @@
         :returns: dict from model name to a list of ``[version, age_s]``.
         """
         found = {}
-        for model, versions in self._named.items():
-            self._drop_superseded(versions, now_s)
-            known = [
-                [named.version, now_s - named.named_s]
-                for _, named in sorted(versions.items())
-                if named.source is not Source.ASSUMED
-            ]
-            if known:
-                found[model] = known
+        for model, versions in self._models.items():
+            versions.drop_superseded(now_s - self._allowed_s)
+            if versions.known:
+                found[model] = [
+                    [version, now_s - named.named_s]
+                    for version, named in sorted(versions.known.items())
+                ]
         return found
 
     def age_s(self, model, now_s):
@@ -172,10 +172,10 @@
         :returns: seconds, since this process learned of the version when the time of
             naming is only assumed; 0.0 when no version was named.
         """
-        versions = self._named.get(model)
+        versions = self._all(model)
         if not versions:
             return 0.0
-        newest = versions[max(versions)]
+        newest = max(versions, key=lambda named: named.version)
         is_assumed = newest.source is Source.ASSUMED
         return now_s - (newest.heard_s if is_assumed else newest.named_s)
 
@@ -188,11 +188,98 @@
         """
         required = [
             named.version
-            for named in self._named.get(model, {}).values()
+            for named in self._all(model)
             if named.named_s + self._grace_s <= now_s
         ]
         return max(required, default=0)
 
+    def _all(self, model):
+        versions = self._models.get(model)
+        return versions.all() if versions else []
+
+
+class _ModelVersions:
+    """Named versions of one model.
+
+    :ivar newest_read: newest version that was read in the operator's record, or 0.
+    :ivar known: dict from version to the :class:`NamedVersion` whose time of naming is
+        known.
+    """
+
+    def __init__(self):
+        self.newest_read = 0
+        self.known = {}
+        self._gaps = []
+
+    def all(self):
+        """Return the known versions, and the newest unknown one of each gap.
+
+        It limits calls more than the older ones of its gap.
+        """
+        assumed = map(self._assumed, self._gaps)
+        return [*self.known.values(), *filter(None, assumed)]
+
+    def _assumed(self, gap):
+        version = gap.last
+        while version >= gap.first and version in self.known:
+            version -= 1
+        if version < gap.first:
+            return None
+        return NamedVersion(version, gap.earliest_s, gap.heard_s, Source.ASSUMED)
+
+    def add_gap(self, gap):
+        """Add a gap.
+
+        :param gap: :class:`Gap`; it may be empty.
+        :returns: tuple of the :class:`NamedVersion` that is assumed for it, if any.
+        """
+        assumed = self._assumed(gap)
+        if assumed is None:
+            return ()
+        self._gaps.append(gap)
+        del self._gaps[:-MAX_GAPS]
+        return (assumed,)
+
+    def learn(self, found):
+        """Record the time of a naming if it is earlier than the known one.
+
+        :param found: :class:`NamedVersion`.
+        :returns: tuple of the :class:`NamedVersion` that became known or was corrected
+            by :data:`LOGGED_CORRECTION_S` or more.
+        """
+        known = self.known.get(found.version)
+        if known is None:
+            # A later time than that of a read which showed the version is that of a
+            # peer that had been cut off.
+            if any(
+                gap.first <= found.version <= gap.last and found.named_s > gap.heard_s
+                for gap in self._gaps
+            ):
+                return ()
+            self.known[found.version] = found
+            return (found,)
+        if found.named_s >= known.named_s:
+            return ()
+        found = dataclasses.replace(found, heard_s=known.heard_s)
+        self.known[found.version] = found
+        is_logged = known.named_s - found.named_s >= LOGGED_CORRECTION_S
+        return (found,) if is_logged else ()
+
+    def drop_superseded(self, forbidden_s):
+        """Drop versions that a newer one forbids, and the oldest beyond the limit.
+
+        :param forbidden_s: time in seconds; versions that were named by then forbid
+            older ones.
+        """
+        floor = max(
+            (n.version for n in self.known.values() if n.named_s <= forbidden_s),
+            default=0,
+        )
+        for version in sorted(self.known):
+            if version < floor or len(self.known) > MAX_NAMED_VERSIONS:
+                del self.known[version]
+        self._gaps = [gap for gap in self._gaps if gap.last >= floor]
+
 
 def _is_age(entry):
     """Tell whether an entry of a report is ``[version, age_s]``."""
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -153,6 +153,8 @@
             reactor, settings, reload, self._settings_changed, self.events.log
         )
         self._is_first_read = True
+        # Time at which the copy of the operator's table was last known to be current.
+        self._operator_confirmed_s = reactor.seconds()
         self._stop_started_s = None
         self._front = None
         self._agents_notified_s = float("-inf")
@@ -356,11 +358,11 @@
         if configuration is not None:
             self._apply_configuration(configuration)
         now_s = self.reactor.seconds()
-        is_new = not self._is_first_read
+        confirmed_s = None if self._is_first_read else self._operator_confirmed_s
         self._is_first_read = False
         for model, version in self._decoder.named_weights(copy).items():
             found = self.gateway.weights_requirement.record_named_version(
-                model, version, now_s, is_new
+                model, version, now_s, confirmed_s
             )
             self._log_named(model, found, now_s)
         self._notify_agents()
@@ -488,8 +490,12 @@
         self.reactor.callLater(gateway.TIMEOUT_CHECK_INTERVAL_S, self._tick)
         self.gateway.check_timeouts()
         self.peers.tick()
+        now_s = self.reactor.seconds()
+        self._operator_confirmed_s = max(
+            self._operator_confirmed_s, now_s - self.peers.store_age_s(now_s)
+        )
         # Registered instances that this one cannot reach still send retries, so they
         # count for the division of the retry budget.
         self.gateway.set_member_count(1 + self.peers.instance_count)
-        if self.reactor.seconds() - self._agents_notified_s >= notices.NOTICE_S:
+        if now_s - self._agents_notified_s >= notices.NOTICE_S:
             self._notify_agents()
--- a/features/gateway/weights.feature
+++ b/features/gateway/weights.feature
@@ -28,6 +28,52 @@
       | they were replaced before it read them  | near reads 1 at 101; far reads 1 at 101; near reads 2 at 120; near reads 3 at 122; far reads 3 at 123; near tells far at 123.2 | 126.7  | 126.9 |
       | it never read them                      | near reads 1 at 101; far reads 1 at 101; near reads 2 at 120; near tells far at 121.2                                      | 126.7  | 126.9 |
 
+  @always_1
+  Scenario Outline: An entry instance that restarts after version 2 was named: <case>
+    Given entry instances that start at 100 s
+    When "near reads 1 at 101; near reads 2 at 120; <events>"
+    Then at <time> s instance far sends calls to version <least> or newer only
+
+    Examples: a peer knows when it was named
+      | case                       | events                                                             | time  | least |
+      | before the bound           | far starts at 122; far reads 2 at 122.5; near tells far at 122.6   | 126.7 | 1     |
+      | near the bound             | far starts at 122; far reads 2 at 122.5; near tells far at 122.6   | 126.9 | 2     |
+      | it hears from a peer first | far starts at 122; near tells far at 122.2; far reads 2 at 122.5   | 126.7 | 1     |
+      | it is long past the bound  | far starts at 180; far reads 2 at 180.1; near tells far at 180.2   | 180.3 | 2     |
+      | version 3 was named too    | near reads 3 at 122; far starts at 124; far reads 3 at 124.1; near tells far at 124.2 | 126.7 | 1 |
+      | version 2 is due before 3  | near reads 3 at 122; far starts at 124; far reads 3 at 124.1; near tells far at 124.2 | 126.9 | 2 |
+
+    Examples: no peer knows when it was named
+      | case                         | events                                                                                  | time  | least |
+      | it knows no peer             | far starts at 122; far reads 2 at 122.5                                                 | 122.6 | 2     |
+      | its peer assumes too         | near starts at 121; near reads 2 at 121.5; far starts at 122; far reads 2 at 122.5; near tells far at 122.6 | 122.7 | 2 |
+      | its peer knows of 3 only     | near starts at 121; near reads 2 at 121.5; near reads 3 at 122; far starts at 123; far reads 3 at 123.1; near tells far at 123.2 | 123.3 | 2 |
+
+  Scenario: A peer that was cut off does not make a version younger than its first read
+    Given entry instances that start at 100 s
+    When "near reads 1 at 101; far starts at 122; far reads 2 at 122.5; near reads 2 at 130; near tells far at 130.1"
+    Then at 130.2 s instance far sends calls to version 2 or newer only
+
+  @always_1
+  Scenario Outline: A version that was replaced before an entry instance read it: <case>
+    Given entry instances that start at 100 s
+    When "far reads 1 at 101; near reads 1 at 101; <events>"
+    Then at <before> s instance far still sends calls to version 1
+    And at <after> s instance far sends calls to version 2 or newer only
+    And at 131.0 s instance far sends calls to version 3 or newer only
+
+    # Without a peer that knows better, version 2 may be as old as the last answer of the
+    # store that did not have it.
+    Examples:
+      | case                    | events                                                                                             | before | after |
+      | no peer knows of it     | far hears the store at 119.9; far reads 3 at 123                                                   | 126.6  | 126.8 |
+      | a peer knows of it      | far hears the store at 119.9; near reads 2 at 121; far reads 3 at 123; near tells far at 123.1     | 127.7  | 127.9 |
+
+  Scenario: Versions that were replaced during a long outage of the store are due at once
+    Given entry instances that start at 100 s
+    When "far reads 1 at 101; far hears the store at 105; far reads 3 at 123"
+    Then at 123.0 s instance far sends calls to version 2 or newer only
+
   Scenario: An age that an instance only assumes is not reported to others
     Given entry instances that start at 100 s
     When "far reads 1 at 101; near reads 2 at 122; near tells far at 122.1; far reads 2 at 122.2"
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -255,9 +255,9 @@
 )
 def step_weights(context):
     context.requirement = named_versions.WeightsRequirement(8.0)
-    context.requirement.record_named_version(MODEL, 1, 0.0, True)
+    context.requirement.record_named_version(MODEL, 1, 0.0, 0.0)
     context.requirement = named_versions.WeightsRequirement(8.0)
-    context.requirement.record_named_version(MODEL, 2, 0.0, True)
+    context.requirement.record_named_version(MODEL, 2, 0.0, 0.0)
 
 
 @behave.then("after {after:f} s calls need version {least:d} at least")
--- a/features/steps/gateway_weights.py
+++ b/features/steps/gateway_weights.py
@@ -95,6 +95,12 @@
         self.row = {MODEL: version}
         self.process._operator_changed({"op/version/m"})
 
+    def hear_store(self):
+        """Get an answer of the store without changes."""
+        now_s = self.process.reactor.seconds()
+        for table in (self.process.operator, self.process.listed):
+            table.availability.record_answer(now_s)
+
     def report(self):
         """Return a report to peers as a frame."""
         self.process.peers._report(self.process.reactor.seconds(), True)
@@ -155,6 +161,8 @@
     }
 
 
+STARTS = re.compile(r"(\w+) starts at ([\d.]+)")
+HEARS = re.compile(r"(\w+) hears the store at ([\d.]+)")
 READS = re.compile(r"(\w+) reads (\d+) at ([\d.]+)")
 TELLS = re.compile(r"(\w+) tells (\w+) at ([\d.]+)(?: for ([\d.]+))?")
 
@@ -162,7 +170,18 @@
 @behave.when('"{events}"')
 def step_events(context, events):
     for event in events.split("; "):
+        starts, hears = STARTS.fullmatch(event), HEARS.fullmatch(event)
         reads, tells = READS.fullmatch(event), TELLS.fullmatch(event)
+        if starts:
+            name, time_s = starts.groups()
+            advance_to(context, float(time_s))
+            context.entries[name] = Entry(context.reactor, "10.0.0.3")
+            continue
+        if hears:
+            name, time_s = hears.groups()
+            advance_to(context, float(time_s))
+            context.entries[name].hear_store()
+            continue
         if reads:
             name, version, time_s = reads.groups()
             advance_to(context, float(time_s))
@@ -264,9 +283,8 @@
 @behave.when("a call is sent {after_s:f} s after version {version:d} was named")
 def step_sent(context, after_s, version):
     world = context.world
-    world.gateway.weights_requirement.record_named_version(
-        MODEL, version, world.reactor.seconds(), True
-    )
+    now_s = world.reactor.seconds()
+    world.gateway.weights_requirement.record_named_version(MODEL, version, now_s, now_s)
     world.run(after_s)
     extra = b"X-Model: %b\r\n" % MODEL.encode()
     world.client.dataReceived(world.request(extra, body=b"call"))
