Count an engine's turn to load from the naming of its version

An engine whose agent hears of a version late loads it late, so between the bound of the old version and that load callers have fewer engines. Cause: an agent counted the turn of its engine from the moment at which it heard of the version. Change: a WeightsNotice carries the ages that entry instances share, and the agent keeps the earliest time of naming for its targets. A correction does not repeat the staging: targets that differ in that time only are equal. Without an age the turn counts from the hearing, as before. A WeightsNotice has a field more: agents and entry instances of builds before and after this change reject each other's notices and close the connection. Each new connection begins with a Hello, which the agent takes for a sign of life, so that such an agent gets no notices and does not read the store either (read in the code, not run).

--- a/cicadaplank/gateway/named_versions.py
+++ b/cicadaplank/gateway/named_versions.py
@@ -144,7 +144,7 @@
     def _is_valid(self, model, entries):
         if model not in self._models and len(self._models) >= MAX_MODELS:
             return False
-        return isinstance(entries, list) and all(map(_is_age, entries))
+        return is_valid_ages(entries)
 
     def ages_s(self, now_s):
         """Return the ages to report: those of versions that still limit calls.
@@ -281,6 +281,11 @@
         self._gaps = [gap for gap in self._gaps if gap.last >= floor]
 
 
+def is_valid_ages(entries):
+    """Tell whether a value of a message is a list of ``[version, age_s]``."""
+    return isinstance(entries, list) and all(map(_is_age, entries))
+
+
 def _is_age(entry):
     """Tell whether an entry of a report is ``[version, age_s]``."""
     if not isinstance(entry, list) or len(entry) != 2:
--- a/cicadaplank/gateway/notices.py
+++ b/cicadaplank/gateway/notices.py
@@ -33,10 +33,11 @@
         configuration,
         decoder.endpoints(listed, configuration)[0],
         listed.version,
+        {},
     )
 
 
-def notice(named, models, configuration, endpoints, listed_version):
+def notice(named, models, configuration, endpoints, listed_version, weights_ages_s):
     """Build the notice from a decoded configuration and list of endpoints.
 
     :param named: dict from model name to the newest version that the operator named.
@@ -45,6 +46,8 @@
     :param endpoints: dict from name to
         :class:`cicadaplank.gateway.endpoints.Endpoint`.
     :param listed_version: version of the table of endpoints.
+    :param weights_ages_s: ages of named weights, see
+        :class:`cicadaplank.messages.types.GatewayReport`.
     :returns: :class:`cicadaplank.messages.types.WeightsNotice`.
     """
     origins = [s.origin for s in configuration.services.values() if s.origin]
@@ -67,4 +70,5 @@
         origins[0] if origins else "",
         resumable,
         hosts,
+        weights_ages_s,
     )
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -408,6 +408,7 @@
             index.configuration,
             endpoints,
             self.listed.copy.version,
+            self.gateway.weights_requirement.ages_s(self.reactor.seconds()),
         )
 
     def _apply_configuration(self, configuration):
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -483,6 +483,8 @@
     :param resumable: maps service name to whether all its calls can be resumed.
     :param hosts: maps service name to a dict from host to data centre of each endpoint
         that is not leaving.
+    :param weights_ages_s: as in :class:`GatewayReport`; empty when the agent built the
+        notice itself.
     """
 
     configuration: int
@@ -492,3 +494,4 @@
     origin: str
     resumable: dict
     hosts: dict
+    weights_ages_s: dict
--- a/cicadaplank/replicas/loading.py
+++ b/cicadaplank/replicas/loading.py
@@ -45,12 +45,13 @@
 
     :param model: model name.
     :param version: version number; newer versions have higher ones.
-    :param named_s: monotonic time at which this process learned of it, in seconds.
+    :param named_s: monotonic time at which it was named, in seconds, as far as this
+        process knows. Targets that differ only in it are equal.
     """
 
     model: str
     version: int
-    named_s: float
+    named_s: float = dataclasses.field(compare=False)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -150,11 +151,15 @@
     def wanted(self, target):
         """Set the target if its version is newer than that of the present one.
 
+        For the same version, the earlier time of naming is kept.
+
         :param target: :class:`Target`.
         :returns: whether the target changed.
         """
         previous = self.target
         if previous is not None and target.version <= previous.version:
+            if target == previous and target.named_s < previous.named_s:
+                self.target = target
             return False
         self.target = target
         self.phase = Phase.COPYING
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -15,7 +15,13 @@
 from twisted.logger import LogLevel, globalLogPublisher
 
 from cicadaplank.external import errors
-from cicadaplank.gateway import notices, reloading, status, sync
+from cicadaplank.gateway import (
+    named_versions,
+    notices,
+    reloading,
+    status,
+    sync,
+)
 from cicadaplank.links import pacing, streams
 from cicadaplank.messages import types
 from cicadaplank.replicas import loading, staging
@@ -348,7 +354,11 @@
             self._list_version = notice.listed
             self._set_hosts(notice.hosts.get(self.settings.service, {}))
         for model, version in notice.named.items():
-            self._version_named(model, version)
+            entries = notice.weights_ages_s.get(model, [])
+            ages_s = dict(entries) if named_versions.is_valid_ages(entries) else {}
+            self._version_named(model, version, ages_s.get(version, 0.0))
+            for known_version, age_s in ages_s.items():
+                self._age_known(model, known_version, age_s)
         if self._newest_copy is None:
             self._check_engine()
 
@@ -371,12 +381,12 @@
         self._carry_out(self.transfers.instances_changed(instances, self.now_s))
         self._request_copies()
 
-    def _version_named(self, model, version):
+    def _version_named(self, model, version, age_s):
         newest = self._newest_copy
         if newest is not None and version <= newest.target.version:
             return
-        copy = _Copy(loading.Target(model, version, self.now_s))
-        self._log("weights_wanted", model=model, version=version)
+        copy = _Copy(loading.Target(model, version, self.now_s - age_s))
+        self._log("weights_wanted", model=model, version=version, age_s=age_s)
         next_copy = self._next_copy
         self._newest_copy = copy
         if next_copy is None or not loading.should_finish_target(
@@ -388,6 +398,15 @@
         self._fetch_manifest(copy)
         self._check_engine()
 
+    def _age_known(self, model, version, age_s):
+        """Count the time of a wanted version from its naming if that was earlier."""
+        target = loading.Target(model, version, self.now_s - age_s)
+        for copy in (self._next_copy, self._newest_copy):
+            if copy.target == target and target.named_s < copy.target.named_s:
+                copy.target = target
+        if self.loading.target == target:
+            self.loading.wanted(target)
+
     def _progress(self, copy):
         if copy.manifest is None:
             return 0.0
@@ -668,7 +687,7 @@
     def _newest_received(self, manifest, model):
         self._is_requesting_newest = False
         if self._newest_copy is None:
-            self._version_named(model, int(manifest.version))
+            self._version_named(model, int(manifest.version), 0.0)
 
     def _newest_failed(self, failure):
         failure.trap(errors.PlatformError)
--- a/features/replicas/loading.feature
+++ b/features/replicas/loading.feature
@@ -61,3 +61,19 @@
       | way               | reads |
       | an entry instance | no    |
       | the store         | yes   |
+
+  @always_1
+  Scenario Outline: An engine whose agent hears of a version late loads it in its turn: <case>
+    Given an agent that starts
+    And an entry instance that reads version 2 at 120 s
+    When the agent gets notices <notices>
+    Then the turn of its engine to load version 2 comes at <turn> s
+
+    # The first turn comes 0.64 of 8 s after the naming.
+    Examples:
+      | case                                   | notices                                          | turn   |
+      | a notice with the age                  | with the age at 121                              | 125.12 |
+      | an entry instance has just restarted   | without age at 121, with the age at 121.5        | 125.12 |
+      | a later notice looks younger           | with the age at 121, without age at 121.5        | 125.12 |
+      | no entry instance knows the age        | without age at 121                               | 126.12 |
+      | a notice that is malformed             | with a malformed age at 121                      | 126.12 |
--- a/features/steps/gateway_weights.py
+++ b/features/steps/gateway_weights.py
@@ -3,120 +3,21 @@
 import dataclasses
 import json
 import re
-import types as plain_types
 
 import behave
 from twisted.internet import testing
 
-from cicadaplank.gateway import gateway, process, reporting
+from cicadaplank.gateway import reporting
 from cicadaplank.messages import codec, types
-from cicadaplank.platform import headers
 from cicadaplank.reports import metrics
+from features import entries
 from features.steps import gateway as gateway_steps
 
-MODEL = "m"
-ALLOWED_S = 8.0
-BOUNDS = gateway.Bounds(0.2, 100, 10, ALLOWED_S)
 OBJECTIVE_S = 2.0
 TIMEOUT_S = 4.0
 STEP_S = 0.05
 
 
-class Log:
-    """Keeps log lines."""
-
-    def __init__(self):
-        self.lines = []
-
-    def log(self, event, level="info", **fields):
-        """Keep a line."""
-        self.lines.append((event, fields))
-
-    def of(self, event):
-        """Return the fields of each line of an event."""
-        return [fields for name, fields in self.lines if name == event]
-
-
-class Hub:
-    """Keeps what is sent to one peer."""
-
-    peers = ("10.0.0.9",)
-
-    def __init__(self):
-        self.sent = []
-
-    def connection(self, name):
-        """Return a connection of an entry instance."""
-        transport = plain_types.SimpleNamespace(abortConnection=lambda: None)
-        hello = types.Hello("entry", "r", "a", 0)
-        return plain_types.SimpleNamespace(hello=hello, peer=name, transport=transport)
-
-    def send_all(self, names, message):
-        """Keep a message as a frame."""
-        self.sent.append(codec.encode(codec.Envelope("10.0.0.9", 0, message)))
-
-
-class Entry:
-    """An entry process without sockets, whose reads and reports a scenario plays."""
-
-    def __init__(self, reactor, name):
-        address = process.Address(name, 1)
-        settings = process.Settings(
-            name=name,
-            region="r",
-            data_centre="a",
-            front=address,
-            ready=address,
-            ready_path="/ready",
-            peer=address,
-            metrics=address,
-            seeds=(),
-            bounds=BOUNDS,
-            grace_s=8,
-        )
-        self.row = {}
-        decoder = plain_types.SimpleNamespace(
-            operator_table="op",
-            endpoint_table="servers",
-            configuration=lambda copy: None,
-            named_weights=lambda copy: dict(self.row),
-            models=lambda copy: [MODEL],
-        )
-        self.log = Log()
-        self.process = process.EntryProcess(
-            reactor, settings, None, decoder, None, headers.PlatformDialect(), None
-        )
-        self.process.events.log = self.log.log
-        self.hub = self.process.peers._hub = Hub()
-        self.process._tick()
-
-    def read(self, version):
-        """Read the operator's record with a version of the weights."""
-        self.row = {MODEL: version}
-        self.process._operator_changed({"op/version/m"})
-
-    def hear_store(self):
-        """Get an answer of the store without changes."""
-        now_s = self.process.reactor.seconds()
-        for table in (self.process.operator, self.process.listed):
-            table.availability.record_answer(now_s)
-
-    def report(self):
-        """Return a report to peers as a frame."""
-        self.process.peers._report(self.process.reactor.seconds(), True)
-        return self.hub.sent[-1]
-
-    def receive(self, frame):
-        """Process a report of a peer."""
-        connection = self.hub.connection("10.0.0.9")
-        self.process.message_received(connection, codec.decode(frame))
-
-    @property
-    def min_version(self):
-        """Oldest version that calls may run on now."""
-        return self.process.gateway.min_version(MODEL)
-
-
 def advance_to(context, time_s):
     """Advance the clock to a time in steps, so that periodic work is done."""
     while context.reactor.seconds() < time_s - STEP_S:
@@ -133,7 +34,7 @@
 def step_entry(context, start_s):
     context.reactor = testing.MemoryReactorClock()
     context.reactor.advance(start_s)
-    context.entry = Entry(context.reactor, "10.0.0.1")
+    context.entry = entries.Entry(context.reactor, "10.0.0.1")
 
 
 @behave.when("it reads versions {versions} of the weights at {times} s")
@@ -147,7 +48,12 @@
     "it logs version {version:d} with an age of {age_s:f} s from the source {source}"
 )
 def step_logged(context, version, age_s, source):
-    expected = {"model": MODEL, "version": version, "age_s": age_s, "source": source}
+    expected = {
+        "model": entries.MODEL,
+        "version": version,
+        "age_s": age_s,
+        "source": source,
+    }
     assert expected in context.entry.log.of("weights_named"), context.entry.log.lines
 
 
@@ -156,7 +62,7 @@
     context.reactor = testing.MemoryReactorClock()
     context.reactor.advance(start_s)
     context.entries = {
-        name: Entry(context.reactor, f"10.0.0.{number}")
+        name: entries.Entry(context.reactor, f"10.0.0.{number}")
         for number, name in enumerate(("near", "far"), 1)
     }
 
@@ -175,7 +81,7 @@
         if starts:
             name, time_s = starts.groups()
             advance_to(context, float(time_s))
-            context.entries[name] = Entry(context.reactor, "10.0.0.3")
+            context.entries[name] = entries.Entry(context.reactor, "10.0.0.3")
             continue
         if hears:
             name, time_s = hears.groups()
@@ -251,7 +157,10 @@
     template = next(iter(world.listed.values()))
     listed = {
         name: dataclasses.replace(
-            template, name=name, host=f"10.0.0.{number}", weights={MODEL: version}
+            template,
+            name=name,
+            host=f"10.0.0.{number}",
+            weights={entries.MODEL: version},
         )
         for number, (name, version) in enumerate(sorted(versions.items()), 1)
     }
@@ -263,7 +172,7 @@
 )
 def step_engines(context, names, version, kind):
     world = context.world = gateway_steps.World(2, kind)
-    context.log = Log()
+    context.log = entries.Log()
     world.gateway._reporter = reporting.Reporter(
         context.log, metrics.Metrics("edge-1", "entry", "r", "a"), world.reactor.seconds
     )
@@ -284,9 +193,11 @@
 def step_sent(context, after_s, version):
     world = context.world
     now_s = world.reactor.seconds()
-    world.gateway.weights_requirement.record_named_version(MODEL, version, now_s, now_s)
+    world.gateway.weights_requirement.record_named_version(
+        entries.MODEL, version, now_s, now_s
+    )
     world.run(after_s)
-    extra = b"X-Model: %b\r\n" % MODEL.encode()
+    extra = b"X-Model: %b\r\n" % entries.MODEL.encode()
     world.client.dataReceived(world.request(extra, body=b"call"))
     context.protocol, context.transport = world.accept()
     context.first = world.sent[0][0]
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -5,7 +5,7 @@
 import types as plain_types
 
 import behave
-from twisted.internet import defer, task
+from twisted.internet import defer, task, testing
 
 from bench import swarm
 from cicadaplank.external import errors
@@ -22,6 +22,7 @@
     uploads,
 )
 from cicadaplank.world import machines
+from features import entries
 
 MODEL = "m"
 TARGET = loading.Target(MODEL, 2, 0.0)
@@ -239,7 +240,7 @@
 
 @behave.when("{way} names version 3")
 def step_named(context, way):
-    notice = types.WeightsNotice(1, 1, {MODEL: 3}, [MODEL], "", {}, {})
+    notice = types.WeightsNotice(1, 1, {MODEL: 3}, [MODEL], "", {}, {}, {})
     made = context.agent
     if way == "an entry instance":
         hello = types.Hello("entry", "r", "a", 0)
@@ -260,6 +261,42 @@
     assert bool(context.store.reads) == (reads == "yes")
 
 
+@behave.given("an entry instance that reads version {version:d} at {time_s:d} s")
+def step_entry_reads(context, version, time_s):
+    context.reactor = testing.MemoryReactorClock()
+    context.entry = entries.Entry(context.reactor, "10.0.0.9")
+    context.entry.read(version - 1)
+    context.reactor.advance(time_s)
+    context.entry.read(version)
+
+
+@behave.when("the agent gets notices {notices_at}")
+def step_notices(context, notices_at):
+    made = context.agent
+    for described in notices_at.split(", "):
+        age, _, time_s = described.partition(" age at ")
+        made.reactor.advance(float(time_s) - made.reactor.seconds())
+        context.reactor.advance(float(time_s) - context.reactor.seconds())
+        notice = context.entry.notice()
+        if age == "without":
+            started = entries.Entry(context.reactor, "10.0.0.9")
+            started.read(notice.named[MODEL])
+            notice = started.notice()
+        if age == "with a malformed":
+            notice.weights_ages_s[MODEL] = [[2, "1.0"]]
+        made._apply_notice(notice)
+        made.loading.staged(made.loading.target, True)
+
+
+@behave.then("the turn of its engine to load version 2 comes at {turn_s:f} s")
+def step_turn(context, turn_s):
+    machine = context.agent.loading
+    due_s = 120.0
+    while machine.next(engine(), True, (ME,), due_s) is None:
+        due_s += 0.01
+    assert abs(due_s - turn_s) < 0.02, due_s
+
+
 # Placement of chunks.
 
 
