Withdraw a call that waits at an engine with older weights before the bound

Change: a call of which nothing has begun is withdrawn 0.25 s before the bound: its connection is closed, which tells the engine to stop, and the call is sent to another engine within its attempts and the retry budget, or ends with the truth that it may have run. The list of endpoints is read again at that moment, so that a call whose engine has loaded stays. The head of an answer and events that a resumed stream repeats are no beginning; a part of an answer that is not a stream is one. It does not count against the endpoint: no ejection, no probe. The line attempt_withdrawn and the counter attempts_withdrawn show each case. Failed before, on: "ASSERT FAILED: the call still waits" in nine scenarios of features/gateway/weights.feature. It does not help at an engine that goes on although its connection was closed.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -370,11 +370,14 @@
 
     def _abandon_attempt(self, ending, reason):
         """Cancel the attempt; the closed connection tells the endpoint to stop."""
+        self.attempt_ended(ending, reason, self._cancel_attempt())
+
+    def _cancel_attempt(self):
         connection = self._connection
         state = self._release_endpoint()
         if connection is not None:
             connection.cancel()
-        self.attempt_ended(ending, reason, state)
+        return state
 
     def pause(self):
         """Stop reading from the endpoint because the client reads too slowly."""
@@ -530,6 +533,8 @@
         limit_s = self.deadline_s + (DEADLINE_SLACK_S if self._stream_began else 0.0)
         if now_s >= limit_s:
             self._expire(now_s)
+        elif self.phase is Phase.SENT and self._withdraw_if_due(now_s):
+            return
         elif self._is_paused:
             return
         elif self.phase is Phase.STREAMING:
@@ -543,6 +548,28 @@
             if elapsed_s > self._response_timeout_s() and self._can_fail_over():
                 self._abandon_attempt(outcomes.Ending.SILENT, "no answer")
 
+    def _withdraw_if_due(self, now_s):
+        """Withdraw a waiting attempt before its endpoint's weights are forbidden.
+
+        The endpoint has not failed, so this is not counted against it.
+
+        :returns: whether the attempt was withdrawn.
+        """
+        version = self._endpoint_version()
+        if version is None:
+            version = self.weights_version
+        if version is None or self._body:
+            return False
+        bound = self._gateway.near_bound(self._model, version, now_s)
+        if bound is None:
+            return False
+        self._gateway.record_withdrawal(self, version, bound)
+        self._cancel_attempt()
+        self.excluded |= {self.endpoint_name}
+        reason = f"withdrawn: version {bound.version} of the weights is required"
+        self.attempt_ended(outcomes.Ending.WITHDRAWN, reason, None)
+        return True
+
     def _response_timeout_s(self):
         return max(
             MIN_RESPONSE_TIMEOUT_S, RESPONSE_TIMEOUT_FACTOR * self.route.objective_s
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -215,6 +215,16 @@
         """
         return self.weights_requirement.min_version(model, self.now_s()) if model else 0
 
+    def near_bound(self, model, version, now_s):
+        """Return the bound of a version if calls that wait on it are to be withdrawn.
+
+        :param model: model name.
+        :param version: version that the endpoint serves.
+        :param now_s: current time in seconds.
+        :returns: :class:`cicadaplank.gateway.named_versions.Bound` or None.
+        """
+        return self.weights_requirement.near_bound(model, version, now_s)
+
     # Calls.
 
     @property
@@ -462,6 +472,15 @@
         for action in sent:
             self.broadcast(action.message, action.exclude)
 
+    def record_withdrawal(self, call, version, bound):
+        """Report an attempt that is withdrawn from an endpoint with older weights.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        :param version: version that the endpoint serves.
+        :param bound: :class:`cicadaplank.gateway.named_versions.Bound`.
+        """
+        self._reporter.attempt_withdrawn(call, version, bound)
+
     def record_failure(self, call, state, ending, reason, now_s):
         """Record a failed attempt at an endpoint, and eject the endpoint if needed.
 
--- a/cicadaplank/gateway/named_versions.py
+++ b/cicadaplank/gateway/named_versions.py
@@ -13,6 +13,10 @@
 # new weights only. The rest covers calls that wait at an engine (1.0 s was observed)
 # and delayed notices of the new version.
 WEIGHTS_SWITCH_SHARE = 0.85
+# A call that waits at an engine with older weights is withdrawn this long before they
+# are forbidden. It covers the interval between checks, 0.05 s, and the time until the
+# engine detects that the connection is closed.
+WITHDRAWAL_MARGIN_S = 0.25
 # Limit of the named versions that are kept for each model.
 MAX_NAMED_VERSIONS = 16
 # Limit of the models of which versions are kept.
@@ -74,6 +78,18 @@
     heard_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Bound:
+    """End of the time in which a call may begin on a version.
+
+    :param version: oldest version on which it may begin after that.
+    :param left_s: seconds until then, negative when it has passed.
+    """
+
+    version: int
+    left_s: float
+
+
 class WeightsRequirement:
     """Tracks the oldest version of each model's weights that calls may run on.
 
@@ -193,6 +209,28 @@
         ]
         return max(required, default=0)
 
+    def near_bound(self, model, version, now_s):
+        """Return the bound of a version if calls that wait on it are to be withdrawn.
+
+        They are :data:`WITHDRAWAL_MARGIN_S` before the bound, but not before further
+        calls are sent to newer versions only.
+
+        :param model: model name.
+        :param version: version that the engine serves.
+        :param now_s: current time in seconds.
+        :returns: :class:`Bound`, or None when they may go on waiting.
+        """
+        wait_s = max(self._grace_s, self._allowed_s - WITHDRAWAL_MARGIN_S)
+        due = [
+            named
+            for named in self._all(model)
+            if named.version > version and named.named_s + wait_s <= now_s
+        ]
+        if not due:
+            return None
+        forbidden_s = min(named.named_s for named in due) + self._allowed_s
+        return Bound(max(named.version for named in due), forbidden_s - now_s)
+
     def _all(self, model):
         versions = self._models.get(model)
         return versions.all() if versions else []
--- a/cicadaplank/gateway/outcomes.py
+++ b/cicadaplank/gateway/outcomes.py
@@ -21,7 +21,8 @@
     did not run the call. ``MISDIRECTED``: another endpoint has the address, or the
     endpoint serves other weights. ``BROKEN``: the connection broke, or the answer was
     invalid. ``SILENT``: the answer did not start or continue in time. ``FAILED``: the
-    call ran and the endpoint answered with a server error.
+    call ran and the endpoint answered with a server error. ``WITHDRAWN``: the answer
+    had not begun when the endpoint's weights were about to be forbidden.
     """
 
     UNREACHABLE = "unreachable"
@@ -30,6 +31,7 @@
     BROKEN = "broken"
     SILENT = "silent"
     FAILED = "failed"
+    WITHDRAWN = "withdrawn"
 
 
 _VERDICTS = {
@@ -39,6 +41,7 @@
     Ending.BROKEN: verdicts.Verdict.MAY_HAVE_RUN,
     Ending.SILENT: verdicts.Verdict.MAY_HAVE_RUN,
     Ending.FAILED: verdicts.Verdict.RAN,
+    Ending.WITHDRAWN: verdicts.Verdict.MAY_HAVE_RUN,
 }
 
 
--- a/cicadaplank/gateway/reporting.py
+++ b/cicadaplank/gateway/reporting.py
@@ -124,6 +124,24 @@
             failures_in_a_row=state.failures_in_a_row,
         )
 
+    def attempt_withdrawn(self, call, version, bound):
+        """Report an attempt that is withdrawn from an endpoint with older weights.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        :param version: version that the endpoint serves.
+        :param bound: :class:`cicadaplank.gateway.named_versions.Bound`.
+        """
+        self.count("attempts_withdrawn", service=call.service)
+        self.event(
+            "attempt_withdrawn",
+            request=call.name,
+            endpoint=call.endpoint_name,
+            attempt=call.history.sends,
+            weights=version,
+            needed=bound.version,
+            left_s=bound.left_s,
+        )
+
     def waiting(self, call, waiting, expected_s, states, demand, now_s):
         """Report a call that was queued until an endpoint has capacity.
 
--- a/features/gateway/weights.feature
+++ b/features/gateway/weights.feature
@@ -107,3 +107,68 @@
     When a call is sent 1.0 s after version 2 was named
     And the engine x answers
     Then the log of the call names version 1
+
+  @always_1 @always_4
+  Scenario Outline: A call that waits at an engine with older weights begins there after the bound: the route <kind>
+    Given a gateway whose engines x and y serve version 1 and a route that <kind>
+    When a call is sent 6.7 s after version 2 was named
+    And 7.6 s after it the other engine serves version 2
+    Then its engine is told to stop 0.25 s before the bound
+    And its engine counts as healthy and is not probed
+    And <outcome>
+
+    Examples:
+      | kind                | outcome                                          |
+      | may repeat          | the call is sent to the engine with version 2    |
+      | streams and resumes | the call is sent to the engine with version 2    |
+      | runs once only      | the caller gets 502, and that the call may have run |
+      | streams once        | the caller gets 502, and that the call may have run |
+
+  @always_1
+  Scenario: A call that no engine with new weights can take begins after the bound
+    Given a gateway whose engines x and y serve version 1 and a route that may repeat
+    When a call is sent 6.7 s after version 2 was named
+    Then its engine is told to stop 0.25 s before the bound
+    And the caller gets 502, and that the call may have run
+
+  @always_1
+  Scenario Outline: A resumed stream begins after the bound at an engine with older weights when <case>
+    Given a gateway whose engines x and y and z serve version 1 and a route that streams and resumes
+    When a call is sent 6.7 s after version 2 was named
+    And its stream breaks after event 2 and is resumed at another engine
+    And <case>
+    And 7.6 s after it the other engine serves version 2
+    Then its engine is told to stop 0.25 s before the bound
+    And the call is sent to the engine with version 2
+    And the second send names event 2 as the last one
+
+    Examples:
+      | case                               |
+      | 6.8 s have passed since            |
+      | the other engine repeats event 2   |
+      | the caller reads nothing           |
+
+  Scenario Outline: A call that began in time is not withdrawn: its engine sent <part>
+    Given a gateway whose engines x and y serve version 1 and a route that <kind>
+    When a call is sent 6.7 s after version 2 was named
+    And its engine sends <part> of the answer
+    Then its engine still works on it 0.2 s after the bound
+
+    Examples:
+      | part              | kind                |
+      | a part            | may repeat          |
+      | the head and event 1 | streams and resumes |
+
+  @always_1
+  Scenario: A call whose engine sent the head only has not begun
+    Given a gateway whose engines x and y serve version 1 and a route that streams and resumes
+    When a call is sent 6.7 s after version 2 was named
+    And its engine sends only the head of the answer
+    And 7.6 s after it the other engine serves version 2
+    Then its engine is told to stop 0.25 s before the bound
+
+  Scenario: A call whose engine has loaded the new weights meanwhile is not withdrawn
+    Given a gateway whose engines x and y serve version 1 and a route that may repeat
+    When a call is sent 6.7 s after version 2 was named
+    And 7.6 s after it its engine serves version 2
+    Then its engine still works on it 0.2 s after the bound
--- a/features/steps/gateway_weights.py
+++ b/features/steps/gateway_weights.py
@@ -14,6 +14,7 @@
 from features.steps import gateway as gateway_steps
 
 OBJECTIVE_S = 2.0
+ONE_SEND = ("runs once only", "streams once")
 TIMEOUT_S = 4.0
 STEP_S = 0.05
 
@@ -181,6 +182,7 @@
         objective_s=OBJECTIVE_S,
         timeout_s=TIMEOUT_S,
         is_generation=True,
+        max_attempts=1 if kind in ONE_SEND else 3,
     )
     world.gateway.set_configuration(
         dataclasses.replace(world.configuration, routes=(route,))
@@ -212,3 +214,113 @@
 def step_call_log(context, version):
     (line,) = context.log.of("call_ended")
     assert line["weights"] == version, line
+
+
+def host_of(world, host):
+    """Return the name of the engine at a host."""
+    states = world.gateway.endpoints.all()
+    return next(s.endpoint.name for s in states if s.endpoint.host == host)
+
+
+@behave.when("{time_s:f} s after it {which} serves version {version:d}")
+def step_serves(context, time_s, which, version):
+    world = context.world
+    world.run(time_s - world.reactor.seconds())
+    first = host_of(world, context.first)
+    for name in context.versions:
+        if (name == first) == (which == "its engine"):
+            context.versions[name] = version
+    weights_of(world, context.versions)
+
+
+@behave.when("{time_s:f} s have passed since")
+def step_passed(context, time_s):
+    world = context.world
+    world.run(time_s - world.reactor.seconds())
+
+
+@behave.when("its engine sends {part} of the answer")
+def step_part(context, part):
+    data = gateway_steps.answer()[:-3]
+    if part.endswith("event 1"):
+        data = gateway_steps.stream_head() + gateway_steps.chunk(gateway_steps.event(1))
+    if part == "only the head":
+        data = gateway_steps.stream_head()
+    context.protocol.dataReceived(data)
+
+
+@behave.when("its stream breaks after event 2 and is resumed at another engine")
+def step_resumed(context):
+    world = context.world
+    events = gateway_steps.event(1) + gateway_steps.event(2)
+    context.protocol.dataReceived(
+        gateway_steps.stream_head() + gateway_steps.chunk(events)
+    )
+    gateway_steps.reset(context.protocol)
+    world.run(STEP_S)
+    context.first_broken = context.first
+    context.protocol, context.transport = world.accept_call()
+    context.first = world.sent[-1][0]
+    del context.versions[host_of(world, context.first_broken)]
+
+
+@behave.when("the other engine repeats event 2")
+def step_repeats(context):
+    data = gateway_steps.chunk(gateway_steps.event(2))
+    context.protocol.dataReceived(gateway_steps.stream_head() + data)
+
+
+@behave.when("the caller reads nothing")
+def step_paused(context):
+    (call,) = context.world.gateway._calls
+    call.pause()
+
+
+@behave.then("its engine is told to stop {before_s:f} s before the bound")
+def step_stopped(context, before_s):
+    world = context.world
+    due_s = entries.BOUNDS.weights_s - before_s
+    world.run(due_s - STEP_S - world.reactor.seconds())
+    assert not context.transport.aborted, "stopped too early"
+    # One more step, since the sum of the steps is not exact.
+    world.run(2 * STEP_S)
+    assert context.transport.aborted, "the call still waits"
+    (line,) = context.log.of("attempt_withdrawn")
+    assert (line["weights"], line["needed"]) == (1, 2), line
+    assert abs(line["left_s"] - before_s) <= STEP_S, line
+
+
+@behave.then("its engine still works on it {after_s:f} s after the bound")
+def step_works_on(context, after_s):
+    world = context.world
+    world.run(entries.BOUNDS.weights_s + after_s - world.reactor.seconds())
+    assert not context.transport.aborted
+    assert not context.log.of("attempt_withdrawn")
+
+
+@behave.then("the call is sent to the engine with version 2")
+def step_sent_again(context):
+    host = context.world.accept_call() and context.world.sent[-1][0]
+    name = host_of(context.world, host)
+    assert context.versions[name] == 2, name
+    context.second = context.world.sent[-1][2].value()
+
+
+@behave.then("the caller gets {status:d}, and that the call may have run")
+def step_truth(context, status):
+    got = context.world.client_transport.value()
+    assert gateway_steps.status_of(got) == status, got
+    assert b"may have run" in got, got
+    (line,) = context.log.of("call_ended")
+    assert line["verdict"] == "may_have_run", line
+
+
+@behave.then("its engine counts as healthy and is not probed")
+def step_healthy(context):
+    world = context.world
+    state = world.gateway.endpoints.get(host_of(world, context.first))
+    assert not state.is_ejected(world.reactor.seconds())
+    assert not state.failures_in_a_row and not state.failure_share
+    assert not context.log.of("attempt_failed")
+    dials = [client[0] for client in world.reactor.tcpClients[world.dialled :]]
+    assert context.first not in dials, dials
