Check after a dial that the endpoint still serves the call

Callers could get an answer on forbidden weights, or from an endpoint that was leaving, when the connection took long to open. Cause: the endpoint was chosen before the dial, which takes up to 0.2 s, and after it only its removal from the list was looked at. Change: the requirement of the call is compared with the endpoint again before the call is sent. If it does not fit, the call is placed anew, which uses no retry, since nothing was sent.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -201,7 +201,11 @@
         self._dial = None
         now_s = self._gateway.now_s()
         left_s = self.deadline_s - now_s
-        if left_s < outcomes.MIN_ATTEMPT_S or self.state.is_removed:
+        # The endpoint, or what the call requires, may have changed during the dial.
+        is_usable = not self.state.is_removed and placement.serves(
+            self.state.endpoint, self.demand()
+        )
+        if left_s < outcomes.MIN_ATTEMPT_S or not is_usable:
             self._gateway.release_connection(connection)
             self._release_endpoint()
             self.attempt_ended(outcomes.Ending.UNREACHABLE, "endpoint left", None)
--- a/features/gateway/weights.feature
+++ b/features/gateway/weights.feature
@@ -172,3 +172,21 @@
     When a call is sent 6.7 s after version 2 was named
     And 7.6 s after it its engine serves version 2
     Then its engine still works on it 0.2 s after the bound
+
+  @always_1
+  Scenario: A call is sent on old weights when they are forbidden during a dial
+    Given a gateway whose engines x and y serve version 1 and a route that runs once only
+    When a call is placed 6.7 s after version 2 was named
+    And 6.85 s after it the other engine serves version 2
+    And its engine accepts the connection
+    Then the call is not sent to its engine
+    And the call is sent to the engine with version 2
+    And its engine counts as healthy and is not probed
+
+  Scenario: A call is sent to an engine that began to drain during a dial
+    Given a gateway whose engines x and y serve version 2 and a route that runs once only
+    When a call is placed 6.7 s after version 2 was named
+    And its engine begins to drain
+    And its engine accepts the connection
+    Then the call is not sent to its engine
+    And the call is sent to the engine with version 2
--- a/features/steps/gateway_weights.py
+++ b/features/steps/gateway_weights.py
@@ -191,8 +191,8 @@
     weights_of(world, context.versions)
 
 
-@behave.when("a call is sent {after_s:f} s after version {version:d} was named")
-def step_sent(context, after_s, version):
+@behave.when("a call is placed {after_s:f} s after version {version:d} was named")
+def step_placed(context, after_s, version):
     world = context.world
     now_s = world.reactor.seconds()
     world.gateway.weights_requirement.record_named_version(
@@ -201,8 +201,32 @@
     world.run(after_s)
     extra = b"X-Model: %b\r\n" % entries.MODEL.encode()
     world.client.dataReceived(world.request(extra, body=b"call"))
-    context.protocol, context.transport = world.accept()
-    context.first = world.sent[0][0]
+    context.first = world.reactor.tcpClients[0][0]
+
+
+@behave.when("a call is sent {after_s:f} s after version {version:d} was named")
+def step_sent(context, after_s, version):
+    step_placed(context, after_s, version)
+    step_accepts(context)
+
+
+@behave.when("its engine accepts the connection")
+def step_accepts(context):
+    context.protocol, context.transport = context.world.accept()
+
+
+@behave.when("its engine begins to drain")
+def step_drains(context):
+    world = context.world
+    listed = {s.endpoint.name: s.endpoint for s in world.gateway.endpoints.all()}
+    name = host_of(world, context.first)
+    listed[name] = dataclasses.replace(listed[name], is_draining=True)
+    world.gateway.set_endpoints(listed, False)
+
+
+@behave.then("the call is not sent to its engine")
+def step_not_sent(context):
+    assert not context.transport.value(), context.transport.value()
 
 
 @behave.when("the engine x answers")
