--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -90,6 +90,9 @@
         self.reason = ""
         self.last_event = b""
         self.endpoint_name = ""
+        # Version of the weights of the last endpoint that the call was sent to, as that
+        # endpoint published it.
+        self.weights_version = None
         # Seconds since the arrival, for the log.
         self.sent_after_s = None
         self.first_event_s = None
@@ -130,15 +133,26 @@
 
         :returns: :class:`placement.Demand`.
         """
-        model = self.request.head.model if self.route.is_generation else ""
         return placement.Demand(
             self.service,
             self._gateway.data_centre,
-            model,
-            self._gateway.min_version(model),
+            self._model,
+            self._gateway.min_version(self._model),
             self.excluded,
         )
 
+    @property
+    def _model(self):
+        """Model whose weights the call needs, or empty."""
+        return self.request.head.model if self.route.is_generation else ""
+
+    def _endpoint_version(self):
+        """Return the version of the weights that the endpoint serves, None if unknown.
+
+        The list of endpoints shows a change some hundred milliseconds late.
+        """
+        return self.state.endpoint.weights.get(self._model)
+
     def queue_entry(self):
         """Return the queue entry of this call.
 
@@ -187,7 +201,11 @@
         self._dial = None
         now_s = self._gateway.now_s()
         left_s = self.deadline_s - now_s
-        if left_s < outcomes.MIN_ATTEMPT_S or self.state.is_removed:
+        # The endpoint, or what the call requires, may have changed during the dial.
+        is_usable = not self.state.is_removed and placement.serves(
+            self.state.endpoint, self.demand()
+        )
+        if left_s < outcomes.MIN_ATTEMPT_S or not is_usable:
             self._gateway.release_connection(connection)
             self._release_endpoint()
             self.attempt_ended(outcomes.Ending.UNREACHABLE, "endpoint left", None)
@@ -201,6 +219,7 @@
         if self.sent_after_s is None:
             self.sent_after_s = now_s - self.request.arrived_s
         self.history.sends += 1
+        self.weights_version = self._endpoint_version()
         if self.route.retry_policy is not routes.RetryPolicy.NEVER:
             connection.set_unacknowledged_timeout(ACK_TIMEOUT_S)
         connection.send(self._gateway.encode_call(self, self.state, left_s), self)
@@ -355,11 +374,14 @@
 
     def _abandon_attempt(self, ending, reason):
         """Cancel the attempt; the closed connection tells the endpoint to stop."""
+        self.attempt_ended(ending, reason, self._cancel_attempt())
+
+    def _cancel_attempt(self):
         connection = self._connection
         state = self._release_endpoint()
         if connection is not None:
             connection.cancel()
-        self.attempt_ended(ending, reason, state)
+        return state
 
     def pause(self):
         """Stop reading from the endpoint because the client reads too slowly."""
@@ -515,6 +537,8 @@
         limit_s = self.deadline_s + (DEADLINE_SLACK_S if self._stream_began else 0.0)
         if now_s >= limit_s:
             self._expire(now_s)
+        elif self.phase is Phase.SENT and self._withdraw_if_due(now_s):
+            return
         elif self._is_paused:
             return
         elif self.phase is Phase.STREAMING:
@@ -528,6 +552,28 @@
             if elapsed_s > self._response_timeout_s() and self._can_fail_over():
                 self._abandon_attempt(outcomes.Ending.SILENT, "no answer")
 
+    def _withdraw_if_due(self, now_s):
+        """Withdraw a waiting attempt before its endpoint's weights are forbidden.
+
+        The endpoint has not failed, so this is not counted against it.
+
+        :returns: whether the attempt was withdrawn.
+        """
+        version = self._endpoint_version()
+        if version is None:
+            version = self.weights_version
+        if version is None or self._body:
+            return False
+        bound = self._gateway.near_bound(self._model, version, now_s)
+        if bound is None:
+            return False
+        self._gateway.record_withdrawal(self, version, bound)
+        self._cancel_attempt()
+        self.excluded |= {self.endpoint_name}
+        reason = f"withdrawn: version {bound.version} of the weights is required"
+        self.attempt_ended(outcomes.Ending.WITHDRAWN, reason, None)
+        return True
+
     def _response_timeout_s(self):
         return max(
             MIN_RESPONSE_TIMEOUT_S, RESPONSE_TIMEOUT_FACTOR * self.route.objective_s
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -153,6 +153,8 @@
             reactor, settings, reload, self._settings_changed, self.events.log
         )
         self._is_first_read = True
+        # Time at which the copy of the operator's table was last known to be current.
+        self._operator_confirmed_s = reactor.seconds()
         self._stop_started_s = None
         self._front = None
         self._agents_notified_s = float("-inf")
@@ -206,6 +208,7 @@
             self.hub,
             {each.table: each for each in (self.operator, self.listed)},
             self.gateway.loads,
+            self.gateway.weights_requirement.ages_s,
         )
         for host in settings.seeds:
             self.peers.add_seed(host, settings.peer.port, "entry")
@@ -322,6 +325,8 @@
             metric.set_gauge("weights_named", version, model=model)
             age_s = self.gateway.weights_requirement.age_s(model, now_s)
             metric.set_gauge("weights_named_age_seconds", age_s, model=model)
+        rejected = self.gateway.weights_requirement.rejected
+        metric.set_gauge("weights_ages_rejected", rejected)
         metric.set_gauge("peak_memory_bytes", metrics.peak_memory_bytes())
         self.gateway.update_metrics(metric)
         body, _ = metric.render()
@@ -353,16 +358,31 @@
         if configuration is not None:
             self._apply_configuration(configuration)
         now_s = self.reactor.seconds()
-        is_new = not self._is_first_read
+        confirmed_s = None if self._is_first_read else self._operator_confirmed_s
         self._is_first_read = False
         for model, version in self._decoder.named_weights(copy).items():
-            self.gateway.weights_requirement.record_named_version(
-                model, version, now_s, is_new
+            found = self.gateway.weights_requirement.record_named_version(
+                model, version, now_s, confirmed_s
             )
-            if is_new:
-                self._log("weights_named", model=model, version=version)
+            self._log_named(model, found, now_s)
         self._notify_agents()
 
+    def _record_weights_ages(self, ages_s):
+        now_s = self.reactor.seconds()
+        requirement = self.gateway.weights_requirement
+        for model, found in requirement.record_reported_ages(ages_s, now_s).items():
+            self._log_named(model, found, now_s)
+
+    def _log_named(self, model, found, now_s):
+        for named in found:
+            self._log(
+                "weights_named",
+                model=model,
+                version=named.version,
+                age_s=now_s - named.named_s,
+                source=named.source.value,
+            )
+
     def _notify_agents(self):
         """Send the current notice to every connected agent."""
         self._agents_notified_s = self.reactor.seconds()
@@ -388,6 +408,7 @@
             index.configuration,
             endpoints,
             self.listed.copy.version,
+            self.gateway.weights_requirement.ages_s(self.reactor.seconds()),
         )
 
     def _apply_configuration(self, configuration):
@@ -454,6 +475,7 @@
         if self.peers.message(connection.peer, message):
             if isinstance(message, types.GatewayReport):
                 self.gateway.set_peer_loads(connection.peer, message.loads)
+                self._record_weights_ages(message.weights_ages_s)
         elif isinstance(message, types.SuspectReport):
             reported = self.gateway.suspects.merge_report(
                 connection.peer, message, self.gateway.unix_s()
@@ -469,8 +491,12 @@
         self.reactor.callLater(gateway.TIMEOUT_CHECK_INTERVAL_S, self._tick)
         self.gateway.check_timeouts()
         self.peers.tick()
+        now_s = self.reactor.seconds()
+        self._operator_confirmed_s = max(
+            self._operator_confirmed_s, now_s - self.peers.store_age_s(now_s)
+        )
         # Registered instances that this one cannot reach still send retries, so they
         # count for the division of the retry budget.
         self.gateway.set_member_count(1 + self.peers.instance_count)
-        if self.reactor.seconds() - self._agents_notified_s >= notices.NOTICE_S:
+        if now_s - self._agents_notified_s >= notices.NOTICE_S:
             self._notify_agents()
