Apply a reloaded allowed time of weights

Callers saw nothing yet: found when the bound on older weights was read through. Cause: `Gateway.set_bounds`, called after SIGHUP, kept the allowed time of the start in the requirement on weights, so that a shorter one was not in force until a restart. The scenario "Reloaded settings leave the allowed time of weights as it was" failed before: "calls may run on version 1". Now the requirement takes the new time, also for versions that are known already.

--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -125,6 +125,7 @@
         :param bounds: :class:`Bounds`.
         """
         self._bounds = bounds
+        self.weights_requirement.set_allowed(bounds.weights_s)
         self._budgets.clear()
 
     def update_metrics(self, metrics):
--- a/cicadaplank/gateway/named_versions.py
+++ b/cicadaplank/gateway/named_versions.py
@@ -100,9 +100,17 @@
 
     def __init__(self, weights_s):
         self.rejected = 0
+        self._models = {}
+        self.set_allowed(weights_s)
+
+    def set_allowed(self, weights_s):
+        """Apply a new allowed time, also to versions that are known already.
+
+        :param weights_s: seconds from the naming of a version until older ones are
+            forbidden.
+        """
         self._allowed_s = weights_s
         self._grace_s = WEIGHTS_SWITCH_SHARE * weights_s
-        self._models = {}
 
     def record_named_version(self, model, version, now_s, confirmed_s):
         """Record the version that was read in the operator's record.
--- a/features/gateway/weights.feature
+++ b/features/gateway/weights.feature
@@ -74,6 +74,12 @@
     When "far reads 1 at 101; far hears the store at 105; far reads 3 at 123"
     Then at 123.0 s instance far sends calls to version 2 or newer only
 
+  Scenario: Reloaded settings leave the allowed time of weights as it was
+    Given entry instances that start at 100 s
+    When "far reads 1 at 101; far reads 2 at 120; far is told to allow 4.0 s at 121"
+    Then at 123.2 s instance far still sends calls to version 1
+    And at 123.5 s instance far sends calls to version 2 or newer only
+
   Scenario: An age that an instance only assumes is not reported to others
     Given entry instances that start at 100 s
     When "far reads 1 at 101; near reads 2 at 122; near tells far at 122.1; far reads 2 at 122.2"
--- a/features/steps/gateway_weights.py
+++ b/features/steps/gateway_weights.py
@@ -71,6 +71,7 @@
 STARTS = re.compile(r"(\w+) starts at ([\d.]+)")
 HEARS = re.compile(r"(\w+) hears the store at ([\d.]+)")
 READS = re.compile(r"(\w+) reads (\d+) at ([\d.]+)")
+ALLOWS = re.compile(r"(\w+) is told to allow ([\d.]+) s at ([\d.]+)")
 TELLS = re.compile(r"(\w+) tells (\w+) at ([\d.]+)(?: for ([\d.]+))?")
 
 
@@ -79,6 +80,13 @@
     for event in events.split("; "):
         starts, hears = STARTS.fullmatch(event), HEARS.fullmatch(event)
         reads, tells = READS.fullmatch(event), TELLS.fullmatch(event)
+        allows = ALLOWS.fullmatch(event)
+        if allows:
+            name, weights_s, time_s = allows.groups()
+            advance_to(context, float(time_s))
+            bounds = dataclasses.replace(entries.BOUNDS, weights_s=float(weights_s))
+            context.entries[name].process.gateway.set_bounds(bounds)
+            continue
         if starts:
             name, time_s = starts.groups()
             advance_to(context, float(time_s))
