Delay repeated requests for the newest version of weights

Cause: `_state_received` asks for the newest version whenever none is known, and the engine's state is read after every notice; a failed request was followed by the next one at once. Change: after a failure the next request waits for a delay of at most 0.3 s, which doubles up to 1.0 s; a random half of it is left out (`world/backoff.py`). Evidence: the new scenario gives an agent a notice every 10 ms for 6 s and an origin that breaks every connection. After: no two less than 0.14 s apart. Why it works: the delay is checked where the request is made, whatever caused the call.

--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -21,7 +21,7 @@
 from cicadaplank.replicas import loading, staging
 from cicadaplank.reports import events, metrics
 from cicadaplank.weights import chunks, effects, manifests, transfers
-from cicadaplank.world import machines, rendezvous
+from cicadaplank.world import backoff, machines, rendezvous
 
 TICK_S = 0.1
 # Number of entry instances to which an agent stays connected.
@@ -52,6 +52,9 @@
 )
 # Delay before a manifest is requested again.
 MANIFEST_RETRY_S = 0.3
+# Bounds of the delay after a failed request for the newest version.
+NEWEST_RETRY_S = 0.3
+MAX_NEWEST_RETRY_S = 1.0
 # Number of corrupt pieces from the origin after which the manifest is fetched again, as
 # it may be the cause.
 CORRUPT_PIECES_LIMIT = 3
@@ -153,6 +156,11 @@
         self._next_copy = None
         self._newest_copy = None
         self._is_requesting_newest = False
+        self._newest_retry_s = float("-inf")
+        self._rng = random.Random()
+        self._newest_backoff = backoff.Backoff(
+            NEWEST_RETRY_S, MAX_NEWEST_RETRY_S, self._rng
+        )
         self._entries = []
         self._models = []
         self._configuration_version = -1
@@ -183,7 +191,7 @@
             # copy that the origin sends is out early and the links of all machines
             # share the rest of the distribution.
             None,
-            random.Random(),
+            self._rng,
             reactor.seconds(),
             TRANSFER_LIMITS,
         )
@@ -660,6 +668,8 @@
         """Ask the origin for the newest version when none was named to this process."""
         if self._origin is None or self._is_requesting_newest or not self._models:
             return
+        if self.now_s < self._newest_retry_s:
+            return
         models = self._models
         self._is_requesting_newest = True
         request = _start_coroutine(self._origin.manifest(models[0], 0))
@@ -667,12 +677,14 @@
 
     def _newest_received(self, manifest, model):
         self._is_requesting_newest = False
+        self._newest_backoff.reset()
         if self._newest_copy is None:
             self._version_named(model, int(manifest.version))
 
     def _newest_failed(self, failure):
         failure.trap(errors.PlatformError)
         self._is_requesting_newest = False
+        self._newest_retry_s = self.now_s + self._newest_backoff.next_s()
         self._log("manifest_failed", reason=str(failure.value))
 
     def _decide(self):
--- a/features/replicas/loading.feature
+++ b/features/replicas/loading.feature
@@ -61,3 +61,10 @@
       | way               | reads |
       | an entry instance | no    |
       | the store         | yes   |
+
+  # One agent asked 43 times in 0.35 s while the origin broke its connections.
+  Scenario: An agent floods an origin that fails with requests for the newest version
+    Given an agent that knows of no version, and an origin that fails at once
+    When the agent gets a notice without versions every 0.01 s for 6 s
+    Then no two requests to the origin are less than 0.14 s apart
+    And the delay between two requests varies and does not exceed 1.2 s
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -170,7 +170,7 @@
         return []
 
 
-def agent(trouble, store=None):
+def agent(trouble, store=None, origin=None):
     """Return an agent process with parts in memory."""
     store = store or Store()
     clock = task.Clock()
@@ -185,7 +185,7 @@
         meaning,
         InstanceRegistry(),
         Engine(trouble),
-        lambda address: None,
+        lambda address: origin,
         lambda: settings,
     )
 
@@ -260,6 +260,48 @@
     assert bool(context.store.reads) == (reads == "yes")
 
 
+class FailingOrigin:
+    """An origin that breaks every connection."""
+
+    def __init__(self):
+        self.clock = None
+        self.asked_s = []
+
+    async def manifest(self, model, version):
+        """Keep the time of the request, and fail."""
+        self.asked_s.append(self.clock.seconds())
+        raise errors.AnswerLost("connection lost")
+
+
+@behave.given("an agent that knows of no version, and an origin that fails at once")
+def step_no_version(context):
+    context.origin = FailingOrigin()
+    context.agent = agent("", origin=context.origin)
+    context.origin.clock = context.agent.reactor
+
+
+@behave.when("the agent gets a notice without versions every 0.01 s for 6 s")
+def step_notices(context):
+    notice = types.WeightsNotice(1, 1, {}, [MODEL], "10.0.0.8:80", {}, {})
+    for _ in range(600):
+        context.agent._apply_notice(notice)
+        context.agent.reactor.advance(0.01)
+
+
+@behave.then("no two requests to the origin are less than {least_s:f} s apart")
+def step_apart(context, least_s):
+    asked_s = context.origin.asked_s
+    context.gaps_s = [b - a for a, b in zip(asked_s, asked_s[1:], strict=False)]
+    assert context.gaps_s, asked_s
+    assert min(context.gaps_s) >= least_s, (len(asked_s), min(context.gaps_s))
+
+
+@behave.then("the delay between two requests varies and does not exceed {most_s:f} s")
+def step_delays(context, most_s):
+    assert max(context.gaps_s) <= most_s, context.gaps_s
+    assert len({round(gap_s, 2) for gap_s in context.gaps_s}) > 1, context.gaps_s
+
+
 # Placement of chunks.
 
 
