Spread the manifests of weights from agent to agent

Cause: every agent fetched the manifest from the origin, all at the same moment. The origin drops connections beyond its accept queue, 22 agents failed together after the connect time-out of 1.0 s, tried again together 0.3 s later and failed again. When the origin went down 2.5 s after the naming, 27 agents had no manifest and could take no piece from anyone. Change: `replicas/manifest_search.py` decides, without I/O, whom an agent asks and when. Two agents of each data centre, by rendezvous hashing of model/version, ask the origin at once. The others ask these two, then further peers of all data centres at growing intervals, and the origin after 0.6 s plus 50 ms for each agent before them. Retries at the origin double up to 1.0 s, with jitter. Agents answer those that asked early as soon as they have the manifest (64 peers, 4 versions at most). New messages VersionManifestRequest and VersionManifestReply. A manifest from a peer is checked for name, version and validity. When two differ, or CORRUPT_PIECES_LIMIT pieces do not fit, it is fetched anew from the origin, never from a peer, and not passed on meanwhile; peers that have another one are told. An agent of an old build rejects the unknown message type and closes the connection. Such a peer is not asked again after two losses, and the chunk traffic reconnects. `manifest_known` has its source and the time since the naming; counters for manifests by source, failed calls of the origin and requests to peers. Evidence: 50 agent processes on a Clock, an origin with an accept queue of 12 that goes down after 2.5 s. Why it works: an agent needs any peer with the manifest, not the origin, and agents that ask the origin do so at times that all of them compute apart.

--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -285,6 +285,32 @@
     manifest_json: str
 
 
+@dataclasses.dataclass(frozen=True)
+class VersionManifestRequest:
+    """Asks a peer for the manifest of a named version, now or when the peer has it.
+
+    :param model: model name.
+    :param version: version number.
+    """
+
+    model: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionManifestReply:
+    """Answer to :class:`VersionManifestRequest`.
+
+    :param model: model name.
+    :param version: version number.
+    :param manifest_json: manifest as JSON text.
+    """
+
+    model: str
+    version: int
+    manifest_json: str
+
+
 @dataclasses.dataclass(frozen=True)
 class ProgressRequest:
     """Asks an agent for the transfer progress of its weights."""
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -18,7 +18,7 @@
 from cicadaplank.gateway import notices, reloading, status, sync
 from cicadaplank.links import pacing, streams
 from cicadaplank.messages import types
-from cicadaplank.replicas import loading, staging
+from cicadaplank.replicas import loading, manifest_search, staging
 from cicadaplank.reports import events, metrics
 from cicadaplank.weights import chunks, effects, manifests, transfers
 from cicadaplank.world import backoff, machines, rendezvous
@@ -50,8 +50,6 @@
     # on a link throttled to 1.2 Mbit/s.
     receive_queue_s=0.3,
 )
-# Delay before a manifest is requested again.
-MANIFEST_RETRY_S = 0.3
 # Bounds of the delay after a failed request for the newest version.
 NEWEST_RETRY_S = 0.3
 MAX_NEWEST_RETRY_S = 1.0
@@ -64,6 +62,10 @@
 IDLE_CHECK_INTERVAL_S = 0.6
 # Least delay of a timer, so that the event loop also runs other work.
 MIN_TIMER_DELAY_S = 0.002
+# Source of a manifest in logs, in place of a peer's name.
+ORIGIN = "origin"
+# Limit on the peers that are sent a manifest that replaces an earlier one.
+MAX_INFORMED = 64
 
 
 @dataclasses.dataclass(frozen=True)
@@ -169,6 +171,7 @@
         self._last_entry_message_s = float("-inf")
         self._connect_attempted_s = float("-inf")
         self._engine_state = None
+        self._manifest_waiters = manifest_search.Waiters()
         self._is_checking = False
         self._checked_s = float("-inf")
         self._agent_names = (settings.host,)
@@ -378,6 +381,9 @@
         ]
         self._carry_out(self.transfers.instances_changed(instances, self.now_s))
         self._request_copies()
+        for copy in self._searching_copies():
+            copy.search.agents_changed(data_centres)
+            self._continue_search(copy)
 
     def _version_named(self, model, version):
         newest = self._newest_copy
@@ -417,45 +423,161 @@
     def _is_wanted(self, copy):
         return copy is not None and copy in (self._next_copy, self._newest_copy)
 
-    def _fetch_manifest(self, copy):
-        if (
-            not self._is_wanted(copy)
-            or copy.is_fetching_manifest
-            or copy.manifest is not None
-        ):
+    def _wanted_copies(self):
+        """Return the wanted copies, that to load next first."""
+        found = [self._next_copy]
+        if self._newest_copy is not self._next_copy:
+            found.append(self._newest_copy)
+        return [copy for copy in found if copy is not None]
+
+    def _searching_copies(self):
+        return [copy for copy in self._wanted_copies() if copy.search is not None]
+
+    def _copy_of(self, model, version):
+        for copy in self._wanted_copies():
+            if (copy.target.model, copy.target.version) == (model, version):
+                return copy
+        return None
+
+    def _fetch_manifest(self, copy, asks_peers=True):
+        if copy.search is not None or not self._is_wanted(copy):
             return
-        if self._origin is None:
-            self.reactor.callLater(MANIFEST_RETRY_S, self._fetch_manifest, copy)
+        target = copy.target
+        copy.search = manifest_search.ManifestSearch(
+            self.settings.host,
+            manifest_search.version_key(target.model, target.version),
+            self._data_centres,
+            self._rng,
+            self.now_s,
+            asks_peers,
+        )
+        self._continue_search(copy)
+
+    def _continue_search(self, copy):
+        if not self._is_wanted(copy):
+            copy.end_search()
             return
-        copy.is_fetching_manifest = True
+        search = copy.search
+        for action in search.tick(self.now_s):
+            if isinstance(action, manifest_search.AskOrigin):
+                self._request_manifest(copy, search)
+            else:
+                self._request_manifest_from(action.peer, copy, search)
+        copy.stop_search_timer()
+        if copy.search is not search:
+            return
+        due_s = search.wake_s()
+        if due_s is not None:
+            delay_s = max(MIN_TIMER_DELAY_S, due_s - self.now_s)
+            copy.search_timer = self.reactor.callLater(
+                delay_s, self._continue_search, copy
+            )
+
+    def _request_manifest(self, copy, search):
         target = copy.target
+        if self._origin is None:
+            search.origin_failed(self.now_s)
+            return
         request = _start_coroutine(self._origin.manifest(target.model, target.version))
         request.addCallbacks(
-            self._manifest_received, self._manifest_failed, (copy,), None, (copy,)
+            self._manifest_received,
+            self._manifest_failed,
+            (copy, search, ORIGIN),
+            None,
+            (copy, search),
         )
 
-    def _manifest_received(self, manifest, copy):
-        if not self._is_wanted(copy):
-            copy.is_fetching_manifest = False
+    def _request_manifest_from(self, peer, copy, search):
+        target = copy.target
+        self.metrics.count("manifest_requests")
+        request = types.VersionManifestRequest(target.model, target.version)
+        self._send_to_agent(peer, request, lambda: search.peer_lost(peer))
+
+    def _send_to_agent(self, host, message, failed=lambda: None):
+        def dialled(connection):
+            if connection is None or not connection.send(message):
+                failed()
+
+        instance = dataclasses.replace(self._me, name=host, host=host)
+        self.hub.dial(instance).addCallback(dialled)
+
+    def _manifest_received(self, manifest, copy, search, source):
+        if copy.search is not search or not self._is_wanted(copy):
             return
+        copy.end_search()
         copy.corrupt = 0
         target = copy.target
+        replaced, copy.received = copy.received, manifest
+        copy.source = source
+        self.metrics.count("manifests", source="origin" if source == ORIGIN else "peer")
         self._log(
             "manifest_known",
             model=target.model,
             version=target.version,
             pieces=len(manifest.chunk_digests),
             digest=manifest.digest,
+            source=source,
+            after_s=self.now_s - target.named_s,
         )
+        waiting = self._manifest_waiters.take(target.model, target.version)
+        if replaced is not None:
+            # Peers that have a wrong manifest see that this one differs.
+            waiting = dict.fromkeys((*copy.informed, *waiting))
+        for peer in waiting:
+            self._answer_with_manifest(peer, copy)
+        if copy.manifest is not None and copy.manifest.digest == manifest.digest:
+            return
         staged_import = _start_coroutine(self._import_staged(target, manifest))
         staged_import.addErrback(self._import_failed)
         staged_import.addCallback(self._import_finished, copy, manifest)
 
+    def _answer_with_manifest(self, peer, copy):
+        copy.add_informed(peer)
+        target = copy.target
+        text = copy.received.to_json()
+        self._send_to_agent(
+            peer, types.VersionManifestReply(target.model, target.version, text)
+        )
+
+    def _manifest_requested(self, peer, message):
+        copy = self._copy_of(message.model, message.version)
+        if copy is not None and copy.has_reliable_manifest:
+            self._answer_with_manifest(peer, copy)
+        elif not self._manifest_waiters.add(message.model, message.version, peer):
+            self.metrics.count("manifest_requests_rejected")
+
+    def _manifest_replied(self, peer, message):
+        copy = self._copy_of(message.model, message.version)
+        if copy is None:
+            return
+        parsed = manifests.parse(message.manifest_json)
+        manifest = parsed.value_or(None)
+        named = (message.model, str(message.version))
+        if manifest is None or (manifest.name, manifest.version) != named:
+            reason = (
+                parsed.failure()
+                if manifest is None
+                else f"manifest of {manifest.name} {manifest.version}, expected "
+                f"{message.model} {message.version}"
+            )
+            self.metrics.count("manifests_rejected")
+            self._log("manifest_rejected", peer=peer, reason=reason)
+        elif copy.search is not None:
+            if copy.search.asks_peers:
+                self._manifest_received(manifest, copy, copy.search, peer)
+        elif copy.received.digest != manifest.digest and not copy.was_doubted:
+            copy.was_doubted = True
+            self._log("manifests_differ", source=copy.source, peer=peer)
+            copy.add_informed(peer)
+            if copy.source != ORIGIN:
+                copy.add_informed(copy.source)
+            self._fetch_manifest(copy, asks_peers=False)
+
     def _import_finished(self, ignored, copy, manifest):
         """Start the transfer, after the engine's pieces were put into the store."""
-        copy.is_fetching_manifest = False
-        copy.manifest = manifest
-        self._request_copies()
+        if copy.received is manifest:
+            copy.manifest = manifest
+            self._request_copies()
 
     async def _import_staged(self, target, manifest):
         """Read the pieces staged at the engine, so that peers can fetch them here."""
@@ -470,19 +592,21 @@
         failure.trap(errors.PlatformError)
         self._log("adoption_failed", reason=str(failure.value))
 
-    def _manifest_failed(self, failure, copy):
+    def _manifest_failed(self, failure, copy, search):
         failure.trap(errors.PlatformError)
-        copy.is_fetching_manifest = False
         self.counts["manifest_failures"] += 1
+        self._origin_failed("manifest", failure.value)
         self._log("manifest_failed", reason=str(failure.value))
-        self.reactor.callLater(MANIFEST_RETRY_S, self._fetch_manifest, copy)
+        if copy.search is search:
+            search.origin_failed(self.now_s)
+            self._continue_search(copy)
+
+    def _origin_failed(self, call, error):
+        self.metrics.count("origin_failures", call=call, reason=type(error).__name__)
 
     def _copies(self):
         """Return the wanted copies with a manifest, that to load next first."""
-        found = [self._next_copy]
-        if self._newest_copy is not self._next_copy:
-            found.append(self._newest_copy)
-        return [c for c in found if c is not None and c.manifest is not None]
+        return [copy for copy in self._wanted_copies() if copy.manifest is not None]
 
     def _copy_with_manifest(self, manifest_digest):
         for copy in self._copies():
@@ -504,8 +628,6 @@
         if not wanted:
             return
         self._carry_out(self.transfers.rows_changed(tuple(wanted), self.now_s))
-        # Every agent fetches manifests from the origin: they are small, and asking
-        # peers first would use up a part of the allowed time.
         for copy in self._copies():
             actions = self.transfers.manifest_fetched(
                 copy.manifest.digest, copy.manifest.to_json(), self.now_s
@@ -599,12 +721,13 @@
             if copy.corrupt >= CORRUPT_PIECES_LIMIT:
                 # The manifest may be wrong rather than the pieces.
                 copy.manifest = None
-                self._fetch_manifest(copy)
+                self._fetch_manifest(copy, asks_peers=False)
         self._carry_out(self.transfers.origin_replied(digest, data, self.now_s))
 
     def _piece_failed(self, digest, failure):
         failure.trap(errors.PlatformError)
         self.counts["origin_failures"] += 1
+        self._origin_failed("piece", failure.value)
         self._log("piece_failed", digest=digest, reason=str(failure.value))
         self._carry_out(self.transfers.origin_failed(digest, 0.0, self.now_s))
 
@@ -685,6 +808,7 @@
         failure.trap(errors.PlatformError)
         self._is_requesting_newest = False
         self._newest_retry_s = self.now_s + self._newest_backoff.next_s()
+        self._origin_failed("newest", failure.value)
         self._log("manifest_failed", reason=str(failure.value))
 
     def _decide(self):
@@ -782,6 +906,12 @@
             if isinstance(envelope.message, types.WeightsNotice):
                 self._apply_notice(envelope.message)
             return
+        if isinstance(envelope.message, types.VersionManifestRequest):
+            self._manifest_requested(connection.peer, envelope.message)
+            return
+        if isinstance(envelope.message, types.VersionManifestReply):
+            self._manifest_replied(connection.peer, envelope.message)
+            return
         self._carry_out(
             self.transfers.message_received(
                 connection.peer, envelope.message, self.now_s
@@ -790,6 +920,8 @@
 
     def connection_lost(self, connection):
         """Tell the transfers that a peer is gone if no connection to it is left."""
+        for copy in self._searching_copies():
+            copy.search.peer_lost(connection.peer)
         if self.hub.connection(connection.peer) is None:
             self._carry_out(self.transfers.peer_lost(connection.peer, self.now_s))
 
@@ -803,9 +935,17 @@
     """State of this agent's copy of one version of weights.
 
     :param target: :class:`cicadaplank.replicas.loading.Target`.
-    :ivar manifest: :class:`cicadaplank.weights.manifests.Manifest`, or None until it
-        is known.
-    :ivar is_fetching_manifest: whether the manifest is being fetched.
+    :ivar manifest: :class:`cicadaplank.weights.manifests.Manifest` of the transfer, or
+        None before the transfer can start.
+    :ivar received: newest manifest that the origin or a peer sent, or None.
+    :ivar source: where it came from, the name of a peer or :data:`ORIGIN`.
+    :ivar search: :class:`cicadaplank.replicas.manifest_search.ManifestSearch` while the
+        manifest is unknown or in doubt, else None.
+    :ivar search_timer: timer of the search, or None.
+    :ivar informed: peers that were sent the manifest or sent another one, as the keys
+        of a dict.
+    :ivar was_doubted: whether a peer sent another manifest. The origin is asked once
+        for this reason, as one of its answers may have been corrupted.
     :ivar is_complete: whether every piece is held.
     :ivar corrupt: number of corrupt pieces that the origin sent for this manifest.
     """
@@ -813,6 +953,31 @@
     def __init__(self, target):
         self.target = target
         self.manifest = None
-        self.is_fetching_manifest = False
+        self.received = None
+        self.source = ""
+        self.search = None
+        self.search_timer = None
+        self.informed = {}
+        self.was_doubted = False
         self.is_complete = False
         self.corrupt = 0
+
+    @property
+    def has_reliable_manifest(self):
+        """Whether a manifest was received that is not in doubt."""
+        return self.received is not None and self.search is None
+
+    def add_informed(self, peer):
+        """Note a peer that is sent the manifest if it is replaced."""
+        if len(self.informed) < MAX_INFORMED:
+            self.informed[peer] = True
+
+    def stop_search_timer(self):
+        """Cancel the timer of the search, if it is running."""
+        if self.search_timer is not None and self.search_timer.active():
+            self.search_timer.cancel()
+
+    def end_search(self):
+        """End the search for the manifest."""
+        self.search = None
+        self.stop_search_timer()
--- a/cicadaplank/weights/manifests.py
+++ b/cicadaplank/weights/manifests.py
@@ -121,11 +121,12 @@
     return manifest, chunks
 
 
-def parse(text, expected_digest):
+def parse(text, expected_digest=None):
     """Parse a manifest and check it against the digest in the accepted row.
 
     :param text: JSON text as :meth:`Manifest.to_json` returns it.
-    :param expected_digest: ``manifest_digest`` of the row.
+    :param expected_digest: ``manifest_digest`` of the row, or None when no row states
+        one.
     :returns: ``Success(Manifest)``, or ``Failure(str)`` with the reason.
     """
     try:
@@ -134,7 +135,7 @@
     except (ValueError, TypeError, KeyError, RecursionError) as error:
         return result.Failure(f"manifest cannot be parsed: {error!r:.80}")
     manifest = _with_digest(*fields)
-    if manifest.digest != expected_digest:
+    if expected_digest is not None and manifest.digest != expected_digest:
         return result.Failure(
             f"manifest has digest {manifest.digest}, expected {expected_digest}"
         )
--- /dev/null
+++ b/features/replicas/manifests.feature
@@ -0,0 +1,34 @@
+Feature: Manifests spread from agent to agent
+  The origin takes few connections and may go down soon after a version was named.
+  An agent without the manifest can fetch no piece.
+
+  # 34 agents connected to the origin at once; 22 failed together three times, and had no
+  # manifest when the origin went down 2.5 s after the naming.
+  Scenario Outline: Agents fail together at an origin that soon goes down: <trouble>
+    Given 50 agents in 3 data centres, and an origin that queues 12 dials
+    And in the fleet <trouble>
+    When a version is named, the origin fails after 2.5 s, and 3.0 s pass
+    Then every agent that can get the manifest has it after <limit_s> s
+    And at no time more than <dials> agents connect for the manifest
+
+    Examples:
+      | trouble                                       | limit_s | dials |
+      | nothing fails                                 | 0.5     | 6     |
+      | a third of the agents is cut off              | 1.5     | 16    |
+      | the first agents of a data centre are cut off | 1.5     | 12    |
+      | only one data centre reaches the origin       | 1.5     | 12    |
+
+  Scenario: Agents of an old build close the connection on the unknown message
+    Given 50 agents in 3 data centres, and an origin that queues 12 dials
+    And in the fleet agents of a data centre run an old build
+    When a version is named, the origin fails after 2.5 s, and 3.0 s pass
+    Then every agent that can get the manifest has it after 0.5 s
+    And no agent lost more than 2 connections to the same peer
+
+  # A wrong digest in one answer of the origin must not stop the other agents.
+  Scenario: A manifest with a wrong digest spreads from the first agents
+    Given 50 agents in 3 data centres, and an origin that queues 12 dials
+    And in the fleet the origin sent wrong digests to a first agent of each
+    When a version is named, the origin fails after 60.0 s, and 4.0 s pass
+    Then every agent has the right manifest
+    And no agent asked the origin for the manifest more than twice
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -170,13 +170,15 @@
         return []
 
 
-def agent(trouble, store=None, origin=None):
+SETTINGS = process.Settings(
+    "side-1", "10.0.0.1", 7700, 7701, "r", "a", {"a": "r"}, "s", 1e6, 8.0
+)
+
+
+def agent(trouble, store=None, origin=None, clock=None, settings=SETTINGS):
     """Return an agent process with parts in memory."""
     store = store or Store()
-    clock = task.Clock()
-    settings = process.Settings(
-        "side-1", "10.0.0.1", 7700, 7701, "r", "a", {"a": "r"}, "s", 1e6, 8.0
-    )
+    clock = clock or task.Clock()
     meaning = plain_types.SimpleNamespace(operator_table="op", endpoint_table="servers")
     return process.AgentProcess(
         clock,
