Back off when a lease's transactions keep losing their answers

Callers saw nothing directly; the table service did. While it lost every transaction and still answered reads (a 5xx for each write, or answers cut on the way), each agent that acquired or renewed its lease on the engine sent read, transaction, read, transaction as fast as the answers came, without any delay and without an end. All agents of a fleet do so together.

Cause: AnswerLost leads to an immediate read. When that read shows that the transaction had no effect, or that it took effect and the lease has to be renewed, the next transaction follows at once, and its lost answer starts over. Only Unavailable was backed off, and every successful read reset the delay.

The first lost answer is still followed by an immediate read, so that a single loss costs no time. From the second one on the read waits for the same exponential delay with jitter as after Unavailable, and a read alone does not reset that delay: only a transaction with an answer does. A holder waits in the state unconfirmed, in which its token stays valid until the lease expires; the loss does not count as evidence of an outage, so validity is not extended.

--- a/cicadaplank/table/leases.py
+++ b/cicadaplank/table/leases.py
@@ -155,6 +155,7 @@
         self._announced_token = 0
         self._next_request_s = None
         self._retry_s = FIRST_RETRY_S
+        self._lost_answers = 0
         self._unchanged_since_s = None
         self._command = ""
         self._read_back_times_s = []
@@ -267,8 +268,16 @@
             self._back_off(now_s)
             return self._unavailable(now_s)
         if isinstance(event, records.AnswerLost):
-            return self._answer_lost(now_s)
-        self._retry_s = FIRST_RETRY_S
+            self._lost_answers += 1
+            if self._lost_answers == 1:
+                return self._answer_lost(now_s)
+            self._back_off(now_s)
+            return self._answer_lost_again(now_s)
+        if isinstance(event, records.Committed | records.Conflict):
+            self._lost_answers = 0
+        if not self._lost_answers:
+            # A service that answers reads may still lose every transaction.
+            self._retry_s = FIRST_RETRY_S
         if isinstance(event, records.Committed):
             return self._committed(now_s)
         if isinstance(event, records.Conflict):
@@ -287,6 +296,7 @@
             return self._found_own_lease(now_s)
         if is_own or self._may_acquire(now_s):
             return self._found_free(now_s)
+        self._lost_answers = 0
         return self._found_other_holder(now_s)
 
     def _may_acquire(self, now_s):
@@ -340,7 +350,7 @@
 
     @_machine.state(serialized="unconfirmed")
     def _unconfirmed(self):
-        """The lease was held when the table service became unavailable."""
+        """The lease was held when the table service began to fail requests."""
 
     @_machine.state(serialized="releasing")
     def _releasing(self):
@@ -394,6 +404,10 @@
     def _answer_lost(self, now_s):
         """The transaction may have taken effect."""
 
+    @_machine.input()
+    def _answer_lost_again(self, now_s):
+        """The answer to the previous transaction was lost too; a retry is scheduled."""
+
     @_machine.input()
     def _unavailable(self, now_s):
         """The request had no effect on the table service."""
@@ -481,6 +495,7 @@
     _taking.upon(_committed, _held, [_set_validity], _flatten)
     _taking.upon(_condition_failed, _reading, [_read], _flatten)
     _taking.upon(_answer_lost, _reading, [_read], _flatten)
+    _taking.upon(_answer_lost_again, _reading, [], _flatten)
     _taking.upon(_unavailable, _reading, [], _flatten)
     _waiting.upon(_request_due, _reading, [_read], _flatten)
     _held.upon(_request_due, _confirming, [_read], _flatten)
@@ -489,6 +504,7 @@
     _renewing.upon(_committed, _held, [_set_validity], _flatten)
     _renewing.upon(_condition_failed, _confirming, [_read], _flatten)
     _renewing.upon(_answer_lost, _confirming, [_read], _flatten)
+    _renewing.upon(_answer_lost_again, _unconfirmed, [], _flatten)
     _renewing.upon(_unavailable, _unconfirmed, [], _flatten)
     _confirming.upon(_found_own_lease, _renewing, [_send_renewal], _flatten)
     _confirming.upon(_found_free, _taking, [_send_acquisition], _flatten)
@@ -498,6 +514,7 @@
     _confirming.upon(_committed, _held, [_set_validity], _flatten)
     _confirming.upon(_condition_failed, _confirming, [_read], _flatten)
     _confirming.upon(_answer_lost, _confirming, [_read], _flatten)
+    _confirming.upon(_answer_lost_again, _unconfirmed, [], _flatten)
     _confirming.upon(_unavailable, _unconfirmed, [], _flatten)
     _unconfirmed.upon(_request_due, _confirming, [_read], _flatten)
     for _state in (_held, _unconfirmed):
@@ -511,7 +528,7 @@
         _state.upon(_refused, _state, [], _flatten)
         _state.upon(_release_requested, _released, [], _flatten)
     _releasing.upon(_found_own_lease, _giving_back, [_send_release], _flatten)
-    for _input in (_committed, _condition_failed, _answer_lost):
+    for _input in (_committed, _condition_failed, _answer_lost, _answer_lost_again):
         _releasing.upon(_input, _releasing, [_read], _flatten)
         _giving_back.upon(_input, _released, [], _flatten)
     for _input in (_found_free, _found_other_holder, _unavailable):
@@ -531,6 +548,7 @@
     for _input in (
         _condition_failed,
         _answer_lost,
+        _answer_lost_again,
         _unavailable,
         _refused,
         _release_requested,
--- a/features/steps/leases.py
+++ b/features/steps/leases.py
@@ -357,6 +357,35 @@
         desk.run(rng.choice((0.5, 2.0, 20.0, 200.0)))
 
 
+@behave.when("every transaction meets {fault} for {duration:g} s and {agent} needs one")
+def step_every_transaction(context, fault, duration, agent):
+    desk = context.desk
+    context.transacting = context.holder
+    if agent == "a replacement":
+        context.holder.running = False
+        context.transacting = desk.add("agent", 2000)
+    lease = context.transacting.lease
+    writes = lease.writes
+    set_fault(desk, fault)
+    desk.service.faults *= 10_000
+    desk.run(duration)
+    desk.service.faults = []
+    context.transactions = lease.writes - writes
+
+
+@behave.then("it sent more than {least:d} and at most {most:d} transactions")
+def step_transactions(context, least, most):
+    assert least < context.transactions <= most, context.transactions
+
+
+@behave.then("it may send commands {delay:g} s after the fault")
+def step_usable(context, delay):
+    context.desk.run(delay)
+    agent = context.transacting
+    assert agent.token() is not None, agent.lease.state
+    assert agent.lease.state == "held", agent.lease.state
+
+
 @behave.when("the agent is paused and two replacements start together during {fault}")
 def step_two(context, fault):
     context.holder.running = False
--- a/features/table/leases.feature
+++ b/features/table/leases.feature
@@ -82,6 +82,20 @@
       | a lost request                       |
       | a transaction that takes effect late |
 
+  Scenario Outline: <agent> backs off while every transaction meets <fault>
+    Guards against agents that overload a table service which fails only its writes.
+    Given an engine that checks the token with an agent that holds its lease
+    When every transaction meets <fault> for 120 s and <agent> needs one
+    Then it sent more than 2 and at most 30 transactions
+    And it may send commands 20 s after the fault
+
+    Examples:
+      | agent         | fault          |
+      | the holder    | a lost answer  |
+      | the holder    | a lost request |
+      | a replacement | a lost answer  |
+      | a replacement | a lost request |
+
   Scenario: No token is given twice under random faults
     Guards against two processes that command an engine with the same token.
     Given an engine that checks the token with an agent that holds its lease
