Back off when the transactions of a claim keep losing their answers

Callers of calls with a once key saw a denial after 2 s as before; the table service got a flood. While it lost every transaction and still answered reads, each entry instance repeated the transaction of a pending claim, result or release as fast as the answers came. A claim ended after CLAIM_TIMEOUT_S, a result or a release went on until the service recovered.

Cause: after a lost answer the keys are read, and a record with the expected revision put the write at the head of the queue, from where it was sent at once. Only Unavailable and a failed read postponed it.

The first lost answer is still followed by one immediate repetition, because a caller waits for its claim. From the second one on the write is postponed like after an outage, with the exponential back-off of its failures, and tick sends it when it is due. The result is recorded after the loss has ended, which the repeated call at the end of the scenario shows.

--- a/cicadaplank/requests/claims.py
+++ b/cicadaplank/requests/claims.py
@@ -201,7 +201,8 @@
     :param failures: number of postponements, for the back-off.
     :param denied: True when the claim was denied or abandoned, so that its call is
         never dispatched.
-    :param uncertain: True when a response was lost and the write may have taken effect.
+    :param lost_responses: number of responses lost; above 0 the write may have taken
+        effect.
     """
 
     claim: Claim
@@ -211,7 +212,7 @@
     not_before_s: float = 0.0
     failures: int = 0
     denied: bool = False
-    uncertain: bool = False
+    lost_responses: int = 0
 
 
 @dataclasses.dataclass
@@ -322,7 +323,7 @@
 
     def _withdraw(self, write, now_s):
         """Drop a claim that was denied, or release it if it may have taken effect."""
-        if write.uncertain:
+        if write.lost_responses:
             # Nothing is dispatched under this claim; if it stayed claimed, no later
             # call with the key could be dispatched.
             write.claim = dataclasses.replace(write.claim, state=RELEASED)
@@ -436,7 +437,7 @@
             return ()
         transaction.reading = True
         for write in transaction.writes:
-            write.uncertain = True
+            write.lost_responses += 1
         transaction.sent_s = now_s
         return (Read(change_id, tuple(write.key for write in transaction.writes)),)
 
@@ -461,7 +462,10 @@
             elif record.revision == write.revision:
                 # The transaction may be delayed and still take effect. Both it and the
                 # repeated write expect the same revision, so only one can commit.
-                self._queue.appendleft(write)
+                if write.lost_responses == 1:
+                    self._queue.appendleft(write)
+                else:
+                    self._postpone(write, now_s)
             else:
                 actions += self._resolve_conflict(write, record, now_s)
         return actions + self._send(now_s)
--- a/features/requests/once.feature
+++ b/features/requests/once.feature
@@ -116,6 +116,19 @@
     Then every request outcome is complete
     And the request table service saw at most 20 transactions
 
+  Scenario Outline: A <write> whose transactions are all lost is repeated with a delay
+    Guards against entry instances that overload a table service which fails only its
+    writes.
+    Given a request fleet of 3 agents and 2 entries
+    When every request transaction is lost from <start> to 10 seconds after a once request
+    Then the request table service saw at most 20 transactions
+    And the request call is complete when sent again 15 seconds later
+
+    Examples:
+      | write  | start |
+      | claim  | 0     |
+      | result | 0.02  |
+
   Scenario: The first answer of a call is not held back by an outage of the table service
     Given a request fleet of 3 agents and 2 entries
     When the request table service is down from 0.02 to 3 seconds after a once request
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -290,6 +290,20 @@
     fleet.run(0.2)
 
 
+@behave.when(
+    "every request transaction is lost from {start:g} to {end:g} seconds after a once"
+    " request"
+)
+def step_lost_transactions(context, start, end):
+    fleet = context.fleet
+    lost = "table_request_lost"
+    fleet.at(start, lambda: fleet.faults.rates.update({lost: 1.0}))
+    fleet.at(end, lambda: fleet.faults.rates.pop(lost))
+    send(context, "once")
+    fleet.run(end)
+    assert fleet.faults.seen[lost], "no transaction was lost"
+
+
 @behave.when("a request that crashes engines is sent to every request entry in turn")
 def step_poison_in_turn(context):
     for entry in context.fleet.entries:
