Resume a stream only at endpoints that serve its weights

Callers saw streams end with an error event during a roll-out although an endpoint with their version was ready. A stream that breaks may be resumed only from the weights that generated its first tokens; Exchange passes their digest in RouteRequest.manifest_digest, and agents refuse the work otherwise.

Cause: Serving dropped the digest on the way to the router. The router prefers the accepted version, so the attempts went to endpoints with the new weights, which refused them one after the other until the attempts were used up. Each refusal also counted as a failure of a sound endpoint, towards its ejection.

Evidence: the new scenario drives Serving's own choice. A stream of base-1 breaks at a, b still holds base-1 and c the new version. Before the fix the work with manifest_digest='base-1' went to c: "ASSERT FAILED: SendWork(endpoint='c', work=Work(attempt='r1.2', row='base', ... manifest_digest='base-1', prefix=''))"; where no other endpoint holds base-1 it was sent to c too instead of ending at once.

The query now carries the digest, which replaces the accepted one among the required versions, and the fallback to any version of a model is not used for it. Without such an endpoint the caller gets its error event at once.

--- a/cicadaplank/entry/serving.py
+++ b/cicadaplank/entry/serving.py
@@ -269,7 +269,7 @@
 
     # Routing.
 
-    def _query(self, wanted, tried):
+    def _query(self, wanted, tried, manifest_digest=""):
         prefix = self._prefixes.get(wanted.identifier, "")
         return routing.RoutingQuery(
             wanted.row,
@@ -278,10 +278,11 @@
             tried,
             wanted.repeatable,
             wanted.priority,
+            manifest_digest,
         )
 
     def _choose(self, route, now_s):
-        query = self._query(route.request, route.avoid)
+        query = self._query(route.request, route.avoid, route.manifest_digest)
         found = self.router.choose(query, now_s, now_s)
         return found.endpoint if isinstance(found, routing.EndpointChoice) else found
 
--- a/cicadaplank/requests/routing.py
+++ b/cicadaplank/requests/routing.py
@@ -90,6 +90,8 @@
     :param tried: names of the endpoints of earlier attempts, which are excluded.
     :param repeatable: False for a call that may not be repeated; it is never a probe.
     :param priority: 0 is most urgent.
+    :param manifest_digest: digest of the weights that must answer, for a stream that is
+        resumed; empty for any that the row permits.
     """
 
     row: str
@@ -98,6 +100,7 @@
     tried: frozenset = frozenset()
     repeatable: bool = True
     priority: int = 5
+    manifest_digest: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -498,8 +501,12 @@
         if plan.row.limit_for(query.client) is None:
             return NoEndpoint("not_granted")
         arguments = (now_s, unix_s, reserve)
-        found = self._choose_among(query, plan, plan.required_versions, *arguments)
-        if isinstance(found, NoEndpoint) and plan.row.kind == "model":
+        required = plan.required_versions
+        may_fall_back = plan.row.kind == "model" and not query.manifest_digest
+        if query.manifest_digest:
+            required = {**required, query.row: query.manifest_digest}
+        found = self._choose_among(query, plan, required, *arguments)
+        if isinstance(found, NoEndpoint) and may_fall_back:
             # Endpoints serve the previous version until the new one has been copied. An
             # adapter is not served on a base model other than the accepted version.
             any_version = dict.fromkeys(plan.required_versions)
--- a/features/routing/candidates.feature
+++ b/features/routing/candidates.feature
@@ -72,3 +72,14 @@
       | all hold the old version           | a, b, c   |
       | one holds the new version          | a         |
       | the only new one is at capacity    | b, c      |
+
+  Scenario Outline: A stream broken during a roll-out is sent to other weights: <case>
+    Guards against attempts and ejections spent on endpoints that have to refuse it.
+    Given a router with endpoints "a, b, c" of capacity 8
+    When "a" breaks a stream of the old version while "<old>" holds it and "<new>" the new
+    Then the entry instance <result>
+
+    Examples:
+      | case                          | old  | new | result                     |
+      | another holds its version     | b    | c   | resumes the stream at "b"  |
+      | no other one holds its version | none | b, c | cannot resume the stream   |
--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -2,11 +2,13 @@
 
 import dataclasses
 import random
+import types as python_types
 
 import behave
 
+from cicadaplank.entry import serving
 from cicadaplank.messages import types
-from cicadaplank.requests import routing
+from cicadaplank.requests import answers, exchange, routing
 from cicadaplank.world import contracts, machines
 
 SEED = 11
@@ -224,6 +226,62 @@
         assert case == "all hold the old version", case
 
 
+def serving_with(router):
+    """Return the :class:`serving.Serving` of an entry instance with this router."""
+    settings = python_types.SimpleNamespace(
+        region=router.region,
+        data_centre=router.data_centre,
+        max_queue=10,
+        objective=lambda name: python_types.SimpleNamespace(threshold_s=1.0),
+    )
+    daemon = python_types.SimpleNamespace(
+        name="e0", incarnation=1, settings=settings, now_s=0.0, rng=random.Random(SEED)
+    )
+    found = serving.Serving(daemon, lambda *arguments: None)
+    found.router = router
+    return found
+
+
+@behave.when(
+    '"{name}" breaks a stream of the old version while "{old}" holds it and "{new}" '
+    "the new"
+)
+def step_broken_stream(context, name, old, new):
+    entry = context.entry
+    entry.report(*entry.holders, state="starting")
+    entry.report(name, rows={BASE: "base-1"})
+    dispatcher = serving_with(entry.router).dispatcher
+    wanted = exchange.Request(
+        "r1", BASE, "portal", "POST", "/", b"x", entry.now_s + 10.0, stream=True
+    )
+    sent = dispatcher.request(wanted, entry.now_s)[-1]
+    assert sent.endpoint == name, sent
+    attempt = sent.work.attempt
+    dispatcher.begin_write(attempt, entry.now_s)
+    for message in (
+        types.WorkAccepted(attempt, "base-1"),
+        types.WorkData(attempt, 0, b"token\n"),
+    ):
+        dispatcher.message(name, message, entry.now_s)
+    if old != "none":
+        entry.report(old, rows={BASE: "base-1"})
+    entry.report(*names_in(new))
+    context.actions = dispatcher.connection_lost(name, "lost", entry.now_s)
+
+
+@behave.then('the entry instance resumes the stream at "{name}"')
+def step_resumed_at(context, name):
+    (sent,) = (a for a in context.actions if isinstance(a, exchange.SendWork))
+    assert (sent.endpoint, sent.work.offset) == (name, 1), sent
+
+
+@behave.then("the entry instance cannot resume the stream")
+def step_not_resumed(context):
+    sent = [a for a in context.actions if isinstance(a, exchange.SendWork)]
+    assert not sent, sent
+    assert isinstance(context.actions[-1], answers.StreamError), context.actions
+
+
 @behave.then('the router sends {count:d} requests for the model to "{names}" only')
 def step_model_only(context, count, names):
     assert context.entry.send(count, row=BASE) == set(names_in(names))
