Give an agent the time that is left when its work is written

Callers with little time left got may_have_run where the truth was not_run, and their work took a slot of the engine after the answer could be of use.

Cause: Work.deadline_s is the remaining time. It was computed when the endpoint was chosen, but the work is written only when the connection to the agent exists, up to 2 s later for a new one. The agent counts from the arrival, so it accepted work with less than MIN_ATTEMPT_S left, and its own limit came later than the caller's deadline by the time of the wait; when the cancellation of the entry instance did not arrive, the engine went on until then.

Evidence: the new scenario lets the connection take 3.97 of 4 s in memory. The longest wait of the hub is 2 s; the same remainder arises with less time at the start, as on a retry. Before the fix: "ASSERT FAILED: ('may_have_run', 'deadline', ...)" for a whole request and one with a once key, and 'stream_error' for a stream, whose tokens began 27 ms before the deadline.

begin_write, which is called immediately before the write, returns the work with the time that is left then. The agent's existing check refuses the late work as not_run, and its limit agrees with the caller's deadline.

--- a/bench/inmemory.py
+++ b/bench/inmemory.py
@@ -260,24 +260,25 @@
         def write():
             if incarnation != self.incarnation:
                 return
-            if not self.dispatcher.begin_write(attempt, self._fleet.now_s):
+            work = self.dispatcher.begin_write(action.work, self._fleet.now_s)
+            if work is None:
                 return
             agent = self._fleet.agents[action.endpoint]
             if faults.hit("entry_killed_after_write"):
-                self._fleet.to_agent(self, agent, action.work)
+                self._fleet.to_agent(self, agent, work)
                 return self.kill()
             if faults.hit("lost_during_write"):
                 return self._fleet.disconnect(self, agent)
-            self._fleet.to_agent(self, agent, action.work)
+            self._fleet.to_agent(self, agent, work)
             if faults.hit("work_duplicated"):
-                self._fleet.to_agent(self, agent, action.work)
+                self._fleet.to_agent(self, agent, work)
             if faults.hit("lost_after_write"):
                 delay_s = self._fleet.loss_delay_s
                 if delay_s is None:
                     delay_s = self._fleet.rng.uniform(0.0, TOKENS * TOKEN_S)
                 self._fleet.at(delay_s, lambda: self._fleet.disconnect(self, agent))
 
-        self._fleet.at(LATENCY_S, write)
+        self._fleet.at(self._fleet.dial_s, write)
 
 
 class Agent:
@@ -494,6 +495,7 @@
         self.crashes = 0
         self.generated = 0
         self.loss_delay_s = None
+        self.dial_s = LATENCY_S
         self.calls = {}
         self.sent = {}
         self.runs = collections.Counter()
--- a/cicadaplank/entry/serving.py
+++ b/cicadaplank/entry/serving.py
@@ -307,8 +307,10 @@
             self._undelivered(work.attempt, "connection refused")
         elif not connection.has_room:
             self._undelivered(work.attempt, "the connection's send queue is full")
-        elif self.dispatcher.begin_write(work.attempt, self._daemon.now_s):
-            connection.send(work)
+        else:
+            work = self.dispatcher.begin_write(work, self._daemon.now_s)
+            if work is not None:
+                connection.send(work)
 
     def _undelivered(self, attempt, reason):
         now_s = self._daemon.now_s
--- a/cicadaplank/requests/dispatcher.py
+++ b/cicadaplank/requests/dispatcher.py
@@ -1,5 +1,6 @@
 """Dispatch of events to the requests in progress on an entry instance."""
 
+import dataclasses
 import heapq
 
 from cicadaplank.messages import types
@@ -104,20 +105,22 @@
         self._exchanges[request.identifier] = machine
         return self._apply(machine, machine.start(now_s), now_s)
 
-    def begin_write(self, attempt, now_s):
+    def begin_write(self, work, now_s):
         """Record that an attempt may run, immediately before its work is written.
 
-        :param attempt: identifier of the attempt.
+        :param work: :class:`cicadaplank.messages.types.Work` of the attempt.
         :param now_s: current time in seconds.
-        :returns: True when the work must be written now; False when the attempt has
-            ended (the caller has disconnected or the deadline has passed), or was
-            written before, and the work must not be written.
+        :returns: the work that must be written now, with the time that is left until
+            the deadline; None when the attempt has ended (the caller has disconnected
+            or the deadline has passed), or was written before, and the work must not be
+            written.
         """
-        machine = self._attempts.get(attempt)
+        machine = self._attempts.get(work.attempt)
         if machine is None or machine.attempt.state() != "created":
-            return False
+            return None
         machine.attempt.written(now_s)
-        return True
+        remaining_s = max(0.0, machine.request.deadline_s - now_s)
+        return dataclasses.replace(work, deadline_s=remaining_s)
 
     def undelivered(self, attempt, reason, now_s):
         """Handle an attempt of which no byte was or will be written.
--- a/cicadaplank/requests/exchange.py
+++ b/cicadaplank/requests/exchange.py
@@ -78,7 +78,7 @@
 
     Once a connection to the agent has room in its send queue, the network layer calls
     :meth:`cicadaplank.requests.dispatcher.Dispatcher.begin_write` and writes the work
-    if that returns True. Without such a connection it calls
+    that it returns, if any. Without such a connection it calls
     :meth:`cicadaplank.requests.dispatcher.Dispatcher.undelivered` and never writes the
     work.
 
--- a/features/requests/verdicts.feature
+++ b/features/requests/verdicts.feature
@@ -93,6 +93,19 @@
     When work with 0.0 seconds left reaches a request agent
     Then the request agent refuses it
 
+  Scenario Outline: A <kind> request that waits for a connection begins too late
+    Guards against work that reaches its agent with the time left before the wait.
+    Given a request fleet of 1 agents and 1 entries
+    When a <kind> request waits 3.97 of its 4 seconds for a connection to its agent
+    Then the request outcome is not_run
+    And the request ran 0 times
+
+    Examples:
+      | kind   |
+      | stream |
+      | whole  |
+      | once   |
+
   Scenario: A copy of work that was refused does not run
     Given a request fleet of 1 agents and 1 entries
     When a once request meets the faults engine_refused work_duplicated
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -97,6 +97,17 @@
     fleet.run(SETTLED_S)
 
 
+@behave.when(
+    "a {kind} request waits {wait:g} of its {deadline:g} seconds for a connection to"
+    " its agent"
+)
+def step_slow_dial(context, kind, wait, deadline):
+    assert deadline == inmemory.DEADLINE_S, inmemory.DEADLINE_S
+    context.fleet.dial_s = wait
+    send(context, kind)
+    context.fleet.run(SETTLED_S)
+
+
 @behave.when("a {kind} request is left by its caller after {delay:g} seconds")
 def step_leave(context, kind, delay):
     sent = send(context, kind)
@@ -170,7 +181,7 @@
             f"r{number}", "row", "client", "POST", "/", b"x", now_s + 4.0
         )
         (sent,) = desk.request(wanted, now_s)
-        assert desk.begin_write(sent.work.attempt, now_s)
+        assert desk.begin_write(sent.work, now_s)
         for index in range(5 if is_spread else 9):
             message = types.WorkData(sent.work.attempt, index * len(part), part)
             taken = desk.message("a", message, now_s)
--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -257,7 +257,7 @@
     sent = dispatcher.request(wanted, entry.now_s)[-1]
     assert sent.endpoint == name, sent
     attempt = sent.work.attempt
-    dispatcher.begin_write(attempt, entry.now_s)
+    assert dispatcher.begin_write(sent.work, entry.now_s)
     for message in (
         types.WorkAccepted(attempt, "base-1"),
         types.WorkData(attempt, 0, b"token\n"),
