--- a/cicadaplank/entry/serving.py
+++ b/cicadaplank/entry/serving.py
@@ -269,7 +269,7 @@
 
     # Routing.
 
-    def _query(self, wanted, tried):
+    def _query(self, wanted, tried, manifest_digest=""):
         prefix = self._prefixes.get(wanted.identifier, "")
         return routing.RoutingQuery(
             wanted.row,
@@ -278,10 +278,11 @@
             tried,
             wanted.repeatable,
             wanted.priority,
+            manifest_digest,
         )
 
     def _choose(self, route, now_s):
-        query = self._query(route.request, route.avoid)
+        query = self._query(route.request, route.avoid, route.manifest_digest)
         found = self.router.choose(query, now_s, now_s)
         return found.endpoint if isinstance(found, routing.EndpointChoice) else found
 
@@ -306,8 +307,10 @@
             self._undelivered(work.attempt, "connection refused")
         elif not connection.has_room:
             self._undelivered(work.attempt, "the connection's send queue is full")
-        elif self.dispatcher.begin_write(work.attempt, self._daemon.now_s):
-            connection.send(work)
+        else:
+            work = self.dispatcher.begin_write(work, self._daemon.now_s)
+            if work is not None:
+                connection.send(work)
 
     def _undelivered(self, attempt, reason):
         now_s = self._daemon.now_s
