Let copies use the link of an engine that can have no calls

Cause: 0.2 of each agent's link is left to the engine beside it also while that engine is empty or has only weights that are forbidden, so that it can have no calls.

The scenario "An agent of an empty engine copies at the rate that leaves room for calls" failed before: "ASSERT FAILED: 800000.0" where 950000 are expected. Now the share is chosen from the state of the engine and the age of the naming, and 0.8 as before while calls may come or the engine is not known. The change is logged (link_share_changed).

--- a/cicadaplank/replicas/loading.py
+++ b/cicadaplank/replicas/loading.py
@@ -193,6 +193,20 @@
         self._staged_target = None
         self._ordered_s = float("-inf")
 
+    def may_have_calls(self, engine, now_s):
+        """Tell whether calls may be sent to the engine now.
+
+        :param engine: :class:`EngineState`, or None when it is not known.
+        :param now_s: current time in seconds.
+        :returns: False when it serves no weights, or only weights that are forbidden.
+        """
+        if engine is None or engine.is_empty:
+            return engine is None
+        target = self.target
+        if target is None or engine.versions.get(target.model, -1) >= target.version:
+            return True
+        return now_s < target.named_s + self.allowed_s
+
     def next(self, engine, has_copy, names, now_s):
         """Update the phase and return the next action.
 
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -39,8 +39,10 @@
 ENTRY = "entry"
 # Memory for the pieces of two versions of the size that the origin's manifests state.
 CHUNK_MEMORY_BYTES = 64 * 1024 * 1024
-# Share of the machine's link that transfers may use. The rest is left to its engine.
+# Share of the machine's link that transfers may use while its engine has calls, and
+# while it can have none. The rest is left to the engine and to messages.
 LINK_SHARE = 0.8
+IDLE_LINK_SHARE = 0.95
 # Limits on concurrent transfers to this machine: a chunk takes 84 ms on a link of
 # 4.7 Mbit/s, and requests for the engine on this machine queue behind it. Weights are
 # due within 8 s, so owners that do not deliver are replaced, and a failing origin is
@@ -192,7 +194,8 @@
             settings.data_centre,
         )
         self.store = chunks.ChunkStore(CHUNK_MEMORY_BYTES)
-        rate = LINK_SHARE * settings.link_bytes_per_s
+        self._link_share = LINK_SHARE
+        rate = self._transfer_rate()
         self.transfers = transfers.Transfers(
             self._me,
             self.store,
@@ -265,12 +268,26 @@
 
     def _settings_changed(self, settings):
         self.settings = settings
-        rate = LINK_SHARE * settings.link_bytes_per_s
+        self._apply_rate()
+        self.loading.allowed_s = settings.weights_s
+
+    def _transfer_rate(self):
+        return self._link_share * self.settings.link_bytes_per_s
+
+    def _apply_rate(self):
+        rate = self._transfer_rate()
         self.hub.pacer.bytes_per_s = rate
         self._carry_out(
             self.transfers.rates_changed(transfers.LinkRates(rate, rate), self.now_s)
         )
-        self.loading.allowed_s = settings.weights_s
+
+    def _update_link_share(self):
+        has_calls = self.loading.may_have_calls(self._engine_state, self.now_s)
+        share = LINK_SHARE if has_calls else IDLE_LINK_SHARE
+        if share != self._link_share:
+            self._link_share = share
+            self._log("link_share_changed", share=share)
+            self._apply_rate()
 
     def _signalled(self, number, frame):
         self.reactor.callFromThread(self.stop)
@@ -805,6 +822,7 @@
             self._log("engine_serves", versions=str(state.versions))
         if self._newest_copy is None:
             self._request_newest()
+        self._update_link_share()
         self._decide()
 
     def _request_newest(self):
--- a/features/replicas/loading.feature
+++ b/features/replicas/loading.feature
@@ -22,6 +22,24 @@
       | restarted after the pieces were staged       | 7.0   | stage   |
       | refused the order just now                   | 7.0   | wait    |
 
+  Scenario Outline: Copies leave a part of the link to an engine that <state>, <after> s after a naming: <part>
+    Given an agent whose engine should serve version 2 within 8 s
+    When the engine <state>
+    Then after <after> s its calls need a part of the link: <part>
+
+    Examples:
+      | state                                       | after | part |
+      | serves version 1 and pieces are missing     | 7.9   | yes  |
+      | serves version 1 and pieces are missing     | 8.1   | no   |
+      | serves version 2                            | 60.0  | yes  |
+      | serves nothing and the pieces are staged    | 0.5   | no   |
+      | is unknown                                  | 9.0   | yes  |
+
+  Scenario: An agent of an empty engine copies at the rate that leaves room for calls
+    Given an agent that starts
+    When its engine reports version 0 it may send 950000 bytes/s
+    And its engine reports version 2 it may send 800000 bytes/s
+
   Scenario: Engines load one after the other, each in time
     Given 12 engines that should serve version 2 within 8 s
     Then they load between 5.0 and 7.0 s, and no 3 of them within 0.2 s
--- a/features/steps/manifests.py
+++ b/features/steps/manifests.py
@@ -196,6 +196,9 @@
 
     mesh: Mesh
     local: str
+    pacer: plain_types.SimpleNamespace = dataclasses.field(
+        default_factory=plain_types.SimpleNamespace
+    )
 
     def connection(self, name):
         """Return no connection, so that every message is sent after a dial."""
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -73,6 +73,24 @@
     assert type(got) is kinds[action], got
 
 
+@behave.then("after {after:f} s its calls need a part of the link: {part}")
+def step_part_of_link(context, after, part):
+    has_calls = context.loading.may_have_calls(context.engine, after)
+    assert has_calls == (part == "yes"), has_calls
+
+
+@behave.when(
+    "its engine reports version {version:d} it may send {bytes_per_s:d} bytes/s"
+)
+def step_rate(context, version, bytes_per_s):
+    context.agent._state_received(engine(version))
+    for rate in (
+        context.agent.hub.pacer.bytes_per_s,
+        context.agent.transfers.rates.machine_bytes_per_s,
+    ):
+        assert rate == bytes_per_s, rate
+
+
 @behave.given("12 engines that should serve version 2 within 8 s")
 def step_engines(context):
     context.times = {}
