Forward a report of a crash only when it blocks a request

Cause: an entry instance reports each connection that an endpoint breaks to all others, and each receiver forwarded what was new to it to all others again: 45 x 44 messages for each break.

The scenario "Every receiver forwards every report of a crash" failed before: ASSERT FAILED: 200.

Only a report that blocks a request is forwarded, for instances that are cut off from the reporter. The class of fault is a flood of control messages that grows with the square of the number of processes.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -477,10 +477,19 @@
                 self.gateway.set_peer_loads(connection.peer, message.loads)
                 self._record_weights_ages(message.weights_ages_s)
         elif isinstance(message, types.SuspectReport):
-            reported = self.gateway.suspects.merge_report(
-                connection.peer, message, self.gateway.unix_s()
-            )
-            for action in reported:
+            self._record_suspicion(connection.peer, message)
+
+    def _record_suspicion(self, peer, report):
+        """Record a crash that a peer observed.
+
+        Peers are connected to each other, so that a report reaches all of them from the
+        instance that observed the crash. Only one that blocks a request is forwarded,
+        for instances that are cut off from it.
+        """
+        unix_s = self.gateway.unix_s()
+        suspects = self.gateway.suspects
+        for action in suspects.merge_report(peer, report, unix_s):
+            if suspects.blocked_for_s(report.digest, unix_s) > 0:
                 self.peers.broadcast(action.message, action.exclude)
 
     def connection_lost(self, connection):
--- a/features/entries.py
+++ b/features/entries.py
@@ -99,6 +99,10 @@
         connection = self.hub.connection("10.0.0.9")
         self.process.message_received(connection, codec.decode(frame))
 
+    def unix_s(self):
+        """Return the time of day of the process."""
+        return self.process.gateway.unix_s()
+
     @property
     def min_version(self):
         """Oldest version that calls may run on now."""
