Connect an agent to three entry instances instead of all

Cause: `_connect_entries` was meant to open three connections. It counted open ones only and went on dialling while these opened, so that the first round dialled every entry instance. All dials succeeded, nothing closed the surplus, and each entry instance sent each agent a notice of 1.2 KB every second and at each change of the list of endpoints: 45 x 58 notices at a time.

The scenario "An agent process dials all entry instances that it reads" failed before: ASSERT FAILED: 45.

Change: `replicas/entry_links` decides which connections an agent opens and closes: two in its data centre and one elsewhere, others when these fail. A connection without a message for 2.5 s is closed on its own; before, only all of them together. An agent that hears no entry instance reads the store, as before.

--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -24,14 +24,12 @@
 )
 from cicadaplank.links import pacing, streams
 from cicadaplank.messages import types
-from cicadaplank.replicas import loading, manifest_search, staging
+from cicadaplank.replicas import entry_links, loading, manifest_search, staging
 from cicadaplank.reports import events, metrics
 from cicadaplank.weights import chunks, effects, manifests, transfers
-from cicadaplank.world import backoff, machines, rendezvous
+from cicadaplank.world import backoff, machines
 
 TICK_S = 0.1
-# Number of entry instances to which an agent stays connected.
-ENTRY_CONNECTIONS = 3
 # Intervals at which missing connections to entry instances are opened, and at which the
 # list of entry instances is read.
 CONNECT_INTERVAL_S = 0.5
@@ -173,6 +171,7 @@
             NEWEST_RETRY_S, MAX_NEWEST_RETRY_S, self._rng
         )
         self._entries = []
+        self._entry_links = entry_links.EntryLinks(settings.host, settings.data_centre)
         self._models = []
         self._configuration_version = -1
         self._list_version = -1
@@ -337,29 +336,29 @@
 
     def _members_received(self, found):
         entries = [instance for instance in found if instance.role == ENTRY]
-        entries.sort(
-            key=lambda instance: (
-                instance.data_centre != self.settings.data_centre,
-                rendezvous.weight(self.settings.host, instance.name),
-            )
-        )
         self._entries = entries
+        self._entry_links.instances_changed(entries)
 
     def _members_failed(self, failure):
         failure.trap(errors.PlatformError)
         self._log("members_unknown", reason=str(failure.value))
 
     def _connect_entries(self):
-        """Connect to a few entry instances, those of this data centre first."""
-        live = 0
-        for instance in self._entries:
-            connection = self.hub.connection(instance.name)
-            if connection is not None:
-                live += 1
-            elif live < ENTRY_CONNECTIONS:
-                self.hub.dial(instance)
-            if live >= ENTRY_CONNECTIONS:
-                return
+        """Connect to a few entry instances, and close the other connections."""
+        connected = {
+            instance.name
+            for instance in self._entries
+            if self.hub.connection(instance.name) is not None
+        }
+        dialled, closed = self._entry_links.update(connected, self.now_s)
+        for name in closed:
+            self.hub.connection(name).transport.abortConnection()
+        for instance in dialled:
+            self.hub.dial(instance).addCallback(self._entry_dialled, instance.name)
+
+    def _entry_dialled(self, connection, name):
+        if connection is None:
+            self._entry_links.failed(name, self.now_s)
 
     def _table_changed(self, changed):
         """Use the store's tables while entry instances are silent."""
@@ -917,22 +916,12 @@
         self.reactor.callLater(TICK_S, self._tick)
         if self.now_s - self._connect_attempted_s >= CONNECT_INTERVAL_S:
             self._connect_attempted_s = self.now_s
-            self._drop_silent_entries()
             self._connect_entries()
         is_current = self.loading.phase is loading.Phase.CURRENT
         period_s = IDLE_CHECK_INTERVAL_S if is_current else BUSY_CHECK_INTERVAL_S
         if self.now_s - self._checked_s >= period_s:
             self._check_engine()
 
-    def _drop_silent_entries(self):
-        """Close the connections to entry instances when all of them are silent."""
-        if not self._entries_are_silent():
-            return
-        for instance in self._entries:
-            connection = self.hub.connection(instance.name)
-            if connection is not None:
-                connection.transport.abortConnection()
-
     def message_received(self, connection, envelope):
         """Process a message of an entry instance or another agent.
 
@@ -941,6 +930,7 @@
         """
         if connection.hello.role == ENTRY:
             self._last_entry_message_s = self.now_s
+            self._entry_links.heard(connection.peer, self.now_s)
             if isinstance(envelope.message, types.WeightsNotice):
                 self._apply_notice(envelope.message)
             return
@@ -958,6 +948,8 @@
 
     def connection_lost(self, connection):
         """Tell the transfers that a peer is gone if no connection to it is left."""
+        if connection.hello.role == ENTRY:
+            self._entry_links.failed(connection.peer, self.now_s)
         for copy in self._searching_copies():
             copy.search.peer_lost(connection.peer)
         if self.hub.connection(connection.peer) is None:
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -714,3 +714,42 @@
     origin = [a for a in context.actions if isinstance(a, effects.FetchChunk)]
     assert 0 < len(near) <= 3, len(near)
     assert len(origin) <= 1, len(origin)
+
+
+class DialHub:
+    """Hub that keeps the names that are dialled, and connects to none."""
+
+    def __init__(self):
+        self.dialled = []
+
+    def connection(self, name):
+        """Return no connection."""
+        return None
+
+    def dial(self, instance):
+        """Keep the name; the dial does not end."""
+        self.dialled.append(instance.name)
+        return defer.Deferred()
+
+
+@behave.given("an agent process that reads a list of {count:d} entry instances")
+def step_entry_list(context, count):
+    context.process = agent("")
+    context.process.hub = DialHub()
+    context.process._members_received(
+        [
+            machines.Instance(f"10.0.0.{n}", "entry", "h", 1, "r", "ab"[n % 2])
+            for n in range(100, 100 + count)
+        ]
+    )
+
+
+@behave.when("it connects to entry instances")
+def step_connects_entries(context):
+    context.process._connect_entries()
+
+
+@behave.then("it dials {count:d} of them")
+def step_entries_dialled(context, count):
+    dialled = context.process.hub.dialled
+    assert len(dialled) == count, len(dialled)
