Let later candidates of a chunk's home region notice that the owner is cut off

Cause: only a chunk's owner and second candidate get chunk maps of the candidates before them. Where both are cut off, the third one does not know it and waits until the whole copy makes no progress or only few owners are late. Change: in a chunk's home region candidates with up to three predecessors monitor all of them. Each agent is third or fourth candidate of few chunks of its own region, so it gets the maps of a few more peers. Why it works: a candidate takes a chunk over as soon as all before it are known to be silent.

--- a/cicadaplank/weights/versions.py
+++ b/cicadaplank/weights/versions.py
@@ -20,6 +20,8 @@
 # Owners with missing chunks count as stragglers when they are at most this share of all
 # owners.
 STRAGGLER_SHARE = 0.34
+# Number of predecessors of which a candidate in a chunk's home region monitors all.
+HOME_MONITORED = 3
 # Time for which a chunk is not requested from a peer that refused or did not send it.
 DENIED_S = 10.0
 
@@ -130,7 +132,8 @@
                 local_instance.name, local_instance.region, index
             )
             self._by_predecessors[predecessors] |= 1 << index
-            if len(predecessors) > 1:
+            limit = HOME_MONITORED if local_instance.region == home_region else 1
+            if len(predecessors) > limit:
                 continue
             # This instance is the owner, or the second candidate, which monitors the
             # owner. Both monitor the chunk's owner in its home region, from which this
--- a/features/replicas/manifests.feature
+++ b/features/replicas/manifests.feature
@@ -51,3 +51,10 @@
     Then all 48 pieces have left the origin after 2.5 s
     And every agent that is not cut off has its copy after 6.5 s
     And the origin sent at most 54 pieces
+
+  # Where owner and second candidate were cut off, the chunk came after 5.4 s.
+  Scenario: Nobody takes a chunk over whose first two candidates are cut off
+    Given 50 agents in 3 data centres, and an origin that queues 12 dials
+    And in the fleet 3 in 10 agents are cut off
+    When a version is named, the origin fails after 60.0 s, and 2.6 s pass
+    Then all 48 pieces have left the origin after 2.5 s
