Count the bytes of peers' messages, and take a piece whose manifest was replaced

Nobody could tell which messages filled the links between regions: the hub counted all received bytes together, and a trial with a patched copy was needed. Agents and entry instances now show peer_bytes_received by message and by region (own, other).

An agent that received a piece after its manifest had been replaced by another one raised ValueError ("is not in list") while it wrote the log line, so that the piece was lost and its request waited for the time-out. The scenarios cannot run on the old code, which lacks the counter and the parameter.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -329,6 +329,7 @@
         metric.set_gauge("weights_ages_rejected", rejected)
         metric.set_gauge("peak_memory_bytes", metrics.peak_memory_bytes())
         self.gateway.update_metrics(metric)
+        self.hub.update_metrics(metric)
         body, _ = metric.render()
         return 200, "text/plain; version=0.0.4", body
 
--- a/cicadaplank/links/streams.py
+++ b/cicadaplank/links/streams.py
@@ -192,6 +192,7 @@
             self._reject(fault)
             return
         if self.hello is not None:
+            self.hub.count_received(self.hello, envelope.message, len(string))
             self.hub.deliver(self, envelope)
         elif isinstance(envelope.message, types.Hello):
             self._stop_hello_timer()
@@ -250,6 +251,8 @@
         self.pacer = pacer
         self.identity = identity
         self.counters = collections.Counter()
+        # Bytes of received messages by type and whether they came from another region.
+        self.received_bytes = collections.Counter()
         self.log = log
         self._reactor = reactor
         self._listener = listener
@@ -408,6 +411,27 @@
                 del self._connections[connection.peer]
             self._listener.connection_lost(connection)
 
+    def count_received(self, hello, message, size_bytes):
+        """Count the bytes of a message by its type and the sender's region.
+
+        :param hello: :class:`types.Hello` of the sender.
+        :param message: message that was received.
+        :param size_bytes: length of its frame.
+        """
+        is_remote = hello.region != self.identity.hello.region
+        self.received_bytes[type(message).__name__, is_remote] += size_bytes
+
+    def update_metrics(self, metrics):
+        """Set the gauges of the received bytes.
+
+        :param metrics: :class:`cicadaplank.reports.metrics.Metrics`.
+        """
+        for (name, is_remote), size_bytes in self.received_bytes.items():
+            region = "other" if is_remote else "own"
+            metrics.set_gauge(
+                "peer_bytes_received", size_bytes, message=name, region=region
+            )
+
     def deliver(self, connection, envelope):
         """Pass a message to the listener."""
         self._listener.message_received(connection, envelope)
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -315,6 +315,7 @@
         state = self._engine_state
         served = max(state.versions.values(), default=0) if state else 0
         metric.set_gauge("weights_served", served)
+        self.hub.update_metrics(metric)
         for name, count in (*self.counts.items(), *self.transfers.counts.items()):
             metric.set_gauge(f"transfers_{name}", count)
         body, _ = metric.render()
@@ -737,18 +738,18 @@
         )
         requested_s = self.now_s
         request.addCallbacks(
-            lambda data: self._piece_received(copy, digest, data, requested_s),
+            lambda data: self._piece_received(copy, digest, number, data, requested_s),
             lambda failure: self._piece_failed(digest, failure),
         )
 
     def _piece_unwanted(self, digest):
         self._carry_out(self.transfers.origin_failed(digest, 0.0, self.now_s))
 
-    def _piece_received(self, copy, digest, data, requested_s):
+    def _piece_received(self, copy, digest, number, data, requested_s):
         self._log(
             "piece_fetched",
             version=copy.target.version,
-            number=copy.manifest.chunk_digests.index(digest) if copy.manifest else -1,
+            number=number,
             after_s=self.now_s - requested_s,
         )
         if manifests.chunk_digest(data) != digest:
--- a/features/links/streams.feature
+++ b/features/links/streams.feature
@@ -61,3 +61,9 @@
     Given a stream hub "alpha"
     When 1030 connections to the stream hub are opened
     Then the stream hub held 1024 connections and counted 6 refused
+
+  Scenario: Nobody knows which messages fill the links between regions
+    Given a stream hub "alpha"
+    When the stream hub receives 2 messages of 100 bytes from region "south"
+    And the stream hub receives 1 messages of 70 bytes from region "north"
+    Then its metrics show 200 bytes from other regions and 70 bytes from its own
--- a/features/replicas/manifests.feature
+++ b/features/replicas/manifests.feature
@@ -58,3 +58,8 @@
     And in the fleet 3 in 10 agents are cut off
     When a version is named, the origin fails after 60.0 s, and 2.6 s pass
     Then all 48 pieces have left the origin after 2.5 s
+
+  Scenario: A piece that arrives after its manifest was replaced is lost
+    Given an agent that requested a piece of a manifest
+    When another manifest replaces it and the piece arrives
+    Then the agent has taken the piece
--- a/features/steps/manifests.py
+++ b/features/steps/manifests.py
@@ -10,7 +10,7 @@
 
 from cicadaplank.external import errors
 from cicadaplank.messages import types
-from cicadaplank.replicas import manifest_search
+from cicadaplank.replicas import manifest_search, process
 from cicadaplank.weights import manifests
 from features.steps import replicas
 
@@ -369,3 +369,31 @@
 @behave.then("the origin sent at most {limit:d} pieces")
 def step_sends(context, limit):
     assert context.origin.sends <= limit, context.origin.sends
+
+
+@behave.given("an agent that requested a piece of a manifest")
+def step_piece_requested(context):
+    context.agent = replicas.agent("")
+    target = replicas.TARGET
+    context.copy = process._Copy(target)
+    context.piece = b"piece" * 10
+    context.copy.manifest = manifests.from_digests(
+        target.model, "2", 50, [manifests.chunk_digest(context.piece)]
+    ).unwrap()
+
+
+@behave.when("another manifest replaces it and the piece arrives")
+def step_piece_after_replacement(context):
+    digest = manifests.chunk_digest(context.piece)
+    context.copy.manifest = manifests.from_digests(
+        replicas.TARGET.model, "2", 50, [manifests.chunk_digest(b"other")]
+    ).unwrap()
+    context.taken = []
+    transfers = context.agent.transfers
+    transfers.origin_replied = lambda *reply: context.taken.append(reply) or ()
+    context.agent._piece_received(context.copy, digest, 0, context.piece, 0.0)
+
+
+@behave.then("the agent has taken the piece")
+def step_piece_taken(context):
+    assert [data for _, data, _ in context.taken] == [context.piece]
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -338,7 +338,7 @@
 
 
 @behave.when("the agent gets a notice without versions every 0.01 s for 6 s")
-def step_notices(context):
+def step_notices_without_versions(context):
     notice = types.WeightsNotice(1, 1, {}, [MODEL], "10.0.0.8:80", {}, {}, {})
     for _ in range(600):
         context.agent._apply_notice(notice)
--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -8,6 +8,7 @@
 
 from cicadaplank.links import streams
 from cicadaplank.messages import codec, types
+from cicadaplank.reports import metrics
 from cicadaplank.world import machines
 from features import reactors
 
@@ -392,3 +393,31 @@
         await reactors.eventually(lambda: hub.open_count == 0, "closed connections")
 
     reactors.run(run)
+
+
+@behave.when(
+    "the stream hub receives {count:d} messages of {size:d} bytes from region"
+    ' "{region}"'
+)
+def step_received_bytes(context, count, size, region):
+    hello = types.Hello("agent", region, "dc", 1)
+    for _ in range(count):
+        hub = context.hubs["alpha"].hub
+        hub.count_received(hello, types.ProgressRequest(), size)
+
+
+@behave.then(
+    "its metrics show {other:d} bytes from other regions and {own:d} bytes from its own"
+)
+def step_shown_bytes(context, other, own):
+    made = metrics.Metrics("alpha", "agent", "north", "dc1")
+    context.hubs["alpha"].hub.update_metrics(made)
+    lines = made.render()[0].decode().splitlines()
+    for region, size_bytes in (("other", other), ("own", own)):
+        (line,) = [
+            each
+            for each in lines
+            if "peer_bytes_received{" in each and f'region="{region}"' in each
+        ]
+        assert 'message="ProgressRequest"' in line, line
+        assert float(line.split()[-1]) == size_bytes, line
