Tell all agents of a manifest that replaces a wrong one

Found by the review of the search for manifests: when one agent gets the only early answer of the origin and it has a wrong digest, all others take it from peers. The first that finds the fault asks the origin anew, but told only those to whom it had sent the wrong one, which are few for an agent that had it from a peer itself.

The scenario "A wrong manifest that came first stays with the agents that have it from peers" failed before: most of 50 agents still had the wrong manifest after 8 s, the allowed time of a version.

--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -545,7 +545,7 @@
         copy.corrupt = 0
         target = copy.target
         replaced, copy.received = copy.received, manifest
-        copy.source = source
+        former_source, copy.source = copy.source, source
         self.metrics.count("manifests", source="origin" if source == ORIGIN else "peer")
         self._log(
             "manifest_known",
@@ -557,9 +557,10 @@
             after_s=self.now_s - target.named_s,
         )
         waiting = self._manifest_waiters.take(target.model, target.version)
-        if replaced is not None:
-            # Peers that have a wrong manifest see that this one differs.
-            waiting = dict.fromkeys((*copy.informed, *waiting))
+        if replaced is not None and replaced.digest != manifest.digest:
+            # Peers that have the wrong manifest, from here or from others, see that
+            # this one differs.
+            waiting = self._peers_to_inform(copy, former_source, waiting)
         for peer in waiting:
             self._answer_with_manifest(peer, copy)
         if copy.manifest is not None and copy.manifest.digest == manifest.digest:
@@ -568,6 +569,14 @@
         staged_import.addErrback(self._import_failed)
         staged_import.addCallback(self._import_finished, copy, manifest)
 
+    def _peers_to_inform(self, copy, former_source, waiting):
+        """Return the peers that are sent a manifest that replaces a wrong one."""
+        others = self._rng.sample(self._agent_names, len(self._agent_names))
+        names = dict.fromkeys((former_source, *copy.informed, *waiting, *others))
+        for name in (ORIGIN, "", self.settings.host):
+            names.pop(name, None)
+        return list(names)[:MAX_INFORMED]
+
     def _answer_with_manifest(self, peer, copy):
         copy.add_informed(peer)
         target = copy.target
--- a/features/replicas/manifests.feature
+++ b/features/replicas/manifests.feature
@@ -34,6 +34,12 @@
     Then every agent has the right manifest
     And no agent asked the origin for the manifest more than twice
 
+  Scenario: A wrong manifest that came first stays with the agents that have it from peers
+    Given 50 agents in 3 data centres, and an origin that queues 12 dials
+    And in the fleet only one agent is answered at first, and with wrong digests
+    When a version is named, the origin fails after 60.0 s, and 8.0 s pass
+    Then every agent has the right manifest
+
   # 46 of 50 agents connected at once when they had the manifest; 29 of 48 pieces were out
   # when the origin went down.
   Scenario: The first requests for pieces coincide at the origin
--- a/features/steps/manifests.py
+++ b/features/steps/manifests.py
@@ -44,6 +44,9 @@
         self.cut = set()
         self.pieces = [bytes([number]) * PIECE_BYTES for number in range(PIECE_COUNT)]
         self.spoils = set()
+        # Host that is served at once while the others wait for ``queue_s`` at first.
+        self.first = None
+        self.queue_s = 0.0
         # Connections that are being opened, and the largest number of them, by call.
         self.dials = collections.Counter()
         self.most_dials = collections.Counter()
@@ -89,6 +92,8 @@
     async def manifest(self, host, model, version):
         """Send the manifest, wrong to hosts in ``spoils``."""
         await self._connect(host, "manifest")
+        if self.first not in (None, host):
+            await self._sleep(max(0.0, self.queue_s - self.clock.seconds()))
         self.manifests_sent[host] += 1
         found = self.manifest_of(version)
         if host in self.spoils:
@@ -272,6 +277,10 @@
         context.served -= mesh.old_builds
     elif trouble == "the origin sent wrong digests to a first agent of each":
         origin.spoils = {seeds_of(mesh, own)[0] for own in "abc"}
+    elif trouble == "only one agent is answered at first, and with wrong digests":
+        origin.first = seeds_of(mesh, "a")[0]
+        origin.spoils = {origin.first}
+        origin.queue_s = 1.0
     else:
         assert trouble == "nothing fails", trouble
 
@@ -338,7 +347,7 @@
     wrong = [
         name
         for name, made in context.mesh.agents.items()
-        if made._newest_copy.manifest.digest != right
+        if getattr(made._newest_copy.manifest, "digest", None) != right
     ]
     assert not wrong, wrong
 
