Keep soak seed 33, and name the entries that are not ready

The message had the log of the first entry only, which was ready, so that the cause is not known. The message now has the log of each entry that is not ready, and the seed is a regression case.

--- a/features/soak/seeds.feature
+++ b/features/soak/seeds.feature
@@ -12,3 +12,4 @@
       | 2    |
       | 3    |
       | 5    |
+      | 33   |
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -75,6 +75,7 @@
 
     def __init__(self, folder, name, host, store, seeds):
         self.life = 0
+        self.name = name
         self.front = f"{host}:{_free_port()}"
         self.ready = f"{host}:{_free_port()}"
         self._path = folder / f"{name}.json"
@@ -213,9 +214,10 @@
 
     def _wait_ready(self):
         deadline_s = time.monotonic() + READY_S
-        while not all(entry.is_ready() for entry in self.entries):
+        while late := [entry for entry in self.entries if not entry.is_ready()]:
             if time.monotonic() > deadline_s:
-                raise TimeoutError(f"not ready: {self.entries[0].log[-400:]}")
+                logs = {entry.name: entry.log[-400:] for entry in late}
+                raise TimeoutError(f"not ready after {READY_S} s: {logs}")
             time.sleep(0.05)
 
     def _load(self, name, function):
