Ignore SIGHUP while a process is starting

Cause: the handler of SIGHUP is installed when the reactor runs. Until then the signal has its default action, which ends the process, and loading the modules takes long on a busy machine.

The scenario "A signal for changed settings ends a process that is starting" failed before: "ASSERT FAILED: SIG_DFL". The program now ignores the signal before it imports anything beyond the standard library; settings are read afterwards, and periodically anyway.

--- a/cicadaplank/platform/__main__.py
+++ b/cicadaplank/platform/__main__.py
@@ -1,29 +1,33 @@
 """Command line that starts a role: ``python3 -m cicadaplank.platform entry``."""
 
 import os
+import signal
 import sys
 import time
 
-import fire
-
-from cicadaplank.platform import settings
+# The other modules are imported after SIGHUP is ignored: a signal for changed settings
+# must not end a process while it loads them.
 
 SETTINGS_VARIABLE = "CICADAPLANK_SETTINGS"
 EXIT_USAGE = 2
+ROLES = ("entry", "agent")
 # Limit of the log lines that are buffered while nobody reads them; further lines are
 # dropped.
 LINE_BUFFER_BYTES = 256 * 1024
 
 
-def _read_settings(path, reader):
-    """Read and check a settings file; on faults print them all and exit.
+def _read_settings(path, role):
+    """Read and check the settings file of a role; on faults print them all and exit.
 
     :returns: tuple of path, document, checked settings and address of the store.
     """
+    from cicadaplank.platform import settings
+
     path = path or os.environ.get(SETTINGS_VARIABLE, "")
     try:
         document = settings.read(path)
-        return path, document, reader(document), settings.read_store_address(document)
+        checked = getattr(settings, role)(document)
+        return path, document, checked, settings.read_store_address(document)
     except settings.SettingsError as fault:
         for line in fault.faults:
             print(f"settings: {line}", file=sys.stderr)
@@ -63,10 +67,10 @@
 
         :param path: settings file; by default the one in CICADAPLANK_SETTINGS.
         """
-        path, document, checked, address = _read_settings(path, settings.entry)
+        path, document, checked, address = _read_settings(path, "entry")
         reactor = _monotonic_reactor()
         from cicadaplank.gateway import process
-        from cicadaplank.platform import headers
+        from cicadaplank.platform import headers, settings
 
         entry = process.EntryProcess(
             reactor,
@@ -82,9 +86,9 @@
 
         :param path: settings file; by default the one in CICADAPLANK_SETTINGS.
         """
-        path, document, checked, address = _read_settings(path, settings.agent)
+        path, document, checked, address = _read_settings(path, "agent")
         reactor = _monotonic_reactor()
-        from cicadaplank.platform import client, servers
+        from cicadaplank.platform import client, servers, settings
         from cicadaplank.replicas import process
 
         agent = process.AgentProcess(
@@ -103,13 +107,15 @@
         :param role: ``entry`` or ``agent``.
         :param path: settings file; by default the one in CICADAPLANK_SETTINGS.
         """
-        readers = {"entry": settings.entry, "agent": settings.agent}
-        if role not in readers:
-            print(f"role must be one of {', '.join(readers)}", file=sys.stderr)
+        if role not in ROLES:
+            print(f"role must be one of {', '.join(ROLES)}", file=sys.stderr)
             sys.exit(EXIT_USAGE)
-        _read_settings(path, readers[role])
+        _read_settings(path, role)
         print("the settings are valid")
 
 
 if __name__ == "__main__":
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    import fire
+
     fire.Fire(Roles, name="cicadaplank.platform")
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -82,6 +82,10 @@
       | gives an answer cut short | answer lost |
       | gives no JSON             | answer lost |
 
+  Scenario: A signal for changed settings ends a process that is starting
+    When the program of the platform loads its modules
+    Then a signal for changed settings does not end it
+
   Scenario Outline: Settings with <fault>
     Given settings of an <role> with <fault>
     Then reading them <outcome>
--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -369,3 +369,33 @@
 def step_kept(context, kept):
     is_kept = not context.connection.transport.disconnecting
     assert is_kept == (kept == "yes"), is_kept
+
+
+# Prints how SIGHUP is handled when the first larger module of the program is loaded.
+PROBE = """
+import runpy, signal, sys
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name in ("fire", "cicadaplank.gateway"):
+            print(signal.getsignal(signal.SIGHUP).name)
+            sys.exit()
+
+sys.meta_path.insert(0, Finder())
+sys.argv = ["platform", "check", "entry"]
+runpy.run_module("cicadaplank.platform", run_name="__main__")
+"""
+
+
+@behave.when("the program of the platform loads its modules")
+def step_load_program(context):
+    done = subprocess.run(
+        [sys.executable, "-c", PROBE], capture_output=True, text=True, cwd=ROOT
+    )
+    context.handling = done.stdout.strip()
+    assert context.handling, done.stderr
+
+
+@behave.then("a signal for changed settings does not end it")
+def step_signal_ignored(context):
+    assert context.handling == "SIG_IGN", context.handling
