Say what the margin before the bound of old weights covers

The comment named an observed wait and delayed notices. Notices no longer matter to it, since the age of the naming is shared; what is left are calls that wait at an engine.

--- a/cicadaplank/gateway/named_versions.py
+++ b/cicadaplank/gateway/named_versions.py
@@ -10,8 +10,8 @@
 import math
 
 # Share of the time until old weights are forbidden after which calls are sent to the
-# new weights only. The rest covers calls that wait at an engine (1.0 s was observed)
-# and delayed notices of the new version.
+# new weights only. The rest covers calls that wait at an engine, also at one that goes
+# on with a call whose connection was closed.
 WEIGHTS_SWITCH_SHARE = 0.85
 # A call that waits at an engine with older weights is withdrawn this long before they
 # are forbidden. It covers the interval between checks, 0.05 s, and the time until the
