Log how an answer was framed and how it ended

The connection now hands its receiver a ResponseEnd (framing, what ended it, bytes of the body); call_ended and attempt_failed log it with the bytes after the last complete event, and responses_total counts it. No decision uses it yet.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -8,7 +8,14 @@
 import dataclasses
 import enum
 
-from cicadaplank.gateway import events, outcomes, placement, routes, waiting
+from cicadaplank.gateway import (
+    events,
+    framing,
+    outcomes,
+    placement,
+    routes,
+    waiting,
+)
 from cicadaplank.requests import verdicts
 
 # An attempt whose answer has not started after this multiple of the route's objective
@@ -97,6 +104,10 @@
         self.sent_after_s = None
         self.first_event_s = None
         self.longest_gap_s = 0.0
+        # How the answer to the last attempt ended, and the number of bytes after its
+        # last complete event.
+        self.response_end = framing.ResponseEnd()
+        self.partial_event_bytes = 0
         head = request.head
         wait_s = route.timeout_s
         if head.wait_s is not None:
@@ -214,6 +225,8 @@
         self._reply = None
         self._body = []
         self._body_bytes = 0
+        self.response_end = framing.ResponseEnd()
+        self.partial_event_bytes = 0
         self.phase = Phase.SENT
         self._sent_s = self._last_activity_s = now_s
         if self.sent_after_s is None:
@@ -317,8 +330,20 @@
         answer_time = self._gateway.answer_times[self.service]
         answer_time.record_answer(now_s - self._sent_s)
 
-    def response_ended(self):
-        """Handle the end of a complete answer."""
+    def _record_response_end(self, end):
+        self.response_end = end
+        if self._splitter is not None:
+            self.partial_event_bytes = len(self._splitter.rest)
+        self._gateway.count(
+            "responses", framing=end.framing.value, ended_by=end.termination.value
+        )
+
+    def response_ended(self, end):
+        """Handle the end of a complete answer.
+
+        :param end: :class:`cicadaplank.gateway.framing.ResponseEnd`.
+        """
+        self._record_response_end(end)
         head = self._reply
         state = self._release_endpoint()
         now_s = self._gateway.now_s()
@@ -363,11 +388,13 @@
         self._finish("answered", verdicts.Verdict.RAN)
         self._client.end_stream()
 
-    def response_failed(self, reason):
+    def response_failed(self, end, reason):
         """Handle the loss of the connection before the end of the answer.
 
+        :param end: :class:`cicadaplank.gateway.framing.ResponseEnd`.
         :param reason: text for the log and the client.
         """
+        self._record_response_end(end)
         state = self._release_endpoint()
         self._gateway.connection_broken(self, state)
         self.attempt_ended(outcomes.Ending.BROKEN, reason, state)
@@ -380,7 +407,7 @@
         connection = self._connection
         state = self._release_endpoint()
         if connection is not None:
-            connection.cancel()
+            self._record_response_end(connection.cancel())
         return state
 
     def pause(self):
@@ -521,7 +548,7 @@
             self._gateway.withdraw(self)
         self._release_endpoint()
         if connection is not None:
-            connection.cancel()
+            self._record_response_end(connection.cancel())
         if dial is not None:
             dial.disconnect()
 
--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -7,6 +7,8 @@
 import httptools
 from twisted.internet import error, protocol
 
+from cicadaplank.gateway import framing
+
 # A packet reaches any endpoint within 10 ms, or about 100 ms when it queues behind
 # other traffic. An endpoint that does not accept a connection within this time is
 # unreachable or overloaded.
@@ -34,12 +36,16 @@
     def response_data(self, data):
         """Process a part of the body, as bytes."""
 
-    def response_ended(self):
-        """Finish the call after a complete response."""
+    def response_ended(self, end):
+        """Finish the call after a complete response.
+
+        :param end: :class:`cicadaplank.gateway.framing.ResponseEnd`.
+        """
 
-    def response_failed(self, reason):
+    def response_failed(self, end, reason):
         """Fail the call: the connection was lost or the framing broken midway.
 
+        :param end: :class:`cicadaplank.gateway.framing.ResponseEnd`.
         :param reason: description of the failure.
         """
 
@@ -59,6 +65,7 @@
         self._parser = None
         self._head = None
         self._headers = []
+        self._body_bytes = 0
         self._is_skipping = False
         self._is_complete = False
         self._parser_keeps_open = False
@@ -81,6 +88,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
         self._head = None
+        self._body_bytes = 0
         self._is_skipping = False
         self._is_complete = False
         self._parser_keeps_open = False
@@ -99,10 +107,19 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
     def cancel(self):
-        """Abort the call by closing the connection, which the endpoint detects."""
+        """Abort the call by closing the connection, which the endpoint detects.
+
+        :returns: :class:`cicadaplank.gateway.framing.ResponseEnd`.
+        """
         self._receiver = None
         self.is_broken = True
         self.transport.abortConnection()
+        return self._response_end(framing.Termination.CANCELLED)
+
+    def _response_end(self, termination):
+        return framing.ResponseEnd(
+            framing.framing_of(self._head), termination, self._body_bytes
+        )
 
     def release(self):
         """Return the connection unused to the pool: its call no longer needs it."""
@@ -155,6 +172,7 @@
         """Pass a part of the body to the receiver (parser callback)."""
         if self._is_complete or self._is_skipping or self._receiver is None:
             return
+        self._body_bytes += len(data)
         self._receiver.response_data(data)
 
     def on_message_complete(self):
@@ -189,14 +207,15 @@
         else:
             self.is_broken = True
             self.transport.loseConnection()
-        receiver.response_ended()
+        receiver.response_ended(self._response_end(framing.Termination.COMPLETE))
 
     def _fail(self, reason):
         self.is_broken = True
         receiver, self._receiver = self._receiver, None
         self.transport.abortConnection()
         if receiver is not None:
-            receiver.response_failed(reason)
+            end = self._response_end(framing.Termination.INVALID)
+            receiver.response_failed(end, reason)
 
     def _drop_unsolicited(self, reason):
         self._pool.counts[reason] += 1
@@ -214,12 +233,14 @@
         receiver, self._receiver = self._receiver, None
         if receiver is None:
             return
-        head = self._head
-        unframed = head is not None and head.length is None and not head.is_chunked
-        if unframed and not self._is_skipping and reason.check(error.ConnectionDone):
-            receiver.response_ended()
+        is_closed = reason.check(error.ConnectionDone)
+        end = self._response_end(
+            framing.Termination.CLOSED if is_closed else framing.Termination.RESET
+        )
+        if is_closed and end.framing is framing.Framing.CLOSE and not self._is_skipping:
+            receiver.response_ended(end)
             return
-        receiver.response_failed(f"connection lost: {reason.getErrorMessage()}")
+        receiver.response_failed(end, f"connection lost: {reason.getErrorMessage()}")
 
 
 class _ConnectionFactory(protocol.ClientFactory):
--- a/cicadaplank/gateway/reporting.py
+++ b/cicadaplank/gateway/reporting.py
@@ -122,6 +122,7 @@
             endpoint_calls=state.in_flight,
             peer_calls=state.peer_calls(now_s),
             failures_in_a_row=state.failures_in_a_row,
+            **_response_fields(call),
         )
 
     def attempt_withdrawn(self, call, version, bound):
@@ -207,5 +208,17 @@
             first_event_s=call.first_event_s,
             longest_gap_s=call.longest_gap_s,
             elapsed_s=elapsed_s,
+            **_response_fields(call),
             configuration=version,
         )
+
+
+def _response_fields(call):
+    """Return the log fields of how the answer to the last attempt ended."""
+    end = call.response_end
+    return {
+        "framing": end.framing.value,
+        "ended_by": end.termination.value,
+        "body_bytes": end.body_bytes,
+        "partial_event_bytes": call.partial_event_bytes,
+    }
--- a/cicadaplank/platform/client.py
+++ b/cicadaplank/platform/client.py
@@ -179,10 +179,11 @@
             return
         self._body.append(data)
 
-    def response_ended(self):
+    def response_ended(self, end):
         """Complete the call with the status and body."""
         self._end((self._head.status, b"".join(self._body)))
 
-    def response_failed(self, reason):
+    def response_failed(self, end, reason):
         """Fail the call because the connection broke before the end of the answer."""
-        self._end(errors.AnswerLost(reason))
+        fault = f"{reason} after {end.body_bytes} bytes, framing {end.framing.value}"
+        self._end(errors.AnswerLost(fault))
