Add failing scenarios for streams that end inside an event

The scenarios play each framing with a close, a reset and a time limit, and cut streams and whole answers at every byte.

--- a/features/gateway/endings.feature
+++ b/features/gateway/endings.feature
@@ -8,7 +8,7 @@
     Then the log names the framing <name>, the end <logged> and <partial> bytes of an event
     And a counter of answers has the framing <name> and the end <logged>
 
-    Examples:
+    Examples: ends
       | kind           | framing  | share   | end          | name   | logged    | partial |
       | runs once only | a length | whole   | a close      | length | complete  | 0       |
       | runs once only | a length | in part | a close      | length | closed    | 0       |
@@ -25,3 +25,70 @@
       | streams once   | neither  | in part | a close      | close  | closed    | 17      |
       | streams once   | neither  | in part | a reset      | close  | reset     | 17      |
       | streams once   | neither  | in part | a time limit | close  | cancelled | 17      |
+
+  @always_2
+  Scenario Outline: A stream that ends inside an event by <end>, with <framing>, goes on
+    Given a gateway with 2 endpoints and a route that streams and resumes
+    When an answer with <framing> ends by <end> in the middle of event 3
+    And the other endpoint goes on from event 3
+    Then the caller gets the events 1 to 4, each once, and a complete end
+    And the second send names event 2 as the last one
+
+    Examples: ends
+      | framing  | end         |
+      | a length | a close     |
+      | a length | a reset     |
+      | a length | its framing |
+      | chunks   | a close     |
+      | chunks   | a reset     |
+      | chunks   | its framing |
+      | neither  | a close     |
+      | neither  | a reset     |
+
+  @always_2
+  Scenario Outline: A stream ending inside an event by <end>, with <framing>, is broken off
+    Given a gateway with 2 endpoints and a route that streams once
+    When an answer with <framing> ends by <end> in the middle of event 3
+    Then the caller's connection is broken off
+
+    Examples: ends
+      | framing  | end          |
+      | a length | a close      |
+      | a length | its framing  |
+      | chunks   | a reset      |
+      | chunks   | its framing  |
+      | neither  | a close      |
+      | neither  | a reset      |
+      | neither  | a time limit |
+
+  @always_2
+  Scenario Outline: A stream without length and chunks is not whole before its first event
+    Given a gateway with 1 endpoints and a route that <kind>
+    When an answer with neither ends by a close before event 1
+    Then the caller gets 502 and nothing of a stream
+
+    Examples: routes
+      | kind                |
+      | streams once        |
+      | streams and resumes |
+
+  @always_2
+  Scenario Outline: A resumed stream with <framing> must bring the rest of a broken event
+    Given a gateway with 2 endpoints and a route that streams and resumes
+    When an answer with chunks ends by a reset in the middle of event 3
+    And the other endpoint answers event 3 with no event and <framing>
+    Then the caller's connection is broken off
+
+    Examples: framings
+      | framing  |
+      | a length |
+      | chunks   |
+      | neither  |
+
+  @always_2
+  Scenario: A stream is whole for its caller only where its bytes may end
+    Then a stream cut at any byte is whole for its caller only where it may be
+
+  @always_2
+  Scenario: An answer is whole for its caller only where its bytes may end
+    Then an answer cut at any byte is whole for its caller only where it may be
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -178,6 +178,7 @@
 
         :returns: the protocol of the gateway's side and its transport.
         """
+        assert self.has_dial, "no endpoint is dialled"
         host, port, factory, _, _ = self.reactor.tcpClients[self.dialled]
         self.dialled += 1
         protocol = factory.buildProtocol(None)
--- a/features/steps/gateway_endings.py
+++ b/features/steps/gateway_endings.py
@@ -3,6 +3,8 @@
 import re
 
 import behave
+import hypothesis
+from hypothesis import strategies
 from twisted.internet import error
 
 from cicadaplank.gateway import reporting
@@ -13,7 +15,21 @@
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Signature: s.1\r\n" % (
     gateway_steps.ATTEMPT
 )
-FRAMINGS = {"a length": "length", "chunks": "chunks", "neither": "close"}
+FRAMINGS = ("a length", "chunks", "neither")
+ENDINGS = ("a close", "a reset", "a time limit")
+LAST_CHUNK = b"0\r\n\r\n"
+SETTINGS = hypothesis.settings(
+    derandomize=True,
+    max_examples=8,
+    database=None,
+    deadline=None,
+    # A failure names its case, so that examples are not shrunk, which is slow.
+    phases=[hypothesis.Phase.generate],
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
+EVENT_TEXTS = strategies.lists(
+    strategies.text(alphabet="ab :", min_size=1, max_size=6), min_size=1, max_size=4
+)
 STREAM = b"".join(gateway_steps.event(number) for number in range(1, 5))
 
 
@@ -86,3 +102,132 @@
     page = context.metrics.render()[0].decode()
     pattern = rf'responses\S*ended_by="{ending}",framing="{framing}"\S* 1'
     assert re.search(pattern, page), page
+
+
+@behave.when("an answer with {framing} ends by {ending} in the middle of event 3")
+def step_ends_inside_event(context, framing, ending):
+    world = context.world
+    protocol, transport = send_call(world)
+    transport.take()
+    whole = framed(STREAM, framing)
+    if ending in ENDINGS:
+        protocol.dataReceived(whole[: whole.index(b"token 3") + 5])
+        end(world, protocol, ending)
+        return
+    assert ending == "its framing", ending
+    part = STREAM[: STREAM.index(b"token 3") + 5]
+    protocol.dataReceived(framed(part, framing))
+
+
+@behave.when("an answer with {framing} ends by {ending} before event 1")
+def step_ends_empty(context, framing, ending):
+    world = context.world
+    protocol, transport = send_call(world)
+    transport.take()
+    protocol.dataReceived(framed(b"", framing).removesuffix(LAST_CHUNK))
+    end(world, protocol, ending)
+
+
+@behave.when("the other endpoint answers event 3 with no event and {framing}")
+def step_resumed_empty(context, framing):
+    world = context.world
+    protocol, _ = world.accept_call()
+    protocol.dataReceived(framed(b"", framing))
+    if framing == "neither":
+        end(world, protocol, "a close")
+
+
+@behave.then("the caller gets {status:d} and nothing of a stream")
+def step_no_stream(context, status):
+    got = context.world.client_transport.value()
+    assert gateway_steps.status_of(got) == status, got
+    assert b"data:" not in got, got
+
+
+def parse_answer(data):
+    """Return the status and body that a caller has, and whether it takes them as whole.
+
+    :param data: bytes of one HTTP response, perhaps a part of it.
+    """
+    head, separator, rest = data.partition(b"\r\n\r\n")
+    if not separator:
+        return None, b"", False
+    status = gateway_steps.status_of(head)
+    length = re.search(rb"Content-Length: (\d+)", head)
+    if length:
+        return status, rest, len(rest) == int(length.group(1))
+    body = b""
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        if int(size, 16) == 0:
+            return status, body, rest == b"\r\n"
+        body += rest[: int(size, 16)]
+        rest = rest[int(size, 16) + 2 :]
+    return status, body, False
+
+
+def play_cut(kind, data, ending, cut):
+    """Return what a caller gets when an answer is cut after some bytes.
+
+    :returns: status, body, and whether the caller takes them as whole.
+    """
+    world = gateway_steps.World(1, kind)
+    protocol, transport = send_call(world)
+    protocol.dataReceived(data[:cut])
+    if not transport.disconnecting:
+        end(world, protocol, ending)
+    return parse_answer(world.client_transport.value())
+
+
+def check_cuts(kind, body, whole_bodies):
+    """Cut an answer at every byte, for each framing and ending.
+
+    :param kind: kind of route.
+    :param body: bytes of the answer's body.
+    :param whole_bodies: bodies that are whole when an answer without length and chunks
+        is closed after them.
+    """
+    for framing in FRAMINGS:
+        data = framed(body, framing)
+        for ending in ENDINGS:
+            for cut in range(len(data) + 1):
+                status, got, is_whole = play_cut(kind, data, ending, cut)
+                case = (framing, ending, cut, data[max(0, cut - 30) : cut], got)
+                if framing == "neither":
+                    arrived = data[:cut].partition(b"\r\n\r\n")
+                    is_end = arrived[1] and arrived[2] in whole_bodies
+                    may_be_whole = ending == "a close" and is_end
+                else:
+                    may_be_whole = cut == len(data)
+                if may_be_whole:
+                    assert (status, is_whole) == (200, True), case
+                    assert framing == "neither" or got == body, case
+                else:
+                    assert not (status == 200 and is_whole), case
+                assert status != 200 or body.startswith(got), case
+
+
+@behave.then("a stream cut at any byte is whole for its caller only where it may be")
+def step_cut_streams(context):
+    @SETTINGS
+    @hypothesis.given(EVENT_TEXTS)
+    def check(texts):
+        found = [
+            b"id: %d\ndata: %b\n\n" % (number, text.encode())
+            for number, text in enumerate(texts, 1)
+        ]
+        whole = {b"".join(found[:count]) for count in range(1, len(found) + 1)}
+        check_cuts("streams once", b"".join(found), whole)
+
+    check()
+
+
+@behave.then("an answer cut at any byte is whole for its caller only where it may be")
+def step_cut_answers(context):
+    @SETTINGS
+    @hypothesis.given(strategies.binary(min_size=1, max_size=40))
+    def check(body):
+        whole = {body[:count] for count in range(len(body) + 1)}
+        check_cuts("runs once only", body, whole)
+
+    check()
