Do not end a stream as complete that stopped inside an event

Cause: a clean close ends an answer that has neither a length nor chunks, and the gateway took every end of an answer for the end of its stream: it forwarded the bytes of the unfinished event and wrote the last chunk. A server that crashes closes its connections too. An answer whose framing is complete but whose last event is not took the same path.

A stream is whole now only if it does not end inside an event, has brought the event in which an earlier attempt broke off, and, without length and chunks, has brought an event at all. Otherwise the attempt is broken: the stream is resumed at another endpoint, or broken off towards the caller. Empty lines and whole comment lines after the last event are not taken for an event.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -127,6 +127,8 @@
         self._body_bytes = 0
         self._splitter = None
         self._stream_began = False
+        # Whether an attempt broke off inside an event that no later one has brought.
+        self._is_event_due = False
         self._is_paused = False
         self._sent_s = 0.0
         self._last_data_s = 0.0
@@ -318,6 +320,7 @@
 
     def _forward(self, data):
         self.phase = Phase.STREAMING
+        self._is_event_due = False
         if not self._stream_began:
             self._stream_began = True
             self.first_event_s = self._last_activity_s - self.request.arrived_s
@@ -334,6 +337,7 @@
         self.response_end = end
         if self._splitter is not None:
             self.partial_event_bytes = len(self._splitter.rest)
+            self._is_event_due |= self._splitter.is_inside_event
         self._gateway.count(
             "responses", framing=end.framing.value, ended_by=end.termination.value
         )
@@ -354,7 +358,7 @@
             self.attempt_ended(ending, f"status {head.status}", state)
             return
         if self._splitter is not None:
-            self._stream_ended(state, now_s)
+            self._stream_ended(end, state, now_s)
             return
         # Redirects and client errors of the application itself, such as 404, are
         # forwarded as they are.
@@ -379,7 +383,13 @@
         """
         return head.status in (408, 421, 429, 503)
 
-    def _stream_ended(self, state, now_s):
+    def _stream_ended(self, end, state, now_s):
+        fault = self._stream_fault(end)
+        if fault:
+            if end.termination is not framing.Termination.COMPLETE:
+                self._gateway.connection_broken(self, state)
+            self.attempt_ended(outcomes.Ending.BROKEN, fault, state)
+            return
         rest = self._splitter.rest
         self._splitter = None
         state.record_answer(now_s)
@@ -388,6 +398,20 @@
         self._finish("answered", verdicts.Verdict.RAN)
         self._client.end_stream()
 
+    def _stream_fault(self, end):
+        """Return why a stream whose answer has ended is not whole, empty if it is.
+
+        Without a length and chunks, a close is the only end of an answer, also of one
+        whose endpoint has crashed.
+        """
+        if self._splitter.is_inside_event:
+            return "the stream ended inside an event"
+        if self._is_event_due:
+            return "the stream ended before the rest of an event"
+        if end.framing is framing.Framing.CLOSE and not self._stream_began:
+            return "the stream ended before its first event"
+        return ""
+
     def response_failed(self, end, reason):
         """Handle the loss of the connection before the end of the answer.
 
--- a/cicadaplank/gateway/events.py
+++ b/cicadaplank/gateway/events.py
@@ -29,6 +29,18 @@
         """Return the bytes after the last complete event."""
         return self._rest
 
+    @property
+    def is_inside_event(self):
+        """Whether bytes of an unfinished event were received.
+
+        Empty lines and complete comment lines are not part of an event.
+        """
+        return any(
+            line.strip(b"\r\n")
+            and not (line.startswith(b":") and line.endswith((b"\n", b"\r")))
+            for line in self._rest.splitlines(keepends=True)
+        )
+
     def feed(self, data):
         """Parse the next bytes of the stream.
 
