Keep a whole answer that is followed by other bytes in one read

Callers got a 502 for calls that had run and were answered: when an endpoint sends garbage or a second answer right after a complete one, and both arrive in one read, the parser raises at the later bytes and the whole answer was dropped with them. The same bytes in a read of their own did no harm. A switch of protocols raised out of dataReceived, since HttpParserUpgrade is another type.

A complete answer is delivered now, the bytes after it are counted and its connection is closed.

--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -141,9 +141,13 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as parse_error:
-            self._fail(f"not HTTP: {parse_error}")
-            return
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as parse_error:
+            if not self._is_complete:
+                self._fail(f"not HTTP: {parse_error}")
+                return
+            # The bytes after a complete response belong to no call.
+            self._pool.counts["unasked_bytes"] += 1
+            self.is_broken = True
         if self._is_complete:
             self._finish()
 
--- a/features/gateway/calls.feature
+++ b/features/gateway/calls.feature
@@ -16,6 +16,8 @@
       | answers well                         | runs once only | 200    | 1     | whole       |
       | answers without a length and ends    | runs once only | 200    | 1     | whole       |
       | answers after a late foreign answer  | runs once only | 200    | 1     | whole       |
+      | answers and sends garbage with it    | runs once only | 200    | 1     | whole       |
+      | answers twice and says that it closes | runs once only | 200   | 1     | whole       |
 
     Examples: refusals
       | behaviour             | kind           | status | sends | whole       |
@@ -35,6 +37,7 @@
       | answers without a signature          | runs once only | 502    | 1     | its own     |
       | answers with an encoding             | runs once only | 502    | 1     | its own     |
       | answers what is not HTTP             | runs once only | 502    | 1     | its own     |
+      | switches protocols                   | runs once only | 502    | 1     | its own     |
       | answers busy without a promise       | runs once only | 502    | 1     | its own     |
       | answers 429 without a promise        | runs once only | 502    | 1     | its own     |
       | is silent                            | may repeat     | 200    | 2     | whole       |
@@ -104,12 +107,18 @@
     When a caller sends 3 calls that are answered well
     Then 3 connections to the endpoint were opened
 
-  Scenario: An extra answer closes the connection and reaches no caller
+  Scenario Outline: An endpoint that <behaviour> is sent no other call on the connection
     Given a gateway with 1 endpoints and a route that may repeat
-    When a caller sends a call and the first endpoint answers twice
+    When a caller sends a call and the first endpoint <behaviour>
     Then the caller gets 200 after 1 sends
     And the connection to the endpoint is closed
 
+    Examples:
+      | behaviour                             |
+      | answers twice                         |
+      | answers and sends garbage with it     |
+      | answers twice and says that it closes |
+
   @always_6
   Scenario: A planned stop ends the call in progress and closes its connection
     Given a gateway with 1 endpoints and a route that may repeat
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -253,6 +253,14 @@
         protocol.dataReceived(answer(body=b"foreign", attempt=b"other") + answer())
     elif behaviour == "answers twice":
         protocol.dataReceived(answer() + answer(body=b"again"))
+    elif behaviour == "answers and sends garbage with it":
+        protocol.dataReceived(answer() + b"\x00\x01 garbage")
+    elif behaviour == "answers twice and says that it closes":
+        closing = answer(extra=b"Connection: close\r\n")
+        protocol.dataReceived(closing + answer(body=b"again"))
+    elif behaviour == "switches protocols":
+        upgrade = b"Connection: upgrade\r\nUpgrade: other\r\n"
+        protocol.dataReceived(answer(101, b"", length=False, extra=upgrade))
     elif behaviour == "refuses as full":
         protocol.dataReceived(
             answer(503, b"", signed=False, extra=b"X-Not-Executed: 1\r\n")
