End the answer to a HEAD call with its headers

A HEAD call was held until its deadline and got 504: the parser waited for the body whose length the headers declare. A refusal of such a call carried a body, which a client takes for the start of the next answer on its connection.

The connection takes the answer to a HEAD request as complete after the headers; the caller gets the declared length and no body. Before: 'A HEAD call with a length ends with the headers' failed with no answer at all, and the refusal's scenario with a body of 32 bytes.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -237,7 +237,11 @@
         self.weights_version = self._endpoint_version()
         if self.route.retry_policy is not routes.RetryPolicy.NEVER:
             connection.set_unacknowledged_timeout(ACK_TIMEOUT_S)
-        connection.send(self._gateway.encode_call(self, self.state, left_s), self)
+        connection.send(
+            self._gateway.encode_call(self, self.state, left_s),
+            self,
+            has_body=self.request.head.method != b"HEAD",
+        )
         if self._is_paused:
             connection.pause()
 
@@ -274,7 +278,8 @@
             return False
         self._last_activity_s = self._gateway.now_s()
         self._reply = head
-        if self._is_valid_success(head) and self.route.is_stream:
+        is_stream = self.route.is_stream and self.request.head.method != b"HEAD"
+        if self._is_valid_success(head) and is_stream:
             self._splitter = events.EventSplitter()
         return True
 
--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -10,6 +10,8 @@
 # Pipelined requests that a client may have queued behind the one in progress.
 MAX_PIPELINED = 8
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Separates the headers of a message from its body.
+HEAD_END = b"\r\n\r\n"
 
 
 class ClientConnection(protocol.Protocol):
@@ -29,6 +31,7 @@
         self._is_disconnected = False
         self._attempt_id = b""
         self._is_http_1_0 = False
+        self._is_head_request = False
         self._is_reading = False
         self._head_bytes = 0
         self._target = b""
@@ -186,6 +189,7 @@
         while self._queue and not self._is_busy and not self._is_closing:
             request, self._keeps_open, version = self._queue.popleft()
             self._is_http_1_0 = version != "1.1"
+            self._is_head_request = request.head.method == b"HEAD"
             self._is_busy = True
             self._stop_timer()
             self._attempt_id = request.head.attempt
@@ -213,7 +217,10 @@
         :param body: bytes.
         """
         closes = self._closes_connection()
-        head_bytes = self._gateway.dialect.write_response(head, len(body), closes)
+        length = len(body)
+        if self._is_head_request:
+            length, body = head.length or 0, b""
+        head_bytes = self._gateway.dialect.write_response(head, length, closes)
         self.transport.write(head_bytes + body)
         self._response_sent(closes)
 
@@ -225,11 +232,12 @@
         :param retry_after_s: delay before the client may retry in seconds, or None.
         """
         closes = self._closes_connection()
-        self.transport.write(
-            self._gateway.dialect.write_refusal(
-                status, self._attempt_id, message, retry_after_s, closes
-            )
+        data = self._gateway.dialect.write_refusal(
+            status, self._attempt_id, message, retry_after_s, closes
         )
+        if self._is_head_request:
+            data = data[: data.index(HEAD_END) + len(HEAD_END)]
+        self.transport.write(data)
         self._response_sent(closes)
 
     def begin_stream(self, head):
--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -68,6 +68,7 @@
         self._body_bytes = 0
         self._is_skipping = False
         self._is_complete = False
+        self._has_body = True
         self._parser_keeps_open = False
         self.is_broken = False
         self.used = 0
@@ -78,13 +79,16 @@
         """Disable Nagle's algorithm, so that small writes are sent at once."""
         self.transport.setTcpNoDelay(True)
 
-    def send(self, data, receiver):
+    def send(self, data, receiver, has_body=True):
         """Send a request and expect its response.
 
         :param data: bytes of the request.
         :param receiver: :class:`Receiver` of the response.
+        :param has_body: whether the response may have a body. That to a HEAD request
+            has none, whatever length it declares.
         """
         self._receiver = receiver
+        self._has_body = has_body
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
         self._head = None
@@ -171,10 +175,16 @@
         self._headers = []
         if self._receiver is not None:
             self._is_skipping = not self._receiver.response_started(self._head)
+        if not self._has_body and not self._is_skipping:
+            self._is_complete = True
+            self._parser_keeps_open = self._parser.should_keep_alive()
 
     def on_body(self, data):
         """Pass a part of the body to the receiver (parser callback)."""
-        if self._is_complete or self._is_skipping or self._receiver is None:
+        if self._is_complete:
+            self.is_broken = True
+            return
+        if self._is_skipping or self._receiver is None:
             return
         self._body_bytes += len(data)
         self._receiver.response_data(data)
@@ -189,7 +199,8 @@
             self._head = None
             return
         if self._is_complete:
-            self.is_broken = True
+            self.is_broken |= self._has_body
+            return
         self._is_complete = True
         # The parser resets this flag when the callback returns.
         self._parser_keeps_open = self._parser.should_keep_alive()
--- a/features/gateway/endings.feature
+++ b/features/gateway/endings.feature
@@ -92,3 +92,21 @@
   @always_2
   Scenario: An answer is whole for its caller only where its bytes may end
     Then an answer cut at any byte is whole for its caller only where it may be
+
+  Scenario Outline: A HEAD call with <framing> ends with the headers
+    Given a gateway with 1 endpoints and a route that <kind>
+    When a caller sends a HEAD call and the endpoint declares <framing>
+    Then the caller gets 200 with headers only
+
+    Examples: framings
+      | kind                | framing  |
+      | may repeat          | a length |
+      | may repeat          | chunks   |
+      | may repeat          | neither  |
+      | streams and resumes | a length |
+      | streams and resumes | chunks   |
+
+  Scenario: The refusal of a HEAD call has no body that passes for the next answer
+    Given a gateway with 1 endpoints and a route that may repeat
+    When a caller sends a HEAD call for a path without a route
+    Then the caller gets 404 with headers only
--- a/features/steps/gateway_endings.py
+++ b/features/steps/gateway_endings.py
@@ -231,3 +231,26 @@
         check_cuts("runs once only", body, whole)
 
     check()
+
+
+@behave.when("a caller sends a HEAD call and the endpoint declares {framing}")
+def step_head_call(context, framing):
+    world = context.world
+    request = world.request(body=b"call").replace(b"POST", b"HEAD")
+    world.client.dataReceived(request)
+    protocol, _ = world.accept_call()
+    whole = framed(gateway_steps.BODY, framing)
+    protocol.dataReceived(whole[: whole.index(b"\r\n\r\n") + 4])
+
+
+@behave.when("a caller sends a HEAD call for a path without a route")
+def step_head_refused(context):
+    world = context.world
+    world.client.dataReceived(world.request(path=b"/y/1").replace(b"GET", b"HEAD"))
+
+
+@behave.then("the caller gets {status:d} with headers only")
+def step_headers_only(context, status):
+    got = context.world.client_transport.value()
+    assert gateway_steps.status_of(got) == status, got
+    assert got.endswith(b"\r\n\r\n") and got.count(b"\r\n\r\n") == 1, got
