Send a stream without chunks to a client of HTTP/1.0

A client of HTTP/1.0 got a header that announces chunks and then a body that is not in chunks, so that it could not read the stream, nor tell where it ends. The header is left out now: the stream ends with the connection, by a close when it is whole and by a reset when it was broken off.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -243,10 +243,15 @@
     def begin_stream(self, head):
         """Start a response of unknown length.
 
+        A client that uses HTTP/1.0 knows no chunks: its response ends with the
+        connection.
+
         :param head: :class:`cicadaplank.gateway.dialects.ResponseHead`.
         """
         closes = self._closes_connection()
-        head_bytes = self._gateway.dialect.write_response(head, None, closes)
+        head_bytes = self._gateway.dialect.write_response(
+            head, None, closes, uses_chunks=not self._is_http_1_0
+        )
         self.transport.write(head_bytes)
 
     def stream(self, data):
--- a/cicadaplank/gateway/dialects.py
+++ b/cicadaplank/gateway/dialects.py
@@ -127,12 +127,14 @@
         :param headers: list of ``(name, value)``.
         """
 
-    def write_response(self, head, length, closes):
+    def write_response(self, head, length, closes, uses_chunks=True):
         """Return the bytes of the status line and headers for the client.
 
         :param head: :class:`ResponseHead`.
-        :param length: length of the body in bytes, or None for chunked transfer coding.
+        :param length: length of the body in bytes, or None when it is not known.
         :param closes: whether the connection is closed after the response.
+        :param uses_chunks: whether a body of unknown length is sent in chunks.
+            Otherwise it ends with the connection.
         """
 
     def write_refusal(self, status, attempt, message, retry_after_s, closes):
--- a/cicadaplank/platform/headers.py
+++ b/cicadaplank/platform/headers.py
@@ -169,15 +169,15 @@
             idle_timeout_s=_read_idle_timeout_s(first.get(b"keep-alive", b"")),
         )
 
-    def write_response(self, head, length, closes):
+    def write_response(self, head, length, closes, uses_chunks=True):
         """Return the bytes of the status line and headers for a client."""
         reason = REASON_PHRASES.get(head.status, b"Status")
         lines = [b"HTTP/1.1 %d %b" % (head.status, reason)]
         lines += [b"%b: %b" % header for header in head.headers]
-        if length is None:
-            lines.append(b"Transfer-Encoding: chunked")
-        else:
+        if length is not None:
             lines.append(b"Content-Length: %d" % length)
+        elif uses_chunks:
+            lines.append(b"Transfer-Encoding: chunked")
         if closes:
             lines.append(b"Connection: close")
         return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/features/gateway/endings.feature
+++ b/features/gateway/endings.feature
@@ -110,3 +110,15 @@
     Given a gateway with 1 endpoints and a route that may repeat
     When a caller sends a HEAD call for a path without a route
     Then the caller gets 404 with headers only
+
+  @always_2
+  Scenario Outline: A stream that ends by <end> for a caller of HTTP/1.0 is not in chunks
+    Given a gateway with 1 endpoints and a route that streams once
+    When a caller of HTTP/1.0 sends a call and its stream ends by <end>
+    Then the caller's stream has no framing and ends by a <seen>
+
+    Examples: ends
+      | end         | seen  |
+      | its framing | close |
+      | a close     | reset |
+      | a reset     | reset |
--- a/features/steps/gateway_endings.py
+++ b/features/steps/gateway_endings.py
@@ -254,3 +254,25 @@
     got = context.world.client_transport.value()
     assert gateway_steps.status_of(got) == status, got
     assert got.endswith(b"\r\n\r\n") and got.count(b"\r\n\r\n") == 1, got
+
+
+@behave.when("a caller of HTTP/1.0 sends a call and its stream ends by {ending}")
+def step_old_caller(context, ending):
+    world = context.world
+    request = world.request(body=b"call").replace(b"HTTP/1.1", b"HTTP/1.0")
+    world.client.dataReceived(request)
+    protocol, _ = world.accept_call()
+    data = framed(STREAM, "chunks")
+    protocol.dataReceived(data if ending == "its framing" else data[:-9])
+    if ending != "its framing":
+        end(world, protocol, ending)
+
+
+@behave.then("the caller's stream has no framing and ends by a {ending}")
+def step_old_end(context, ending):
+    transport = context.world.client_transport
+    head, _, body = transport.value().partition(b"\r\n\r\n")
+    assert b"Transfer-Encoding" not in head, head
+    assert STREAM.startswith(body), body
+    assert transport.disconnecting
+    assert transport.aborted == (ending == "reset")
