Find the end of events whose lines end by CR or CRLF

A stream whose lines end by CRLF or CR, as the format of event streams allows, was held until its end: the splitter looked for LF LF only, so that the caller got no event until the last byte, and above 256 KB the stream failed.

The splitter finds the empty line with each kind of line end, keeps its bytes in one buffer and searches only what is new, so that an event that arrives byte by byte costs no more than in one piece. Before: 'Events whose lines end by CRLF are forwarded as they arrive' failed, since the caller had no byte.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -341,7 +341,7 @@
     def _record_response_end(self, end):
         self.response_end = end
         if self._splitter is not None:
-            self.partial_event_bytes = len(self._splitter.rest)
+            self.partial_event_bytes = self._splitter.rest_bytes
             self._is_event_due |= self._splitter.is_inside_event
         self._gateway.count(
             "responses", framing=end.framing.value, ended_by=end.termination.value
--- a/cicadaplank/gateway/events.py
+++ b/cicadaplank/gateway/events.py
@@ -1,9 +1,15 @@
 """Parsing of event streams (``text/event-stream``)."""
 
 import dataclasses
+import re
 
 # Limit of one event; engines do not send longer ones.
 MAX_EVENT_BYTES = 256 * 1024
+# An empty line, which ends an event, with each kind of line end.
+_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r|\n\r\n|\r\n\n")
+# Bytes before the end of the buffer in which an event's end may have begun.
+_END_OVERLAP_BYTES = 3
+_ID_LINE = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -22,12 +28,17 @@
     """Incremental parser that splits the bytes of a stream into complete events."""
 
     def __init__(self):
-        self._rest = b""
+        self._buffer = bytearray()
 
     @property
     def rest(self):
         """Return the bytes after the last complete event."""
-        return self._rest
+        return bytes(self._buffer)
+
+    @property
+    def rest_bytes(self):
+        """Return the number of bytes after the last complete event."""
+        return len(self._buffer)
 
     @property
     def is_inside_event(self):
@@ -38,7 +49,7 @@
         return any(
             line.strip(b"\r\n")
             and not (line.startswith(b":") and line.endswith((b"\n", b"\r")))
-            for line in self._rest.splitlines(keepends=True)
+            for line in self._buffer.splitlines(keepends=True)
         )
 
     def feed(self, data):
@@ -49,18 +60,21 @@
         :raises ValueError: when an incomplete event is longer than
             :data:`MAX_EVENT_BYTES`.
         """
-        parts = (self._rest + data).split(b"\n\n")
-        self._rest = parts.pop()
-        if len(self._rest) > MAX_EVENT_BYTES:
+        searched = max(0, len(self._buffer) - _END_OVERLAP_BYTES)
+        self._buffer += data
+        found, start = [], 0
+        while match := _EVENT_END.search(self._buffer, max(start, searched)):
+            found.append(_parse_event(bytes(self._buffer[start : match.end()])))
+            start = match.end()
+        del self._buffer[:start]
+        if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
-        return [Event(_identifier(part), part + b"\n\n") for part in parts]
+        return found
 
 
-def _identifier(event):
-    for line in event.split(b"\n"):
-        if line.startswith(b"id:"):
-            return line[3:].strip()
-    return b""
+def _parse_event(data):
+    line = _ID_LINE.search(data)
+    return Event(line.group(1).strip() if line else b"", data)
 
 
 def is_newer(identifier, previous):
--- a/features/gateway/endings.feature
+++ b/features/gateway/endings.feature
@@ -122,3 +122,19 @@
       | its framing | close |
       | a close     | reset |
       | a reset     | reset |
+
+  Scenario Outline: Events whose lines end by <line_end> are forwarded as they arrive
+    Given a gateway with 1 endpoints and a route that streams once
+    When an endpoint sends 2 events with the line end <line_end>, cut into <parts>
+    Then the caller has both events before the stream ends
+    And it is whole once the stream has ended after <last>
+
+    Examples: line ends
+      | line_end | parts        | last                |
+      | LF       | one read     | the last event      |
+      | LF       | single bytes | a comment           |
+      | CRLF     | one read     | the last event      |
+      | CRLF     | single bytes | an empty line       |
+      | CRLF     | single bytes | a comment           |
+      | CR       | one read     | the last event      |
+      | CR       | single bytes | the last event      |
--- a/features/steps/gateway_endings.py
+++ b/features/steps/gateway_endings.py
@@ -276,3 +276,38 @@
     assert STREAM.startswith(body), body
     assert transport.disconnecting
     assert transport.aborted == (ending == "reset")
+
+
+LINE_ENDS = {"LF": b"\n", "CRLF": b"\r\n", "CR": b"\r"}
+
+
+@behave.when(
+    "an endpoint sends 2 events with the line end {line_end}, cut into {parts}"
+)
+def step_line_ends(context, line_end, parts):
+    context.protocol, _ = send_call(context.world)
+    context.line_end = LINE_ENDS[line_end]
+    data = gateway_steps.event(1) + gateway_steps.event(2)
+    context.stream = data.replace(b"\n", context.line_end)
+    context.protocol.dataReceived(HEAD + b"\r\n")
+    size = len(context.stream) if parts == "one read" else 1
+    for start in range(0, len(context.stream), size):
+        context.protocol.dataReceived(context.stream[start : start + size])
+
+
+@behave.then("the caller has both events before the stream ends")
+def step_both_events(context):
+    _, body, is_whole = parse_answer(context.world.client_transport.value())
+    assert body == context.stream, body
+    assert not is_whole
+
+
+@behave.then("it is whole once the stream has ended after {last}")
+def step_whole_after(context, last):
+    extra = {"a comment": b": end", "an empty line": b""}.get(last)
+    tail = b"" if extra is None else extra + context.line_end
+    if tail:
+        context.protocol.dataReceived(tail)
+    end(context.world, context.protocol, "a close")
+    got = parse_answer(context.world.client_transport.value())
+    assert got == (200, context.stream + tail, True), got
