Count only complete events as progress of a stream

A stream of which single bytes of an event, comments or repeated events kept arriving was never resumed elsewhere: each byte restarted the time limit of 0.9 s, and the caller, who sees no event meanwhile, gives up after 2 s.

The time limit and the longest gap now run from the last event that was forwarded.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -131,7 +131,7 @@
         self._is_event_due = False
         self._is_paused = False
         self._sent_s = 0.0
-        self._last_data_s = 0.0
+        self._last_event_s = 0.0
         self._last_activity_s = 0.0
 
     # Placement.
@@ -294,11 +294,8 @@
         :param data: bytes.
         """
         now_s = self._gateway.now_s()
-        if self._stream_began:
-            self.longest_gap_s = max(self.longest_gap_s, now_s - self._last_data_s)
-        self._last_data_s = now_s
-        self._last_activity_s = now_s
         if self._splitter is None:
+            self._last_activity_s = now_s
             self._body_bytes += len(data)
             if self._body_bytes > MAX_ANSWER_BYTES:
                 self._abandon_attempt(outcomes.Ending.BROKEN, "answer too long")
@@ -321,6 +318,11 @@
             if event.identifier:
                 self.last_event = event.identifier
         if forwarded:
+            # Bytes of an unfinished event are no progress for the client.
+            if self._stream_began:
+                gap_s = now_s - self._last_event_s
+                self.longest_gap_s = max(self.longest_gap_s, gap_s)
+            self._last_event_s = self._last_activity_s = now_s
             self._forward(b"".join(forwarded))
 
     def _forward(self, data):
--- a/features/gateway/endings.feature
+++ b/features/gateway/endings.feature
@@ -138,3 +138,17 @@
       | CRLF     | single bytes | a comment           |
       | CR       | one read     | the last event      |
       | CR       | single bytes | the last event      |
+
+  @always_2
+  Scenario Outline: A stream of which only <bytes> arrive goes on at another endpoint
+    Given a gateway with 2 endpoints and a route that streams and resumes
+    When an endpoint has sent event 2 and <bytes> arrive for 1.2 s
+    Then the endpoint's connection is broken off
+    When the other endpoint goes on from event 3
+    Then the caller gets the events 1 to 4, each once, and a complete end
+
+    Examples: bytes
+      | bytes                   |
+      | single bytes of event 3 |
+      | comments                |
+      | events 1 and 2 again    |
--- a/features/steps/gateway_endings.py
+++ b/features/steps/gateway_endings.py
@@ -311,3 +311,28 @@
     end(context.world, context.protocol, "a close")
     got = parse_answer(context.world.client_transport.value())
     assert got == (200, context.stream + tail, True), got
+
+
+@behave.when("an endpoint has sent event 2 and {kind} arrive for {duration_s:g} s")
+def step_trickle(context, kind, duration_s):
+    world = context.world
+    context.protocol, context.transport = send_call(world)
+    context.transport.take()
+    first = gateway_steps.event(1) + gateway_steps.event(2)
+    context.protocol.dataReceived(HEAD + b"\r\n" + first)
+    parts = {
+        "single bytes of event 3": [
+            b"%c" % byte for byte in b"id: 3\ndata: " + b"x" * 100
+        ],
+        "comments": [b": still here\n"] * 100,
+        "events 1 and 2 again": [first] * 100,
+    }[kind]
+    for part in parts[: round(duration_s / gateway_steps.STEP_S)]:
+        world.run(gateway_steps.STEP_S)
+        if not context.transport.disconnecting:
+            context.protocol.dataReceived(part)
+
+
+@behave.then("the endpoint's connection is broken off")
+def step_endpoint_broken(context):
+    assert context.transport.aborted
