Bound the head and the framing of an answer

An endpoint that sends a head, interim answers, a chunk size, a chunk extension or trailers without end was read until the call's deadline, at the speed of the link: MAX_HEAD_BYTES existed but nothing used it, and the parser puts a header together piece by piece. The store's and the origin's client reads through the same connection. Answers of other calls were skipped without a bound as well.

All bytes of a response that are not of its body count against 64 KB and a share of the body, headers against a number, skipped bodies against 256 KB; trailers are dropped, since nothing reads them. Trickling parts were and are given up at the call's deadline.

--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -19,8 +19,13 @@
 # covers the transit time of the next request.
 IDLE_TIMEOUT_SHARE = 0.7
 MAX_REUSE_IDLE_S = 15.0
-# Bound on the size of the headers of a response.
+# Bound on the bytes of a response that are not of its body: headers, interim responses
+# and trailers. Chunks of single bytes have 5 bytes of framing each.
 MAX_HEAD_BYTES = 64 * 1024
+MAX_FRAMING_SHARE = 8
+MAX_HEADERS = 256
+# Bound on the bodies of late responses to earlier calls that precede a response.
+MAX_SKIPPED_BYTES = 256 * 1024
 
 
 class Receiver(typing.Protocol):
@@ -66,6 +71,8 @@
         self._head = None
         self._headers = []
         self._body_bytes = 0
+        self._received_bytes = 0
+        self._skipped_bytes = 0
         self._is_skipping = False
         self._is_complete = False
         self._has_body = True
@@ -93,6 +100,8 @@
         self._headers = []
         self._head = None
         self._body_bytes = 0
+        self._received_bytes = 0
+        self._skipped_bytes = 0
         self._is_skipping = False
         self._is_complete = False
         self._parser_keeps_open = False
@@ -152,12 +161,29 @@
             # The bytes after a complete response belong to no call.
             self._pool.counts["unasked_bytes"] += 1
             self.is_broken = True
+        self._received_bytes += len(data)
         if self._is_complete:
             self._finish()
+        else:
+            self._check_bounds()
+
+    def _check_bounds(self):
+        """Fail a response whose headers or framing do not end."""
+        framing_bytes = self._received_bytes - self._body_bytes - self._skipped_bytes
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self._fail(f"more than {MAX_SKIPPED_BYTES} bytes of other responses")
+        elif len(self._headers) > MAX_HEADERS:
+            self._fail(f"more than {MAX_HEADERS} headers")
+        elif framing_bytes > MAX_HEAD_BYTES + MAX_FRAMING_SHARE * self._body_bytes:
+            self._fail(
+                f"{framing_bytes} bytes of headers and framing with "
+                f"{self._body_bytes} bytes of body"
+            )
 
     def on_header(self, name, value):
-        """Collect a header of the response (parser callback)."""
-        self._headers.append((name, value))
+        """Collect a header of the response; drop trailers (parser callback)."""
+        if self._head is None:
+            self._headers.append((name, value))
 
     def on_headers_complete(self):
         """Pass status and headers to the receiver (parser callback).
@@ -184,7 +210,10 @@
         if self._is_complete:
             self.is_broken = True
             return
-        if self._is_skipping or self._receiver is None:
+        if self._is_skipping:
+            self._skipped_bytes += len(data)
+            return
+        if self._receiver is None:
             return
         self._body_bytes += len(data)
         self._receiver.response_data(data)
--- /dev/null
+++ b/features/gateway/endless.feature
@@ -0,0 +1,49 @@
+Feature: Answers of endpoints that never end
+  A server in trouble may send a head or a body without end, at once or byte by byte.
+  What it can take is bounded in bytes, time and memory.
+
+  @always_7
+  Scenario Outline: An answer whose <part> never ends is given up
+    Given a gateway with 1 endpoints and a route that <kind>
+    When the <part> of an answer never ends
+    Then its connection is broken off within the limits of bytes and memory
+    And the caller gets no answer that looks whole
+
+    Examples: parts
+      | part                   | kind           |
+      | status line            | runs once only |
+      | header name            | runs once only |
+      | header value           | runs once only |
+      | headers                | streams once   |
+      | interim answers        | runs once only |
+      | answers of other calls | runs once only |
+      | body of another call   | runs once only |
+      | chunk size             | runs once only |
+      | chunk extension        | runs once only |
+      | trailers               | runs once only |
+      | trailers               | streams once   |
+      | body with a length     | runs once only |
+      | body in chunks         | runs once only |
+      | body with neither      | runs once only |
+      | event                  | streams once   |
+      | comment                | streams once   |
+
+  @always_7
+  Scenario Outline: An answer whose <part> trickles is given up at the call's deadline
+    Given a gateway with 1 endpoints and a route that <kind>
+    When the <part> of an answer trickles
+    Then its connection is broken off when the call's time is over
+    And the caller gets no answer that looks whole
+
+    Examples: parts
+      | part                   | kind           |
+      | status line            | runs once only |
+      | header value           | runs once only |
+      | headers                | streams once   |
+      | interim answers        | runs once only |
+      | body of another call   | runs once only |
+      | trailers               | runs once only |
+      | body with a length     | runs once only |
+      | body with neither      | runs once only |
+      | event                  | streams once   |
+      | comment                | streams once   |
