Bound the memory of incomplete answers of all calls together

Bodies without end took up to 8 MB for each call, so that 40 of them exceed the memory of an entry process, which is then killed with all its calls.

A budget of 48 MB counts the incomplete answers and events of all calls; when it is exceeded the largest is given up, which spares the small answers of other servers. Bodies are kept in one buffer instead of a list of reads.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -123,8 +123,7 @@
         self._dial = None
         self._attempt = 0
         self._reply = None
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._splitter = None
         self._stream_began = False
         # Whether an attempt broke off inside an event that no later one has brought.
@@ -225,8 +224,7 @@
             return
         self._connection = connection
         self._reply = None
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self.response_end = framing.ResponseEnd()
         self.partial_event_bytes = 0
         self.phase = Phase.SENT
@@ -261,6 +259,7 @@
         """
         state, self.state = self.state, None
         self._connection = None
+        self._gateway.buffers.release(self)
         if state is not None:
             state.call_ended()
         return state
@@ -296,11 +295,12 @@
         now_s = self._gateway.now_s()
         if self._splitter is None:
             self._last_activity_s = now_s
-            self._body_bytes += len(data)
-            if self._body_bytes > MAX_ANSWER_BYTES:
-                self._abandon_attempt(outcomes.Ending.BROKEN, "answer too long")
+            self._body += data
+            if len(self._body) > MAX_ANSWER_BYTES:
+                reason = f"the answer is longer than {MAX_ANSWER_BYTES} bytes"
+                self._abandon_attempt(outcomes.Ending.BROKEN, reason)
                 return
-            self._body.append(data)
+            self._gateway.buffers.set_held(self, len(self._body))
             return
         try:
             complete = self._splitter.feed(data)
@@ -324,6 +324,16 @@
                 self.longest_gap_s = max(self.longest_gap_s, gap_s)
             self._last_event_s = self._last_activity_s = now_s
             self._forward(b"".join(forwarded))
+        self._gateway.buffers.set_held(self, self._splitter.rest_bytes)
+
+    def drop_buffer(self, reason):
+        """Abandon the attempt, as the incomplete answers take too much memory.
+
+        :param reason: text for the log and the client.
+        """
+        self._cancel_attempt()
+        self._body = bytearray()
+        self.attempt_ended(outcomes.Ending.BROKEN, reason, None)
 
     def _forward(self, data):
         self.phase = Phase.STREAMING
@@ -375,7 +385,7 @@
                 state.record_answer(now_s)
                 self._observe_answer(now_s)
                 self._finish("answered", verdicts.Verdict.RAN)
-                self._client.reply(head, b"".join(self._body))
+                self._client.reply(head, bytes(self._body))
                 return
         if head.status >= 500 and head.is_signed and not self._claims_not_run(head):
             self.attempt_ended(outcomes.Ending.FAILED, f"status {head.status}", state)
@@ -496,7 +506,7 @@
             self.refuse(self.reason, now_s)
         elif action is outcomes.Action.PASS:
             self._finish("passed_failure", verdicts.Verdict.RAN)
-            self._client.reply(self._reply, b"".join(self._body))
+            self._client.reply(self._reply, bytes(self._body))
         else:
             self.fail(502, reason, now_s)
 
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -11,6 +11,7 @@
 
 from cicadaplank.gateway import (
     budget,
+    buffers,
     calls,
     connections,
     dialects,
@@ -35,6 +36,8 @@
 # An endpoint whose address or weights have changed gets no calls for this time, until
 # the list of endpoints shows the change.
 MISDIRECTED_EJECTION_S = 1.0
+# Limit on the bytes of incomplete answers of all calls together.
+MAX_BUFFERED_BYTES = 48 * 1024 * 1024
 # An endpoint's connections are divided among at least this many entry instances.
 MIN_MEMBERS = 8
 
@@ -72,6 +75,7 @@
         self.dialect = dialect
         self.data_centre = data_centre
         self.endpoints = endpoints.Endpoints()
+        self.buffers = buffers.BufferBudget(MAX_BUFFERED_BYTES)
         self.suspects = crash_tracking.CrashTracker(CRASH_LIMIT, SUSPICION_S)
         self.weights_requirement = named_versions.WeightsRequirement(bounds.weights_s)
         self.route_index = None
@@ -147,6 +151,8 @@
             metrics.set_gauge(
                 "repeats_rejected", retry_budget.rejected, service=service
             )
+        metrics.set_gauge("answers_buffered_bytes", self.buffers.total_bytes)
+        metrics.set_gauge("answers_dropped_for_memory", self.buffers.dropped)
         ejected = sum(1 for s in self.endpoints.all() if now_s < s.ejected_until_s)
         metrics.set_gauge("endpoints_known", len(self.endpoints.all()))
         metrics.set_gauge("endpoints_ejected", ejected)
--- a/features/gateway/endless.feature
+++ b/features/gateway/endless.feature
@@ -47,3 +47,10 @@
       | body with neither      | runs once only |
       | event                  | streams once   |
       | comment                | streams once   |
+
+  @always_7
+  Scenario: Answers without end do not take the memory of the process together
+    Given a gateway with 1 endpoints and a route that runs once only
+    When 30 answers without end arrive at once, and one small answer
+    Then they take at most 80 MB
+    And the caller of the small answer has it whole
