Bound the answers of the store, the model server and the origin by their kind

Any answer of these could take 16 MB, eight at a time: with bodies without end that is 128 MB for one address, of the 168 MB that an agent has. An answer to an order or a piece is a few bytes or at most 2 MB.

Answers with rows may still take 16 MB, a manifest 70 bytes a chunk, a piece the largest chunk, all others 1 MB; a budget of 24 MB holds for all incomplete answers of one address, and gives up the largest. Scenarios cut the answer to each of ten calls at every byte, with a length, chunks and neither, closed, reset and silent: each part is lost, or is a short piece that its digest tells; all of these passed before.

--- a/cicadaplank/platform/client.py
+++ b/cicadaplank/platform/client.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 
 from cicadaplank.external import errors
-from cicadaplank.gateway import connections
+from cicadaplank.gateway import buffers, connections
 from cicadaplank.platform import headers
 
 # Maximum number of connections to one address; long polls occupy some of them.
@@ -16,7 +16,13 @@
 ORIGIN_CONNECT_TIMEOUT_S = 1.0
 # Default time-out of a call, for small transfers.
 TIMEOUT_S = 1.5
+# Maximum size of an answer with rows. A page holds 1 MB of them, a long poll may return
+# a whole table.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Maximum size of any other answer.
+MAX_SMALL_ANSWER_BYTES = 1024 * 1024
+# Maximum number of bytes of incomplete answers from one address.
+MAX_BUFFERED_BYTES = 24 * 1024 * 1024
 
 
 class Client:
@@ -41,6 +47,7 @@
         host, _, port = address.rpartition(":")
         self.address = address
         self._reactor = reactor
+        self._buffers = buffers.BufferBudget(MAX_BUFFERED_BYTES)
         self._pool = connections.ConnectionPool(
             reactor,
             headers.PlatformDialect(),
@@ -51,7 +58,15 @@
             keeps_idle,
         )
 
-    def call(self, method, path, query=None, body=None, timeout_s=TIMEOUT_S):
+    def call(
+        self,
+        method,
+        path,
+        query=None,
+        body=None,
+        timeout_s=TIMEOUT_S,
+        max_answer_bytes=MAX_SMALL_ANSWER_BYTES,
+    ):
         """Send a call.
 
         :param method: HTTP method.
@@ -59,6 +74,7 @@
         :param query: dict of query fields, or None.
         :param body: bytes, an object that is sent as JSON, or None.
         :param timeout_s: time-out of the whole call in seconds.
+        :param max_answer_bytes: maximum size of the answer's body.
         :returns: Deferred of ``(status, bytes)``; it fails with ``Unavailable`` when
             the call was certainly not sent and with ``AnswerLost`` when no complete
             answer arrived.
@@ -72,18 +88,28 @@
         if body is not None:
             lines.append(f"Content-Length: {len(data)}")
         request = "\r\n".join(lines).encode() + b"\r\n\r\n" + data
-        exchange = _Exchange(self._reactor, request, timeout_s)
+        exchange = _Exchange(
+            self._reactor, request, timeout_s, max_answer_bytes, self._buffers
+        )
         exchange.start(self._pool)
         return exchange.done
 
-    def json(self, method, path, query=None, body=None, timeout_s=TIMEOUT_S):
+    def json(
+        self,
+        method,
+        path,
+        query=None,
+        body=None,
+        timeout_s=TIMEOUT_S,
+        max_answer_bytes=MAX_SMALL_ANSWER_BYTES,
+    ):
         """Send a call whose answer is a JSON object; parameters as for :meth:`call`.
 
         :returns: Deferred of ``(status, dict)``; the dict is empty when the status is
             not 200 and the body is not a JSON object. With status 200 such a body fails
             the Deferred with ``AnswerLost``.
         """
-        answer = self.call(method, path, query, body, timeout_s)
+        answer = self.call(method, path, query, body, timeout_s, max_answer_bytes)
         return answer.addCallback(self._parse)
 
     def _parse(self, answer):
@@ -120,14 +146,15 @@
 class _Exchange:
     """One call: sends the request and collects the answer from a connection."""
 
-    def __init__(self, reactor, request, timeout_s):
+    def __init__(self, reactor, request, timeout_s, max_answer_bytes, answer_buffers):
         self.done = defer.Deferred()
         self._request = request
+        self._max_answer_bytes = max_answer_bytes
+        self._buffers = answer_buffers
         self._connection = None
         self._dial = None
         self._head = None
-        self._body = []
-        self._size = 0
+        self._body = bytearray()
         self._timer = reactor.callLater(timeout_s, self._timed_out, timeout_s)
 
     def start(self, pool):
@@ -157,6 +184,7 @@
         if self.done.called:
             return
         self._connection = None
+        self._buffers.release(self)
         if self._timer.active():
             self._timer.cancel()
         if isinstance(result, errors.PlatformError):
@@ -171,17 +199,22 @@
 
     def response_data(self, data):
         """Collect a part of the body; fail the call when the body is too long."""
-        self._size += len(data)
-        if self._size > MAX_ANSWER_BYTES:
-            connection = self._connection
-            self._end(errors.AnswerLost("answer exceeds MAX_ANSWER_BYTES"))
-            connection.cancel()
+        self._body += data
+        if len(self._body) > self._max_answer_bytes:
+            self.drop_buffer(f"the answer exceeds {self._max_answer_bytes} bytes")
             return
-        self._body.append(data)
+        self._buffers.set_held(self, len(self._body))
+
+    def drop_buffer(self, reason):
+        """Fail the call, as its answer takes too much memory."""
+        connection = self._connection
+        self._end(errors.AnswerLost(reason))
+        self._body = bytearray()
+        connection.cancel()
 
     def response_ended(self, end):
         """Complete the call with the status and body."""
-        self._end((self._head.status, b"".join(self._body)))
+        self._end((self._head.status, bytes(self._body)))
 
     def response_failed(self, end, reason):
         """Fail the call because the connection broke before the end of the answer."""
--- a/cicadaplank/platform/servers.py
+++ b/cicadaplank/platform/servers.py
@@ -8,6 +8,10 @@
 # A piece of 48 KB takes 0.1 s on a machine's link. The time-out is longer because the
 # origin's link is shared by all machines.
 PIECE_TIMEOUT_S = 3.0
+# Maximum size of an answer with a piece.
+MAX_PIECE_ANSWER_BYTES = manifests.MAX_CHUNK_BYTES
+# Maximum size of a manifest, with 70 bytes for the digest of each chunk.
+MAX_MANIFEST_BYTES = 70 * manifests.MAX_CHUNKS
 ORDER_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 0.8
 # With "queue" the server finishes running requests before it loads the new weights,
@@ -77,7 +81,11 @@
         :raises PlatformError: when the call fails; ``NotFound`` for a missing piece.
         """
         answer = await self._client.call(
-            "GET", f"/v1/stage-get/{model}", {"num": number}, timeout_s=PIECE_TIMEOUT_S
+            "GET",
+            f"/v1/stage-get/{model}",
+            {"num": number},
+            timeout_s=PIECE_TIMEOUT_S,
+            max_answer_bytes=MAX_PIECE_ANSWER_BYTES,
         )
         return _body_or_raise(answer, "stage-get")
 
@@ -116,7 +124,12 @@
             not a manifest of this version.
         """
         query = {"version": version} if version else None
-        answer = await self._client.json("GET", f"/v1/manifest/{model}", query)
+        answer = await self._client.json(
+            "GET",
+            f"/v1/manifest/{model}",
+            query,
+            max_answer_bytes=MAX_MANIFEST_BYTES,
+        )
         value = _body_or_raise(answer, "manifest")
         try:
             parsed = manifests.from_digests(
@@ -144,6 +157,10 @@
         """
         query = {"num": number, "version": version}
         answer = await self._client.call(
-            "GET", f"/v1/piece/{model}", query, timeout_s=PIECE_TIMEOUT_S
+            "GET",
+            f"/v1/piece/{model}",
+            query,
+            timeout_s=PIECE_TIMEOUT_S,
+            max_answer_bytes=MAX_PIECE_ANSWER_BYTES,
         )
         return _body_or_raise(answer, "piece")
--- a/cicadaplank/platform/store.py
+++ b/cicadaplank/platform/store.py
@@ -28,7 +28,11 @@
 
     async def _get(self, path, query, timeout_s):
         status, answer = await self._client.json(
-            "GET", path, query, timeout_s=timeout_s
+            "GET",
+            path,
+            query,
+            timeout_s=timeout_s,
+            max_answer_bytes=client.MAX_ANSWER_BYTES,
         )
         if status == 410:
             raise sync.HistoryLostError(f"{path}: status 410, snapshot needed")
