Take an answer that cannot be parsed for a lost one

A report of a model server whose fields have other types, a number beyond any integer, or JSON that is nested too deeply raised TypeError, OverflowError or RecursionError where the callers expect PlatformError. The agent then never looked at its engine again, as its check of the engine did not end; a reader of the store's table stopped.

Such answers fail as AnswerLost. Before: 'An answer to engine report with fields of other types is lost and raises nothing else' failed with TypeError, the rows of nested JSON with RecursionError.

--- a/cicadaplank/platform/client.py
+++ b/cicadaplank/platform/client.py
@@ -116,7 +116,7 @@
         status, body = answer
         try:
             value = json.loads(body)
-        except ValueError:
+        except (ValueError, RecursionError):
             value = None
         if isinstance(value, dict):
             return status, value
--- a/cicadaplank/platform/rows.py
+++ b/cicadaplank/platform/rows.py
@@ -29,7 +29,7 @@
             return None
         try:
             return _parse_configuration(json.loads(record.value))
-        except (KeyError, TypeError, AttributeError) as fault:
+        except (KeyError, TypeError, AttributeError, RecursionError) as fault:
             raise ValueError(f"row op/config cannot be parsed: {fault!r}") from fault
 
     def named_weights(self, table):
--- a/cicadaplank/platform/servers.py
+++ b/cicadaplank/platform/servers.py
@@ -18,6 +18,8 @@
 # with "abort" it cuts them off.
 QUEUE_MODE = "queue"
 ABORT_MODE = "abort"
+# Errors of a document whose fields are missing or have other types.
+_MALFORMED = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
 
 
 def _body_or_raise(answer, operation):
@@ -50,15 +52,18 @@
             "GET", "/v1/report", timeout_s=REPORT_TIMEOUT_S
         )
         value = _body_or_raise(answer, "report")
-        versions = rows.served_versions(value)
-        return loading.EngineState(
-            versions=versions,
-            is_busy=bool(value.get("busy")),
-            # Number of orders that have started an action since the server's start.
-            orders=int(value.get("seq") or 0),
-            is_empty=not versions,
-            started_ms=int(value.get("born") or 0),
-        )
+        try:
+            versions = rows.served_versions(value)
+            return loading.EngineState(
+                versions=versions,
+                is_busy=bool(value.get("busy")),
+                # Number of orders that have started an action since the server's start.
+                orders=int(value.get("seq") or 0),
+                is_empty=not versions,
+                started_ms=int(value.get("born") or 0),
+            )
+        except _MALFORMED as fault:
+            raise errors.AnswerLost(f"report cannot be parsed: {fault!r}") from fault
 
     async def put_piece(self, model, number, data):
         """Upload a piece to the server's staging area.
@@ -138,7 +143,7 @@
                 int(value["chunk_bytes"]),
                 [str(digest) for digest in value["digests"]],
             )
-        except (KeyError, TypeError, ValueError) as fault:
+        except _MALFORMED as fault:
             raise errors.AnswerLost(f"manifest cannot be parsed: {fault!r}") from fault
         manifest = parsed.value_or(None)
         if manifest is None:
--- a/cicadaplank/platform/store.py
+++ b/cicadaplank/platform/store.py
@@ -147,7 +147,7 @@
         for record in snapshot.records:
             try:
                 found.append(machines.Instance(*json.loads(record.value)))
-            except (ValueError, TypeError):
+            except (ValueError, TypeError, RecursionError):
                 # A newer version of this program may write records of another format.
                 continue
         return found
--- a/features/platform/answers.feature
+++ b/features/platform/answers.feature
@@ -18,6 +18,22 @@
       | manifest      |
       | piece         |
 
+  Scenario Outline: An answer to <call> with <content> is lost and raises nothing else
+    When the answer to the call <call> has <content>
+    Then the call fails as lost
+
+    Examples: contents
+      | call          | content                |
+      | snapshot      | deeply nested JSON     |
+      | snapshot      | nested JSON in a field |
+      | changes       | fields of other types  |
+      | engine report | deeply nested JSON     |
+      | engine report | fields of other types  |
+      | engine report | numbers without end    |
+      | manifest      | deeply nested JSON     |
+      | manifest      | fields of other types  |
+      | manifest      | numbers without end    |
+
   @always_7
   Scenario Outline: An answer to <call> whose <part> never ends is given up
     When the <part> of an answer to the call <call> never ends
