Move the parser of event streams and the buffer budget to shared packages

Engines of the agent path and the platform's client need them too. No change of behaviour; the scenarios of gateway and platform pass as before.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -8,8 +8,8 @@
 import dataclasses
 import enum
 
+from cicadaplank.external import event_streams
 from cicadaplank.gateway import (
-    events,
     framing,
     outcomes,
     placement,
@@ -279,7 +279,7 @@
         self._reply = head
         is_stream = self.route.is_stream and self.request.head.method != b"HEAD"
         if self._is_valid_success(head) and is_stream:
-            self._splitter = events.EventSplitter()
+            self._splitter = event_streams.EventSplitter()
         return True
 
     @staticmethod
@@ -309,7 +309,7 @@
             return
         forwarded = []
         for event in complete:
-            if self._stream_began and not events.is_newer(
+            if self._stream_began and not event_streams.is_newer(
                 event.identifier, self.last_event
             ):
                 self._gateway.count("repeated_events")
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -11,7 +11,6 @@
 
 from cicadaplank.gateway import (
     budget,
-    buffers,
     calls,
     connections,
     dialects,
@@ -23,6 +22,7 @@
     waiting,
 )
 from cicadaplank.requests import crash_tracking
+from cicadaplank.world import buffers
 
 TIMEOUT_CHECK_INTERVAL_S = 0.05
 # Number of endpoint crashes after which a request is blocked.
--- a/cicadaplank/platform/client.py
+++ b/cicadaplank/platform/client.py
@@ -6,8 +6,9 @@
 from twisted.internet import defer
 
 from cicadaplank.external import errors
-from cicadaplank.gateway import buffers, connections
+from cicadaplank.gateway import connections
 from cicadaplank.platform import headers
+from cicadaplank.world import buffers
 
 # Maximum number of connections to one address; long polls occupy some of them.
 MAX_CONNECTIONS = 8
--- a/features/steps/gateway_endless.py
+++ b/features/steps/gateway_endless.py
@@ -4,7 +4,8 @@
 
 import behave
 
-from cicadaplank.gateway import calls, connections, events
+from cicadaplank.external import event_streams
+from cicadaplank.gateway import calls, connections
 from features.steps import gateway as gateway_steps
 from features.steps import gateway_endings
 
@@ -55,8 +56,8 @@
     "body with a length": calls.MAX_ANSWER_BYTES,
     "body in chunks": 1.1 * calls.MAX_ANSWER_BYTES,
     "body with neither": calls.MAX_ANSWER_BYTES,
-    "event": events.MAX_EVENT_BYTES,
-    "comment": events.MAX_EVENT_BYTES,
+    "event": event_streams.MAX_EVENT_BYTES,
+    "comment": event_streams.MAX_EVENT_BYTES,
 }
 # Objects and growing buffers take more than the bytes that they hold.
 MEMORY_FACTOR = 3
