Take an answer without length and chunks for whole when its connection is closed

On the agent path a call that had run, and whose service answered it whole with neither a length nor chunks, was reported as 'may have run' without its answer; so were reads of engines, chunks and objects. Twisted reports such a body with PotentialDataLoss after a close and after a reset alike, and the client took both for a loss.

A guard on each connection of the client keeps the reason for which it was lost; a body without length and chunks is complete after a close. Events of engines are split by the same parser as in the gateway.

--- a/cicadaplank/external/engines.py
+++ b/cicadaplank/external/engines.py
@@ -8,9 +8,8 @@
 import typing
 
 from twisted.internet import defer, protocol
-from twisted.web import client as web_client
 
-from cicadaplank.external import errors, http, services
+from cicadaplank.external import errors, event_streams, http, services
 
 ATTEMPT_HEADER = services.ATTEMPT_HEADER
 OFFSET_HEADER = "X-Cicadaplank-Offset"
@@ -317,7 +316,9 @@
         )
         if response.code != 200:
             answer = http.Response(
-                response.code, response.headers, await http.read_body(response)
+                response.code,
+                response.headers,
+                await http.read_body(response, http.MAX_ANSWER_BYTES),
             )
             if answer.status in http.UNAVAILABLE_STATUSES:
                 raise http.unavailable_error(answer)
@@ -469,25 +470,30 @@
         self.finished = defer.Deferred(self._cancel)
         self._completion = completion
         self._on_event = on_event
-        self._buffer = b""
+        self._splitter = event_streams.EventSplitter(MAX_EVENT_BYTES)
         self._next_offset = completion.offset
 
     def dataReceived(self, data):
-        self._buffer += data
-        while not self.finished.called and b"\n\n" in self._buffer:
-            event, self._buffer = self._buffer.split(b"\n\n", 1)
+        if self.finished.called:
+            return
+        try:
+            found = self._splitter.feed(data)
+        except ValueError as error:
+            self.fail(errors.AnswerLost(str(error)))
+            return
+        for event in found:
+            if self.finished.called:
+                return
             try:
-                self._handle_event(event)
+                self._handle_event(event.data)
             except errors.PlatformError as error:
                 self.fail(error)
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            self.fail(errors.AnswerLost(f"event above {MAX_EVENT_BYTES} bytes"))
 
     def connectionLost(self, reason=protocol.connectionDone):
         if self.finished.called:
             return
         cause = "the stream ended without its end event"
-        if not reason.check(web_client.ResponseDone):
+        if not http.is_complete(reason):
             cause = f"{cause}: {reason.getErrorMessage()}"
         self.finished.errback(errors.AnswerLost(cause))
 
@@ -502,12 +508,12 @@
 
     def _handle_event(self, event):
         fields = dict(
-            line.split(b": ", 1) for line in event.split(b"\n") if b": " in line
+            line.split(b": ", 1) for line in event.splitlines() if b": " in line
         )
         kind, data = fields.get(b"event", b""), fields.get(b"data", b"")
         try:
             document = json.loads(data)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise errors.AnswerLost(f"event is not JSON: {error}") from error
         if not isinstance(document, dict):
             raise errors.AnswerLost("event is not a JSON object")
--- a/cicadaplank/external/event_streams.py
+++ b/cicadaplank/external/event_streams.py
@@ -3,7 +3,7 @@
 import dataclasses
 import re
 
-# Limit of one event; engines do not send longer ones.
+# Default limit of one event.
 MAX_EVENT_BYTES = 256 * 1024
 # An empty line, which ends an event, with each kind of line end.
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r|\n\r\n|\r\n\n")
@@ -25,9 +25,13 @@
 
 
 class EventSplitter:
-    """Incremental parser that splits the bytes of a stream into complete events."""
+    """Incremental parser that splits the bytes of a stream into complete events.
 
-    def __init__(self):
+    :param limit_bytes: maximum size of an event.
+    """
+
+    def __init__(self, limit_bytes=MAX_EVENT_BYTES):
+        self._limit_bytes = limit_bytes
         self._buffer = bytearray()
 
     @property
@@ -57,8 +61,7 @@
 
         :param data: bytes.
         :returns: list of the :class:`Event` that they complete.
-        :raises ValueError: when an incomplete event is longer than
-            :data:`MAX_EVENT_BYTES`.
+        :raises ValueError: when an incomplete event is longer than the limit.
         """
         searched = max(0, len(self._buffer) - _END_OVERLAP_BYTES)
         self._buffer += data
@@ -67,8 +70,8 @@
             found.append(_parse_event(bytes(self._buffer[start : match.end()])))
             start = match.end()
         del self._buffer[:start]
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+        if len(self._buffer) > self._limit_bytes:
+            raise ValueError(f"an event is longer than {self._limit_bytes} bytes")
         return found
 
 
--- a/cicadaplank/external/http.py
+++ b/cicadaplank/external/http.py
@@ -5,10 +5,13 @@
 
 import treq.client
 from twisted.internet import defer, error, protocol
+from twisted.python import context
 from twisted.web import client as web_client
+from twisted.web import http as web_http
 from twisted.web import http_headers
 
 from cicadaplank.external import errors
+from cicadaplank.world import buffers
 
 SENDER_HEADER = "X-Cicadaplank-Sender"
 TIMEOUT_S = 5.0
@@ -16,6 +19,15 @@
 MAX_IDLE_CONNECTIONS = 16
 # Larger than any table, manifest or chunk; reading of a longer body stops here.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Limit on the incomplete answers of one client together.
+MAX_BUFFERED_BYTES = MAX_ANSWER_BYTES
+# Limit on the status line and headers of a response, interim responses included.
+MAX_HEAD_BYTES = 64 * 1024
+# Limit on the body of a response that only reports an error.
+MAX_ERROR_BYTES = 64 * 1024
+# Key of the reason for which the connection of a response was lost, while the end of
+# the connection is processed.
+_LOSS = object()
 UNAVAILABLE_STATUSES = (429, 503)
 CONNECT_ERRORS = (
     error.ConnectError,
@@ -52,7 +64,7 @@
         """
         try:
             value = json.loads(self.body)
-        except ValueError as parse_error:
+        except (ValueError, RecursionError) as parse_error:
             raise errors.AnswerLost(
                 f"answer is not JSON: {parse_error}"
             ) from parse_error
@@ -87,7 +99,8 @@
         self._sender = sender
         self._timeout_s = timeout_s
         self._max_answer_bytes = max_answer_bytes
-        self._pool = web_client.HTTPConnectionPool(reactor)
+        self._buffers = buffers.BufferBudget(MAX_BUFFERED_BYTES)
+        self._pool = _GuardedPool(reactor)
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
         # Otherwise the pool would retry a GET outside the system's retry budget.
         self._pool.retryAutomatically = False
@@ -152,45 +165,116 @@
 
     async def _send(self, method, path, body, headers):
         response = await self._open(method, path, body, headers)
-        data = await read_body(response, self._max_answer_bytes)
+        data = await read_body(response, self._max_answer_bytes, self._buffers)
         answer = Response(response.code, response.headers, data)
         if answer.status in UNAVAILABLE_STATUSES:
             raise unavailable_error(answer)
         return answer
 
 
+class _GuardedPool(web_client.HTTPConnectionPool):
+    """Connection pool that guards each of its connections."""
+
+    def getConnection(self, key, endpoint):
+        """Return a Deferred of a connection that a :class:`_Guard` watches."""
+        return super().getConnection(key, endpoint).addCallback(_guarded)
+
+
+def _guarded(connection):
+    if not hasattr(connection, "guard"):
+        connection.guard = _Guard(connection)
+    return connection
+
+
+class _Guard:
+    """Bounds the heads of responses on a connection, and tells how it was lost.
+
+    Twisted reports a body without length and chunks in the same way after a close and
+    after a reset, and reads a head of any size.
+
+    :param connection: HTTP/1.1 connection of Twisted, whose methods are replaced.
+    """
+
+    def __init__(self, connection):
+        self._connection = connection
+        self._data_received = connection.dataReceived
+        self._connection_lost = connection.connectionLost
+        self._request = connection.request
+        self._is_reading_head = False
+        self._head_bytes = 0
+        connection.dataReceived = self._receive
+        connection.connectionLost = self._lose
+        connection.request = self._send
+
+    def _send(self, request):
+        self._head_bytes = 0
+        self._is_reading_head = True
+        return self._request(request).addBoth(self._head_ended)
+
+    def _head_ended(self, result):
+        self._is_reading_head = False
+        return result
+
+    def _receive(self, data):
+        self._data_received(data)
+        if self._is_reading_head:
+            self._head_bytes += len(data)
+
+    def _lose(self, reason):
+        context.call({_LOSS: reason}, self._connection_lost, reason)
+
+
+def is_complete(reason):
+    """Tell whether a response body is complete, from the reason for its end.
+
+    :param reason: failure that ``connectionLost`` of the body's protocol was given.
+    """
+    if reason.check(web_client.ResponseDone):
+        return True
+    loss = context.get(_LOSS)
+    is_closed = loss is not None and loss.check(error.ConnectionDone)
+    return bool(is_closed and reason.check(web_http.PotentialDataLoss))
+
+
 class _Collector(protocol.Protocol):
     """Collects a response body.
 
     :param limit_bytes: maximum size; for a longer body the connection is closed.
+    :param budget: :class:`cicadaplank.world.buffers.BufferBudget`.
     :ivar finished: Deferred with bytes; cancelling it closes the connection.
     """
 
-    def __init__(self, limit_bytes):
+    def __init__(self, limit_bytes, budget):
         self.finished = defer.Deferred(self._cancel)
         self._limit_bytes = limit_bytes
-        self._parts = []
-        self._length = 0
+        self._budget = budget
+        self._body = bytearray()
 
     def dataReceived(self, data):
-        self._length += len(data)
-        if self._length > self._limit_bytes:
-            self.transport.loseConnection()
-            self._finish(errors.AnswerLost(f"more than {self._limit_bytes} bytes"))
+        if self.finished.called:
+            return
+        self._body += data
+        if len(self._body) > self._limit_bytes:
+            self.drop_buffer(f"more than {self._limit_bytes} bytes")
             return
-        self._parts.append(data)
+        self._budget.set_held(self, len(self._body))
 
     def connectionLost(self, reason=protocol.connectionDone):
-        if reason.check(web_client.ResponseDone):
-            self._finish(b"".join(self._parts))
-        else:
-            self._finish(reason)
+        self._finish(bytes(self._body) if is_complete(reason) else reason)
+
+    def drop_buffer(self, reason):
+        """Give the response up, as it takes too much memory."""
+        self.transport.loseConnection()
+        self._finish(errors.AnswerLost(reason))
 
     def _finish(self, result):
+        self._budget.release(self)
+        self._body = bytearray()
         if not self.finished.called:
             resolve(self.finished, result)
 
     def _cancel(self, deferred):
+        self._budget.release(self)
         self.transport.loseConnection()
 
 
@@ -202,15 +286,20 @@
         deferred.callback(result)
 
 
-def read_body(response, limit_bytes=MAX_ANSWER_BYTES):
+def read_body(response, limit_bytes, budget=None):
     """Read the body of a response.
 
+    A body without length and chunks is complete when its connection was closed, and not
+    when it was reset.
+
     :param response: treq's response.
     :param limit_bytes: maximum size of the body.
+    :param budget: :class:`cicadaplank.world.buffers.BufferBudget` of the bodies that
+        are read at the same time, or None.
     :returns: Deferred that fires with bytes; fails with :class:`errors.AnswerLost` for
         a longer body.
     """
-    collector = _Collector(limit_bytes)
+    collector = _Collector(limit_bytes, budget or buffers.BufferBudget(limit_bytes))
     response.deliverBody(collector)
     return collector.finished
 
