Bound the heads and error bodies that the agent path reads

The client of engines, services, stores and origins read headers and interim responses without end until its time limit, 5 s to 120 s, and up to 64 MB of a body that only reports an error, which nothing but the call's deadline ended.

--- a/cicadaplank/external/engines.py
+++ b/cicadaplank/external/engines.py
@@ -318,7 +318,7 @@
             answer = http.Response(
                 response.code,
                 response.headers,
-                await http.read_body(response, http.MAX_ANSWER_BYTES),
+                await http.read_body(response, http.MAX_ERROR_BYTES),
             )
             if answer.status in http.UNAVAILABLE_STATUSES:
                 raise http.unavailable_error(answer)
--- a/cicadaplank/external/http.py
+++ b/cicadaplank/external/http.py
@@ -219,6 +219,8 @@
         self._data_received(data)
         if self._is_reading_head:
             self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self._connection.transport.abortConnection()
 
     def _lose(self, reason):
         context.call({_LOSS: reason}, self._connection_lost, reason)
--- a/features/external/endings.feature
+++ b/features/external/endings.feature
@@ -41,3 +41,34 @@
       | completion   |
       | stream       |
       | get object   |
+
+  @always_7
+  Scenario Outline: An answer to a <call> whose <part> <course> is given up
+    When the external call <call> is answered by a <part> that <course>
+    Then the endless answer is given up within the limits of bytes, time and memory
+
+    Examples: parts
+      | call         | part               | course     |
+      | service call | status line        | never ends |
+      | service call | header value       | never ends |
+      | service call | headers            | never ends |
+      | service call | interim answers    | never ends |
+      | service call | chunk extension    | never ends |
+      | service call | trailers           | never ends |
+      | service call | body with a length | never ends |
+      | service call | body in chunks     | never ends |
+      | service call | body with neither  | never ends |
+      | completion   | body with neither  | never ends |
+      | stream       | headers            | never ends |
+      | stream       | error body         | never ends |
+      | stream       | event              | never ends |
+      | stream       | comment            | never ends |
+      | engine state | body with neither  | never ends |
+      | get chunk    | body with a length | never ends |
+      | service call | status line        | trickles   |
+      | service call | headers            | trickles   |
+      | service call | interim answers    | trickles   |
+      | service call | body with neither  | trickles   |
+      | stream       | error body         | trickles   |
+      | stream       | event              | trickles   |
+      | get chunk    | body in chunks     | trickles   |
