Bound the messages of peers that never end

A peer that announces a message and does not finish it was waited for without end: up to 2 MB for each of 1024 connections, and 2 MB before its hello. A message that arrives byte by byte was copied whole at each byte.

The first message of a peer may take 4 KB, a frame has to arrive within 30 s, and 32 MB hold for the incomplete frames of all connections, of which the largest is dropped; frames are taken from one buffer. Before: 'A peer that stops inside a frame of 2 MB is disconnected within 60 s' failed, as the peer was kept, and 40 such peers took 84 MB; now at most 64 MB with all that the test holds. Messages that arrive whole byte by byte are delivered as before.

--- a/cicadaplank/links/streams.py
+++ b/cicadaplank/links/streams.py
@@ -15,6 +15,7 @@
 
 from cicadaplank.links import pacing
 from cicadaplank.messages import codec, types
+from cicadaplank.world import buffers
 
 MAX_QUEUED_BYTES = 16 * 1024 * 1024
 MAX_CONNECTIONS = 1024
@@ -22,6 +23,12 @@
 # Time from the start of a dial, or from an accepted connection, to the peer's hello.
 HELLO_TIMEOUT_S = 2 * CONNECT_TIMEOUT_S
 RECONNECT_DELAY_S = 0.5
+# Maximum size of the first message of a peer, which has a few short names.
+MAX_HELLO_BYTES = 4 * 1024
+# Time in which a frame has to arrive. The largest takes 14 s on a link of 1.2 Mbit/s.
+FRAME_TIMEOUT_S = 30.0
+# Limit on the incomplete frames of all connections together.
+MAX_INCOMPLETE_BYTES = 32 * 1024 * 1024
 _CONNECTION_NUMBERS = itertools.count(1)
 
 
@@ -72,6 +79,10 @@
         # Called once the transport has room again after the frames written so far.
         self._done_callbacks = []
         self._hello_timer = None
+        self._frame_timer = None
+        # Bytes of frames that are not complete, and a count of complete ones.
+        self._received = bytearray()
+        self._frame_count = 0
 
     def connectionMade(self):
         """Send the hello of this process and start the time limit for the peer's."""
@@ -183,6 +194,52 @@
         self._done_callbacks.clear()
         self._queue.clear()
 
+    def dataReceived(self, data):
+        """Deliver the frames that the data completes."""
+        if self.transport.disconnecting:
+            return
+        self._received += data
+        while len(self._received) >= self.prefixLength:
+            (length,) = struct.unpack_from(self.structFormat, self._received)
+            if length > (MAX_HELLO_BYTES if self.hello is None else self.MAX_LENGTH):
+                self.lengthLimitExceeded(length)
+                return
+            end = self.prefixLength + length
+            if len(self._received) < end:
+                break
+            frame = bytes(self._received[self.prefixLength : end])
+            del self._received[:end]
+            self._frame_count += 1
+            self.stringReceived(frame)
+            if self.transport.disconnecting:
+                return
+        self.hub.incomplete.set_held(self, len(self._received))
+        if self._received and self._frame_timer is None:
+            self._start_frame_timer()
+
+    def _start_frame_timer(self):
+        self._frame_timer = self.hub.call_later(
+            FRAME_TIMEOUT_S, self._check_frame, self._frame_count
+        )
+
+    def _check_frame(self, frame_count):
+        """Abort the connection if no frame was completed since the timer's start."""
+        self._frame_timer = None
+        if not self._received:
+            return
+        if self._frame_count == frame_count:
+            self.hub.counters["frame_timeouts"] += 1
+            self.transport.abortConnection()
+            return
+        self._start_frame_timer()
+
+    def drop_buffer(self, reason):
+        """Abort the connection, as the incomplete frames take too much memory."""
+        self._received.clear()
+        self.hub.counters["incomplete_frames_dropped"] += 1
+        self.hub.log("frame_rejected", peer=self.peer or "?", reason=reason)
+        self.transport.abortConnection()
+
     def stringReceived(self, string):
         """Decode one frame and deliver it."""
         self.hub.counters["bytes_received"] += len(string)
@@ -203,7 +260,7 @@
             self._reject(codec.FrameError(fault, "the first message is not a Hello"))
 
     def lengthLimitExceeded(self, length):
-        """Close the connection: the peer announced a frame over ``MAX_LENGTH``."""
+        """Close the connection: the peer announced a frame that is too long."""
         fault = codec.FrameFault.TOO_LONG
         self._reject(codec.FrameError(fault, f"{length} bytes announced"))
 
@@ -215,6 +272,11 @@
     def connectionLost(self, reason=protocol.connectionDone):
         """Stop the hello timer and remove the connection from the hub."""
         self._stop_hello_timer()
+        if self._frame_timer is not None:
+            self._frame_timer.cancel()
+            self._frame_timer = None
+        self._received.clear()
+        self.hub.incomplete.release(self)
         self.transport.unregisterProducer()
         self.hub.unregister(self)
 
@@ -251,6 +313,7 @@
         self.pacer = pacer
         self.identity = identity
         self.counters = collections.Counter()
+        self.incomplete = buffers.BufferBudget(MAX_INCOMPLETE_BYTES)
         # Bytes of received messages by type and whether they came from another region.
         self.received_bytes = collections.Counter()
         self.log = log
@@ -269,12 +332,12 @@
         """Sorted instance names of the connected peers."""
         return sorted(self._connections)
 
-    def call_later(self, delay_s, function):
-        """Call a function after a delay.
+    def call_later(self, delay_s, function, *args):
+        """Call a function with arguments after a delay.
 
         :returns: the timer, with ``active`` and ``cancel``.
         """
-        return self._reactor.callLater(delay_s, function)
+        return self._reactor.callLater(delay_s, function, *args)
 
     @property
     def open_count(self):
