Bound the requests of clients that never end

The headers of a request behind a call in progress were read without a bound, and so were chunk extensions and trailers of any request, the latter kept in memory; bodies that do not end took up to the limit of a body for each client.

Bytes of a request that are not of its body count against the limit of its headers at all times, trailers are dropped, and 48 MB hold for the incomplete bodies of all clients: the largest is answered 503 (it has not run) with a time to come back.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -6,9 +6,17 @@
 from twisted.internet import protocol
 
 from cicadaplank.gateway import calls, dialects
+from cicadaplank.world import buffers
 
 # Pipelined requests that a client may have queued behind the one in progress.
 MAX_PIPELINED = 8
+# Bytes of chunk sizes and trailers that a request may have for each byte of its body,
+# beyond the limit of its headers. Chunks of single bytes have 5 each.
+MAX_FRAMING_SHARE = 8
+# Limit on the incomplete request bodies of all clients together.
+MAX_BODIES_BYTES = 48 * 1024 * 1024
+# Retry time of a client whose request was dropped for memory.
+MEMORY_RETRY_AFTER_S = 1.0
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Separates the headers of a message from its body.
 HEAD_END = b"\r\n\r\n"
@@ -33,7 +41,8 @@
         self._is_http_1_0 = False
         self._is_head_request = False
         self._is_reading = False
-        self._head_bytes = 0
+        # Bytes of the request being read that are not of its body.
+        self._framing_bytes = 0
         self._target = b""
         self._headers = []
         self._body = []
@@ -57,6 +66,7 @@
         """Drop queued requests and abandon the call in progress."""
         self._is_disconnected = True
         self._stop_timer()
+        self._listener.bodies.release(self)
         self._listener.disconnected(self)
         call, self._call = self._call, None
         self._queue.clear()
@@ -97,10 +107,9 @@
 
     def dataReceived(self, data):
         """Parse received bytes, then start the next request or reject a bad one."""
-        if self._is_closing:
+        if self._is_closing or self._error is not None:
             return
-        if self._is_reading or not (self._is_busy or self._queue):
-            self._head_bytes += len(data)
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -108,16 +117,23 @@
             self._error = self._error or (400, f"the request is not HTTP: {error}")
         except dialects.BadRequestError as error:
             self._error = self._error or (error.status, str(error))
-        if self._error is None and self._is_reading and self._is_head_too_long():
-            self._error = (431, "the headers are too long")
+        if self._error is None:
+            self._error = self._framing_error()
         if self._error is not None and not self._is_busy:
             self._reject(*self._error)
             return
         self._start_next()
 
-    def _is_head_too_long(self):
+    def _framing_error(self):
+        """Return status and message for headers or framing without end, or None."""
         limit = self._gateway.limits.max_header_bytes
-        return self._head is None and self._head_bytes > limit
+        if not self._is_reading or self._framing_bytes <= limit:
+            return None
+        if self._head is None:
+            return 431, "the headers are too long"
+        if self._framing_bytes > limit + MAX_FRAMING_SHARE * self._body_bytes:
+            return 400, f"{self._framing_bytes} bytes of framing are too many"
+        return None
 
     def on_message_begin(self):
         """Reset the state for a new request (parser callback)."""
@@ -135,15 +151,16 @@
         self._target += url
 
     def on_header(self, name, value):
-        """Collect a header (parser callback)."""
-        self._headers.append((name, value))
+        """Collect a header; drop trailers (parser callback)."""
+        if self._head is None:
+            self._headers.append((name, value))
 
     def on_headers_complete(self):
         """Check and interpret the headers (parser callback).
 
         Sends ``100 Continue`` where the client expects it.
         """
-        self._head_bytes = 0
+        self._framing_bytes = 0
         if self._error is not None:
             return
         size = len(self._target) + sum(len(n) + len(v) + 4 for n, v in self._headers)
@@ -167,15 +184,26 @@
     def on_body(self, data):
         """Append a part of the body, up to the configured limit (parser callback)."""
         self._body_bytes += len(data)
+        self._framing_bytes -= len(data)
         if self._body_bytes > self._gateway.limits.max_body_bytes:
             self._error = self._error or (413, "the body is too long")
             self._body = []
             return
         self._body.append(data)
+        self._listener.bodies.set_held(self, self._body_bytes)
+
+    def drop_buffer(self, reason):
+        """Reject the request being read, as the bodies take too much memory."""
+        self._error = (503, f"not run: {reason}; send it again later")
+        self._body = []
+        if not self._is_busy:
+            self._reject(*self._error)
 
     def on_message_complete(self):
         """Queue a complete request (parser callback)."""
         self._is_reading = False
+        self._framing_bytes = 0
+        self._listener.bodies.release(self)
         if self._error is not None or self._head is None:
             return
         keeps_open = self._parser.should_keep_alive()
@@ -200,11 +228,20 @@
 
     def _reject(self, status, message):
         """Refuse a request that cannot be read, and close the connection."""
+        if self._is_closing:
+            return
+        self._listener.bodies.release(self)
         self._listener.rejected(status, message)
         self._is_closing = True
         self._stop_timer()
         self.transport.write(
-            self._gateway.dialect.write_refusal(status, b"", message, None, True)
+            self._gateway.dialect.write_refusal(
+                status,
+                b"",
+                message,
+                MEMORY_RETRY_AFTER_S if status == 503 else None,
+                True,
+            )
         )
         self.transport.loseConnection()
 
@@ -326,6 +363,7 @@
         self.gateway = gateway
         self.rejected = rejected
         self.is_stopping = False
+        self.bodies = buffers.BufferBudget(MAX_BODIES_BYTES)
         self._connections = set()
 
     def buildProtocol(self, addr):
--- a/features/gateway/endless.feature
+++ b/features/gateway/endless.feature
@@ -54,3 +54,31 @@
     When 30 answers without end arrive at once, and one small answer
     Then they take at most 80 MB
     And the caller of the small answer has it whole
+
+  @always_7
+  Scenario Outline: A request whose <part> never ends <moment> is rejected
+    Given a gateway with 1 endpoints and a route that may repeat
+    When the <part> of a request never ends <moment>
+    Then it takes at most 500 KB, and the client gets <status>
+
+    Examples: parts
+      | part               | moment                    | status |
+      | target             | on a new connection       | 431    |
+      | header value       | on a new connection       | 431    |
+      | headers            | on a new connection       | 431    |
+      | chunk extension    | on a new connection       | 400    |
+      | trailers           | on a new connection       | 400    |
+      | body with a length | on a new connection       | 413    |
+      | body in chunks     | on a new connection       | 413    |
+      | target             | behind a call in progress | 431    |
+      | headers            | behind a call in progress | 431    |
+      | chunk extension    | behind a call in progress | 400    |
+      | trailers           | behind a call in progress | 400    |
+      | body in chunks     | behind a call in progress | 413    |
+
+  @always_7
+  Scenario: Requests without end do not take the memory of the process together
+    Given a gateway with 1 endpoints and a route that may repeat
+    When 30 clients send bodies of 3 MB without their end
+    Then they take at most 64 MB
+    And those that are dropped get 503 and when to send again
--- a/features/steps/gateway_endless.py
+++ b/features/steps/gateway_endless.py
@@ -173,3 +173,84 @@
 def step_small_whole(context):
     got = context.world.client_transport.value()
     assert gateway_endings.parse_answer(got) == (200, gateway_steps.BODY, True), got
+
+
+CLIENT_HEAD = b"POST /x/1 HTTP/1.1\r\nHost: host.example\r\n"
+CLIENT_CHUNKS = CLIENT_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_REQUESTS = {
+    "target": (b"GET /x/", b"x"),
+    "header value": (CLIENT_HEAD + b"X-Long: ", b"x"),
+    "headers": (CLIENT_HEAD, b"X-More: 1\r\n"),
+    "chunk extension": (CLIENT_CHUNKS + b"5;", b"x"),
+    "trailers": (CLIENT_CHUNKS + b"5\r\n12345\r\n0\r\n", b"X-T: 1\r\n"),
+    "body with a length": (CLIENT_HEAD + b"Content-Length: 9999999\r\n\r\n", b"x"),
+    "body in chunks": (CLIENT_CHUNKS, gateway_steps.chunk(b"x" * 100)),
+}
+
+
+@behave.when("the {part} of a request never ends {moment}")
+def step_endless_request(context, part, moment):
+    world = context.world
+    context.sent = None
+    if moment == "behind a call in progress":
+        context.sent = gateway_endings.send_call(world)
+    first, repeated = ENDLESS_REQUESTS[part]
+    client, transport = world.client, world.client_transport
+    block = repeated * max(1, BLOCK_BYTES // len(repeated))
+    tracemalloc.start()
+    client.dataReceived(first)
+    for _ in range(4 * 1024 * 1024 // len(block)):
+        if transport.disconnecting:
+            break
+        client.dataReceived(block)
+    _, context.peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+
+
+@behave.then("it takes at most {limit_kb:d} KB, and the client gets {status:d}")
+def step_request_bounded(context, limit_kb, status):
+    transport = context.world.client_transport
+    if context.sent is not None:
+        protocol, _ = context.sent
+        protocol.dataReceived(gateway_steps.answer())
+        answers = transport.take()
+        assert answers.startswith(b"HTTP/1.1 200"), answers
+        answers = answers.partition(gateway_steps.BODY)[2]
+    else:
+        answers = transport.value()
+    assert gateway_steps.status_of(answers) == status, answers
+    assert transport.disconnecting
+    assert context.peak_bytes <= limit_kb * 1024, context.peak_bytes
+
+
+@behave.when("{count:d} clients send bodies of {size_mb:d} MB without their end")
+def step_many_bodies(context, count, size_mb):
+    world = context.world
+    configuration = world.configuration
+    limits = gateway_steps.routes.ClientLimits(1000, 4 * 1024 * 1024, 3.0, 15.0)
+    world.gateway.set_configuration(
+        gateway_steps.routes.Configuration(
+            2, configuration.routes, configuration.services, limits, None
+        )
+    )
+    block = bytes(1024 * 1024)
+    context.transports = []
+    tracemalloc.start()
+    for _ in range(count):
+        world.connect()
+        context.transports.append(world.client_transport)
+        world.client.dataReceived(CLIENT_HEAD + b"Content-Length: 4000000\r\n\r\n")
+        for _ in range(size_mb):
+            if not world.client_transport.disconnecting:
+                world.client.dataReceived(block)
+    _, context.peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+
+
+@behave.then("those that are dropped get 503 and when to send again")
+def step_dropped_bodies(context):
+    dropped = [t.value() for t in context.transports if t.disconnecting]
+    assert dropped
+    for data in dropped:
+        assert gateway_steps.status_of(data) == 503, data
+        assert b"Retry-After" in data and data.count(b"HTTP/1.1") == 1, data
