Bound the bodies that the HTTP port of a process reads

A body of deeply nested JSON ended with an internal error.

Nested JSON gets 400 not_json. The scenarios need the new class; before it, Twisted's request has no such limit.

--- a/cicadaplank/daemons/base.py
+++ b/cicadaplank/daemons/base.py
@@ -16,7 +16,7 @@
 from twisted.internet import defer, task
 from twisted.web import server
 
-from cicadaplank.daemons import table_requests
+from cicadaplank.daemons import http_requests, table_requests
 from cicadaplank.external import errors, http, instances, tables
 from cicadaplank.links import streams
 from cicadaplank.members import draining, membership
@@ -169,7 +169,9 @@
     async def _start(self):
         listen = self.settings.listen
         peer_port = await self.hub.listen(listen.host, listen.peer_port)
-        site = server.Site(self.app.resource())
+        site = server.Site(
+            self.app.resource(), requestFactory=http_requests.BoundedRequest
+        )
         site.noisy = False
         http_port = self.reactor.listenTCP(
             listen.http_port, site, interface=listen.host
--- a/cicadaplank/entry/frontend.py
+++ b/cicadaplank/entry/frontend.py
@@ -76,7 +76,7 @@
     body = _read_body(request)
     try:
         document = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise BadRequest("not_json", f"the body is not JSON: {error}") from error
     if not isinstance(document, dict):
         raise BadRequest("not_json", "the body must be a JSON object")
--- /dev/null
+++ b/features/requests/endless.feature
@@ -0,0 +1,21 @@
+Feature: Requests of callers whose body never ends
+  The HTTP port of a process keeps the start of a body. One without end, at once or byte
+  by byte, takes neither the memory of the process nor a connection for good.
+
+  @always_7
+  Scenario Outline: A request whose body with <framing> <course> is cut off
+    Given the HTTP port of a process with a time limit of 0.3 s for bodies
+    When a caller sends a body with <framing> that <course>
+    Then it is cut off within 3 s after at most 24 MB, of which 1 MB was kept
+
+    Examples: bodies
+      | framing  | course     |
+      | a length | never ends |
+      | chunks   | never ends |
+      | a length | trickles   |
+      | chunks   | trickles   |
+
+  Scenario: A body that is too long but ends gets an answer
+    Given the HTTP port of a process with a time limit of 5 s for bodies
+    When a caller sends a body of 2 MB
+    Then the process has its first 1 MB and the caller an answer
--- a/features/steps/bad_input.py
+++ b/features/steps/bad_input.py
@@ -14,6 +14,7 @@
 GOOD = {"model": processes.MODEL, "prompt": "A contract.", "max_tokens": 1}
 BAD_BODIES = {
     "no JSON": b"{",
+    "deeply nested JSON": b"[" * 200_000,
     "a list as body": b"[]",
     "no model": json.dumps({"prompt": "x"}).encode(),
     "no prompt": json.dumps({"model": processes.MODEL}).encode(),
--- a/features/system/bad_input.feature
+++ b/features/system/bad_input.feature
@@ -11,6 +11,7 @@
     Examples:
       | fault                     | status | code           |
       | no JSON                   | 400    | not_json       |
+      | deeply nested JSON        | 400    | not_json       |
       | a list as body            | 400    | not_json       |
       | no model                  | 400    | no_model       |
       | no prompt                 | 400    | no_prompt      |
