Report a stream that just stops as a failure of the request command

'cicadaplank request' printed a stream without its last event as answered and exited with 0 when the connection had been closed, and with a traceback when it was lost; an answer without end was collected without a limit.

--- a/cicadaplank/external/http.py
+++ b/cicadaplank/external/http.py
@@ -243,18 +243,21 @@
 
     :param limit_bytes: maximum size; for a longer body the connection is closed.
     :param budget: :class:`cicadaplank.world.buffers.BufferBudget`.
+    :param received: called with each part of the body.
     :ivar finished: Deferred with bytes; cancelling it closes the connection.
     """
 
-    def __init__(self, limit_bytes, budget):
+    def __init__(self, limit_bytes, budget, received):
         self.finished = defer.Deferred(self._cancel)
         self._limit_bytes = limit_bytes
         self._budget = budget
+        self._received = received
         self._body = bytearray()
 
     def dataReceived(self, data):
         if self.finished.called:
             return
+        self._received(data)
         self._body += data
         if len(self._body) > self._limit_bytes:
             self.drop_buffer(f"more than {self._limit_bytes} bytes")
@@ -262,7 +265,11 @@
         self._budget.set_held(self, len(self._body))
 
     def connectionLost(self, reason=protocol.connectionDone):
-        self._finish(bytes(self._body) if is_complete(reason) else reason)
+        if is_complete(reason):
+            self._finish(bytes(self._body))
+        else:
+            cause = f"{reason.type.__name__}: {reason.getErrorMessage()}"
+            self._finish(errors.AnswerLost(cause))
 
     def drop_buffer(self, reason):
         """Give the response up, as it takes too much memory."""
@@ -288,7 +295,7 @@
         deferred.callback(result)
 
 
-def read_body(response, limit_bytes, budget=None):
+def read_body(response, limit_bytes, budget=None, received=lambda data: None):
     """Read the body of a response.
 
     A body without length and chunks is complete when its connection was closed, and not
@@ -298,10 +305,12 @@
     :param limit_bytes: maximum size of the body.
     :param budget: :class:`cicadaplank.world.buffers.BufferBudget` of the bodies that
         are read at the same time, or None.
+    :param received: called with each part of the body as it arrives.
     :returns: Deferred that fires with bytes; fails with :class:`errors.AnswerLost` for
         a longer body.
     """
-    collector = _Collector(limit_bytes, budget or buffers.BufferBudget(limit_bytes))
+    budget = budget or buffers.BufferBudget(limit_bytes)
+    collector = _Collector(limit_bytes, budget, received)
     response.deliverBody(collector)
     return collector.finished
 
--- a/features/external/endings.feature
+++ b/features/external/endings.feature
@@ -42,6 +42,11 @@
       | stream       |
       | get object   |
 
+  @always_2
+  Scenario: The request command reports a stream that just stops as a failure
+    Given a server that answers as a script says
+    Then the request command takes no part of a stream for the whole
+
   @always_7
   Scenario Outline: An answer to a <call> whose <part> <course> is given up
     When the external call <call> is answered by a <part> that <course>
--- a/features/steps/external_endings.py
+++ b/features/steps/external_endings.py
@@ -8,6 +8,7 @@
 import behave
 from twisted.internet import defer, protocol, reactor
 
+from cicadaplank.cli import calls
 from cicadaplank.external import errors, http
 from features import reactors
 from features.steps import gateway as gateway_steps
@@ -247,3 +248,31 @@
     allowed_bytes = 2 * 1024 * 1024 + 8 * 1024 * 1024
     assert context.server.sent_bytes <= allowed_bytes, context.server.sent_bytes
     assert context.peak_bytes <= 3 * allowed_bytes, context.peak_bytes
+
+
+CLI_STREAM = (
+    b'data: {"token": "t"}\n\nevent: end\ndata: {"total": 1}\n\ndata: [DONE]\n\n'
+)
+
+
+async def play_command(context, data, ending):
+    context.server.script = (data, ending)
+    document = {"model": "m", "prompt": "p", "stream": True, "max_tokens": 1}
+    return await calls._send(context.address, "client", document)
+
+
+async def check_command_cuts(context):
+    for framing in gateway_endings.FRAMINGS:
+        data = framed(CLI_STREAM, framing)
+        start = data.index(b"\r\n\r\n") + 4
+        whole = await play_command(context, data, "a close")
+        assert (whole["status"], whole["error"]) == (200, False), (framing, whole)
+        for ending in ("a close", "a reset"):
+            for cut in range(start, len(data)):
+                got = await play_command(context, data[:cut], ending)
+                assert got["error"], (framing, ending, cut, got)
+
+
+@behave.then("the request command takes no part of a stream for the whole")
+def step_command_cuts(context):
+    reactors.run(check_command_cuts, context)
