Let the soak's servers answer without length and chunks, and without end

The framing of each answer is drawn from the identifier of its request; 'cut' breaks off inside an event, by a close or a reset; three modes send heads and bodies without end and bytes after an answer. Links pass a reset on as one. Seeds that failed before keep the modes that they were drawn from.

--- a/features/soak/seeds.feature
+++ b/features/soak/seeds.feature
@@ -13,3 +13,5 @@
       | 3    |
       | 5    |
       | 33   |
+      | 123  |
+      | 130  |
--- a/features/steps/soak_seeds.py
+++ b/features/steps/soak_seeds.py
@@ -2,12 +2,14 @@
 
 import behave
 
-from soak import fleet
+from soak import __main__ as soak_command
+from soak import fleet, plan
 
 
 @behave.when("the soak plays seed {seed:d} with {faults:d} faults in {length_s:d} s")
 def step_play(context, seed, faults, length_s):
-    context.violations, context.requests = fleet.play(seed, length_s, faults)
+    modes = soak_command.regressions().get(seed, plan.MODES)
+    context.violations, context.requests = fleet.play(seed, length_s, faults, modes)
 
 
 @behave.then("nothing that must hold was violated in at least {count:d} requests")
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,7 +10,7 @@
 
 import fire
 
-from soak import fleet
+from soak import fleet, plan
 
 # Seeds that failed once, with the cause.
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.json")
@@ -25,6 +25,15 @@
     return found
 
 
+def regressions():
+    """Return a dict from each seed that failed once to the modes it was drawn from.
+
+    Later modes would change what such a seed plays.
+    """
+    entries = json.loads(REGRESSIONS.read_text())
+    return {entry["seed"]: plan.MODES[: entry["modes"]] for entry in entries}
+
+
 def main(seeds="regressions", seconds=8.0, faults=12):
     """Play seeds.
 
@@ -33,15 +42,16 @@
     :param faults: faults of each seed.
     """
     if seeds == "regressions":
-        chosen = [entry["seed"] for entry in json.loads(REGRESSIONS.read_text())]
+        chosen = list(regressions())
     elif str(seeds).startswith("fresh-"):
         first = int(time.time())
         chosen = range(first, first + int(str(seeds).partition("-")[2]))
     else:
         chosen = numbers(seeds)
+    modes = regressions() if seeds == "regressions" else {}
     failed = 0
     for seed in chosen:
-        found, count = fleet.play(seed, seconds, faults)
+        found, count = fleet.play(seed, seconds, faults, modes.get(seed, plan.MODES))
         failed += bool(found)
         print(f"seed {seed}: {count} requests, {len(found)} violations", flush=True)
         for text in found[:10]:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -194,18 +194,19 @@
         row |= {"slots": 6, "state": state, "seq": 1}
         self._store.put("servers", self.servers[number].name, row)
 
-    def run(self, length_s, count):
+    def run(self, length_s, count, modes):
         """Play the seed.
 
         :param length_s: time in which faults begin.
         :param count: number of faults.
+        :param modes: modes of servers that are drawn from.
         :returns: list of violations and the number of requests.
         """
         for entry in self.entries:
             entry.start()
         self._wait_ready()
         seen = self._load(
-            "faults", lambda: self._play(plan.draw(self.seed, length_s, count))
+            "faults", lambda: self._play(plan.draw(self.seed, length_s, count, modes))
         )
         self._wait_ready()
         time.sleep(SETTLE_S)
@@ -324,14 +325,15 @@
             server.server_close()
 
 
-def play(seed, length_s, count):
+def play(seed, length_s, count, modes=plan.MODES):
     """Play one seed from the start to the end.
 
+    :param modes: modes of servers that are drawn from.
     :returns: list of violations and the number of requests.
     """
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(seed, pathlib.Path(folder))
         try:
-            return fleet.run(length_s, count)
+            return fleet.run(length_s, count, modes)
         finally:
             fleet.stop()
--- a/soak/links.py
+++ b/soak/links.py
@@ -2,11 +2,14 @@
 
 import contextlib
 import socket
+import struct
 import threading
 import time
 
 LOOPBACK = "127.0.0.1"
 PART_BYTES = 16 * 1024
+# Lets ``close`` reset a connection instead of ending it.
+RESETTING_LINGER = struct.pack("ii", 1, 0)
 
 
 class Link:
@@ -22,6 +25,7 @@
         self.delay_s = 0.0
         self.silent = set()
         self._pairs = set()
+        self._lock = threading.Lock()
         self._listener = socket.create_server((LOOPBACK, 0), backlog=128)
         self.address = f"{LOOPBACK}:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -56,21 +60,28 @@
                     time.sleep(0.02)
                 sink.sendall(data)
         except OSError:
-            # The other direction, or a reset, has closed the pair.
-            pass
-        self._close(pair)
+            self._close(pair, resets=True)
+        self._close(pair, resets=False)
 
-    def _close(self, pair):
-        self._pairs.discard(pair)
+    def _close(self, pair, resets):
+        """Close a pair, unless it was closed from the other direction."""
+        with self._lock:
+            if pair not in self._pairs:
+                return
+            self._pairs.discard(pair)
         for each in pair:
             with contextlib.suppress(OSError):
-                each.shutdown(socket.SHUT_RDWR)
+                if resets:
+                    linger = (socket.SOL_SOCKET, socket.SO_LINGER, RESETTING_LINGER)
+                    each.setsockopt(*linger)
+                # Wakes the thread that reads from it.
+                each.shutdown(socket.SHUT_RD if resets else socket.SHUT_RDWR)
             each.close()
 
     def reset(self):
-        """Break every open connection off."""
+        """Reset every open connection."""
         for pair in list(self._pairs):
-            self._close(pair)
+            self._close(pair, resets=True)
 
     def stop(self):
         """Refuse new connections and break the others off."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -3,7 +3,17 @@
 import dataclasses
 import random
 
-MODES = ("refuse", "error", "reset", "hang", "wrong", "cut")
+MODES = (
+    "refuse",
+    "error",
+    "reset",
+    "hang",
+    "wrong",
+    "cut",
+    "endless_head",
+    "endless_body",
+    "garbage",
+)
 # Some kinds are drawn more often: they touch the work of more parts.
 KINDS = (
     "server",
@@ -42,12 +52,13 @@
     detail: str
 
 
-def draw(seed, length_s, count):
+def draw(seed, length_s, count, modes=MODES):
     """Draw the events of a seed. Some come in bursts, at the same instant or twice.
 
     :param seed: integer.
     :param length_s: time in which they begin.
     :param count: number of events.
+    :param modes: modes of servers that are drawn from.
     :returns: list of :class:`Event`.
     """
     rng = random.Random(seed)
@@ -56,7 +67,7 @@
         kind = rng.choice(KINDS)
         at_s = rng.uniform(0.5, length_s)
         for_s = rng.uniform(0.3, 2.5)
-        detail = rng.choice(MODES) if kind == "server" else ""
+        detail = rng.choice(modes) if kind == "server" else ""
         if kind == "link_silent":
             detail = rng.choice(("there", "back"))
         found.append(Event(at_s, kind, rng.randrange(100), for_s, detail))
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -4,13 +4,21 @@
 import dataclasses
 import http.server
 import json
+import os
+import socket
 import threading
 import time
+import zlib
+
+from soak import links
 
 LOOPBACK = "127.0.0.1"
 EVENT_GAP_S = 0.01
 # An answer that hangs ends with its connection after this time.
 HANG_S = 8.0
+# How the end of an answer is marked, drawn from the identifier of its request.
+FRAMINGS = ("length", "chunks", "close")
+ENDLESS_BLOCK_BYTES = 16 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,7 +61,9 @@
     :param ledger: :class:`Ledger`.
     :ivar mode: ``ok``, ``refuse`` (truthfully not run), ``error``, ``reset`` (runs and
         breaks the connection off), ``hang`` (runs and does not answer), ``wrong``
-        (answers another request) or ``cut`` (breaks streams off half way).
+        (answers another request), ``cut`` (breaks streams off half way, inside an
+        event), ``endless_head`` and ``endless_body`` (send them until the connection is
+        closed) or ``garbage`` (sends further bytes after each answer).
     :ivar delay_s: time that a run takes.
     """
 
@@ -98,6 +108,13 @@
         elif server.mode == "hang":
             time.sleep(HANG_S)
             self._break_off()
+        elif server.mode == "endless_head":
+            self._send_endless(b"HTTP/1.1 200 OK\r\n", b"X-More: 1\r\n")
+        elif server.mode == "endless_body":
+            self.send_response(200)
+            self._head()
+            self.end_headers()
+            self._send_endless(b"id: 1\ndata: ", b"x")
         elif server.mode == "error":
             self._answer(500, b"failed")
         else:
@@ -107,6 +124,35 @@
                 self._stream(request, asked["events"])
             else:
                 self._answer(200, f"answer to {request}".encode())
+            # Bytes after an answer that ends with its connection belong to it.
+            if server.mode == "garbage" and not self.close_connection:
+                self.close_connection = True
+                self.wfile.write(b"\x00\x01 garbage")
+
+    def _send_endless(self, first, unit):
+        self.close_connection = True
+        self.wfile.write(first)
+        end_s = time.monotonic() + HANG_S
+        while time.monotonic() < end_s:
+            self.wfile.write(unit * (ENDLESS_BLOCK_BYTES // len(unit)))
+
+    def _framing(self, request):
+        return FRAMINGS[zlib.crc32(request.encode()) % len(FRAMINGS)]
+
+    def _send_framing(self, framing, length):
+        """Send the header that marks the end of a body, and the end of the headers."""
+        if framing == "length":
+            self.send_header("Content-Length", str(length))
+        elif framing == "chunks":
+            self.send_header("Transfer-Encoding", "chunked")
+        else:
+            self.close_connection = True
+        self.end_headers()
+
+    def _send_part(self, framing, data):
+        self.wfile.write(
+            b"%x\r\n%b\r\n" % (len(data), data) if framing == "chunks" else data
+        )
 
     def _head(self):
         attempt = self.headers["X-Attempt-Id"]
@@ -120,26 +166,39 @@
         self._head()
         for name, value in headers:
             self.send_header(name, value)
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
+        framing = self._framing(self.headers["X-Attempt-Id"])
+        self._send_framing(framing, len(body))
+        if body:
+            self._send_part(framing, body)
+        if framing == "chunks":
+            self.wfile.write(b"0\r\n\r\n")
 
     def _stream(self, request, events):
         self.send_response(200)
         self._head()
         self.send_header("Content-Type", "text/event-stream")
-        self.send_header("Transfer-Encoding", "chunked")
-        self.end_headers()
+        framing = self._framing(request)
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
-        for number in range(first, events + 1):
-            if self.server.mode == "cut" and number > first + events // 2:
-                self._break_off()
+        parts = [
+            f"id: {number}\ndata: {request} {number}\n\n".encode()
+            for number in range(first, events + 1)
+        ]
+        self._send_framing(framing, sum(map(len, parts)))
+        for number, data in enumerate(parts):
+            if self.server.mode == "cut" and number > events // 2:
+                self._send_part(framing, data[: len(data) // 2])
+                self._break_off(resets=number % 2 == 0)
                 return
-            data = f"id: {number}\ndata: {request} {number}\n\n".encode()
-            self.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
+            self._send_part(framing, data)
             time.sleep(EVENT_GAP_S)
-        self.wfile.write(b"0\r\n\r\n")
+        if framing == "chunks":
+            self.wfile.write(b"0\r\n\r\n")
 
-    def _break_off(self):
+    def _break_off(self, resets=False):
         self.close_connection = True
+        if resets:
+            linger = (socket.SOL_SOCKET, socket.SO_LINGER, links.RESETTING_LINGER)
+            self.connection.setsockopt(*linger)
+            os.close(self.connection.detach())
+            return
         self.connection.close()
