Check on real sockets that a reset is not taken for a close

Third hypothesis of the incident: a reset reaches the gateway as a clean close. A server on loopback sends a part of an answer with a length, chunks or neither and then closes or resets; the connection reports each as what it is. So the hypothesis is dropped; the scenarios pass on the unfixed code with its log of endings as well.

--- a/features/gateway/endings.feature
+++ b/features/gateway/endings.feature
@@ -152,3 +152,19 @@
       | single bytes of event 3 |
       | comments                |
       | events 1 and 2 again    |
+
+  Scenario Outline: A <ending> after <count> bytes with <framing> is told on real sockets
+    Given a server that answers as a script says
+    When <count> bytes of a body with <framing> are followed by a <ending>
+    Then the gateway's connection has all of them and reports <termination>
+
+    Examples: ends
+      | framing  | count | ending | termination |
+      | a length | 10    | close  | closed      |
+      | a length | 10    | reset  | reset       |
+      | chunks   | 5     | close  | closed      |
+      | chunks   | 5     | reset  | reset       |
+      | neither  | 10    | close  | closed      |
+      | neither  | 10    | reset  | reset       |
+      | neither  | 90000 | close  | closed      |
+      | neither  | 90000 | reset  | reset       |
--- a/features/steps/external_endings.py
+++ b/features/steps/external_endings.py
@@ -10,6 +10,8 @@
 
 from cicadaplank.cli import calls
 from cicadaplank.external import errors, http
+from cicadaplank.gateway import connections
+from cicadaplank.platform import headers
 from features import reactors
 from features.steps import gateway as gateway_steps
 from features.steps import gateway_endings
@@ -276,3 +278,55 @@
 @behave.then("the request command takes no part of a stream for the whole")
 def step_command_cuts(context):
     reactors.run(check_command_cuts, context)
+
+
+class Receiver:
+    """Receiver of an answer on a connection of the gateway."""
+
+    def __init__(self):
+        self.ended = defer.Deferred()
+        self.body = b""
+
+    def response_started(self, head):
+        """Take the answer."""
+        return True
+
+    def response_data(self, data):
+        """Keep a part of the body."""
+        self.body += data
+
+    def response_ended(self, end):
+        """Note a complete answer."""
+        self.ended.callback(end)
+
+    def response_failed(self, end, reason):
+        """Note a broken answer."""
+        self.ended.callback(end)
+
+
+async def receive(context, data, ending):
+    context.server.script = (data, ending)
+    host, _, port = context.address.removeprefix("http://").rpartition(":")
+    pool = connections.ConnectionPool(
+        reactor, headers.PlatformDialect(), host, int(port), 2
+    )
+    receiver = Receiver()
+    pool.acquire(
+        lambda connection: connection.send(b"GET / HTTP/1.1\r\n\r\n", receiver), print
+    )
+    context.end = await receiver.ended
+    context.body = receiver.body
+    pool.close()
+
+
+@behave.when("{count:d} bytes of a body with {framing} are followed by {ending}")
+def step_real_end(context, count, framing, ending):
+    data = framed(b"x" * 100_000, framing)
+    start = data.index(b"x" * 10)
+    reactors.run(receive, context, data[: start + count], ending)
+
+
+@behave.then("the gateway's connection has all of them and reports {termination}")
+def step_real_termination(context, termination):
+    assert context.end.termination.value == termination, context.end
+    assert context.end.body_bytes == len(context.body) > 0, context.end
