--- a/features/external/endings.feature
+++ b/features/external/endings.feature
@@ -47,7 +47,6 @@
     Given a server that answers as a script says
     Then the request command takes no part of a stream for the whole
 
-  @always_7
   Scenario Outline: An answer to a <call> whose <part> <course> is given up
     When the external call <call> is answered by a <part> that <course>
     Then the endless answer is given up within the limits of bytes, time and memory
--- a/features/gateway/endless.feature
+++ b/features/gateway/endless.feature
@@ -2,7 +2,6 @@
   A server in trouble may send a head or a body without end, at once or byte by byte.
   What it can take is bounded in bytes, time and memory.
 
-  @always_7
   Scenario Outline: An answer whose <part> never ends is given up
     Given a gateway with 1 endpoints and a route that <kind>
     When the <part> of an answer never ends
@@ -28,7 +27,6 @@
       | event                  | streams once   |
       | comment                | streams once   |
 
-  @always_7
   Scenario Outline: An answer whose <part> trickles is given up at the call's deadline
     Given a gateway with 1 endpoints and a route that <kind>
     When the <part> of an answer trickles
@@ -48,14 +46,12 @@
       | event                  | streams once   |
       | comment                | streams once   |
 
-  @always_7
   Scenario: Answers without end do not take the memory of the process together
     Given a gateway with 1 endpoints and a route that runs once only
     When 30 answers without end arrive at once, and one small answer
     Then they take at most 80 MB
     And the caller of the small answer has it whole
 
-  @always_7
   Scenario Outline: A request whose <part> never ends <moment> is rejected
     Given a gateway with 1 endpoints and a route that may repeat
     When the <part> of a request never ends <moment>
@@ -76,7 +72,6 @@
       | trailers           | behind a call in progress | 400    |
       | body in chunks     | behind a call in progress | 413    |
 
-  @always_7
   Scenario: Requests without end do not take the memory of the process together
     Given a gateway with 1 endpoints and a route that may repeat
     When 30 clients send bodies of 3 MB without their end
--- a/features/links/endless.feature
+++ b/features/links/endless.feature
@@ -2,7 +2,6 @@
   A peer in trouble may announce more than it sends, send byte by byte or stop inside a
   message. What it can take is bounded in bytes, time and memory.
 
-  @always_7
   Scenario Outline: A peer that <behaviour> is disconnected within <limit_s> s
     Given a stream hub in memory
     When a peer <behaviour>
@@ -23,7 +22,6 @@
     When a peer sends 50 messages byte by byte
     Then the stream hub has received 50 messages and keeps the peer
 
-  @always_7
   Scenario: Messages without end do not take the memory of the process together
     Given a stream hub in memory
     When 40 peers stop inside frames of 2 MB and another one sends a message
--- a/features/platform/answers.feature
+++ b/features/platform/answers.feature
@@ -34,7 +34,6 @@
       | manifest      | fields of other types  |
       | manifest      | numbers without end    |
 
-  @always_7
   Scenario Outline: An answer to <call> whose <part> never ends is given up
     When the <part> of an answer to the call <call> never ends
     Then its connection is broken off within the limits of bytes and memory
@@ -57,7 +56,6 @@
       | piece         | chunk extension    |
       | piece         | body with neither  |
 
-  @always_7
   Scenario Outline: An answer to <call> whose <part> trickles is given up in time
     When the <part> of an answer to the call <call> trickles
     Then the call has failed as lost and its connection is broken off
@@ -72,7 +70,6 @@
       | manifest      | body with neither  |
       | piece         | trailers           |
 
-  @always_7
   Scenario: Answers of the store without end do not take the memory of the process
     When 8 answers of the store without end arrive at once
     Then they take at most 64 MB
--- a/features/requests/endless.feature
+++ b/features/requests/endless.feature
@@ -2,7 +2,6 @@
   The HTTP port of a process keeps the start of a body. One without end, at once or byte
   by byte, takes neither the memory of the process nor a connection for good.
 
-  @always_7
   Scenario Outline: A request whose body with <framing> <course> is cut off
     Given the HTTP port of a process with a time limit of 0.3 s for bodies
     When a caller sends a body with <framing> that <course>
