Log messages of peers that do not arrive, and show the events of peer connections

The counters of dropped and late messages were shown on the agent path only; entries and agents of the users' platform now show them as peer_connections, and a message that does not arrive in time leaves a log line. No decision changes.

--- a/cicadaplank/links/streams.py
+++ b/cicadaplank/links/streams.py
@@ -229,6 +229,8 @@
             return
         if self._frame_count == frame_count:
             self.hub.counters["frame_timeouts"] += 1
+            reason = f"{len(self._received)} bytes of a frame in {FRAME_TIMEOUT_S} s"
+            self.hub.log("frame_rejected", peer=self.peer or "?", reason=reason)
             self.transport.abortConnection()
             return
         self._start_frame_timer()
@@ -485,7 +487,7 @@
         self.received_bytes[type(message).__name__, is_remote] += size_bytes
 
     def update_metrics(self, metrics):
-        """Set the gauges of the received bytes.
+        """Set the gauges of the received bytes and of the connections' events.
 
         :param metrics: :class:`cicadaplank.reports.metrics.Metrics`.
         """
@@ -494,6 +496,8 @@
             metrics.set_gauge(
                 "peer_bytes_received", size_bytes, message=name, region=region
             )
+        for event, count in self.counters.items():
+            metrics.set_gauge("peer_connections", count, event=event)
 
     def deliver(self, connection, envelope):
         """Pass a message to the listener."""
