Cut requests and messages of peers at every byte

A request with a length or in chunks that is cut before its end reaches no endpoint; of messages between processes just the whole ones are delivered. Both held before.

--- a/features/gateway/endings.feature
+++ b/features/gateway/endings.feature
@@ -168,3 +168,11 @@
       | neither  | 10    | reset  | reset       |
       | neither  | 90000 | close  | closed      |
       | neither  | 90000 | reset  | reset       |
+
+  Scenario Outline: A request with <framing> that is cut at any byte reaches no endpoint
+    Then a request with <framing> and a body, cut at any byte, reaches no endpoint
+
+    Examples: framings
+      | framing  |
+      | a length |
+      | chunks   |
--- a/features/links/endless.feature
+++ b/features/links/endless.feature
@@ -27,3 +27,6 @@
     When 40 peers stop inside frames of 2 MB and another one sends a message
     Then they take at most 64 MB
     And the stream hub has received 1 messages and keeps the peer
+
+  Scenario: A message that is cut at any byte is not delivered
+    Then of 3 messages, cut at any byte, just the whole ones are delivered
--- a/features/steps/endless_frames.py
+++ b/features/steps/endless_frames.py
@@ -155,3 +155,18 @@
     _, context.peak_bytes = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     context.peer.dataReceived(frame[-1:])
+
+
+@behave.then(
+    "of {count:d} messages, cut at any byte, just the whole ones are delivered"
+)
+def step_cut_messages(context, count):
+    frame = stream_steps.framed("beta", MESSAGE)
+    data = frame * count
+    for cut in range(len(data) + 1):
+        played = MemoryHub()
+        peer = played.connect("beta")
+        peer.dataReceived(data[:cut])
+        gateway_steps.reset(peer)
+        assert played.received == [MESSAGE] * (cut // len(frame)), cut
+        assert played.hub.incomplete.total_bytes == 0
--- a/features/steps/gateway_endings.py
+++ b/features/steps/gateway_endings.py
@@ -336,3 +336,21 @@
 @behave.then("the endpoint's connection is broken off")
 def step_endpoint_broken(context):
     assert context.transport.aborted
+
+
+@behave.then(
+    "a request with {framing} and a body, cut at any byte, reaches no endpoint"
+)
+def step_cut_requests(context, framing):
+    head = b"POST /x/1 HTTP/1.1\r\nHost: host.example\r\nX-Attempt-Id: a\r\n"
+    head += b"Authorization: Bearer key-1\r\n"
+    whole = head + framed(b"0123456789", framing).removeprefix(HEAD)
+    for cut in range(len(whole) + 1):
+        for lost in (error.ConnectionDone, error.ConnectionLost):
+            world = gateway_steps.World(1, "may repeat")
+            world.client.dataReceived(whole[:cut])
+            assert world.has_dial == (cut == len(whole)), (cut, whole[:cut])
+            gateway_steps.lose(world.client, lost())
+            world.run(gateway_steps.STEP_S)
+            assert world.has_dial == (cut == len(whole)), (cut, whole[:cut])
+            assert world.gateway.open_calls == 0
