--- a/cicadaplank/gateway/framing.py
+++ b/cicadaplank/gateway/framing.py
@@ -21,6 +21,7 @@
 class Termination(enum.Enum):
     """What ended the reception of a response.
 
+    ``NONE``: no response was awaited, because no request was sent.
     ``COMPLETE``: the declared length or the last chunk was reached. ``CLOSED``: the
     server closed the connection. ``RESET``: the connection was lost in another way,
     such as by a reset or a time limit of the kernel. ``INVALID``: the bytes are not a
@@ -28,6 +29,7 @@
     time limit.
     """
 
+    NONE = "none"
     COMPLETE = "complete"
     CLOSED = "closed"
     RESET = "reset"
@@ -45,7 +47,7 @@
     """
 
     framing: Framing = Framing.UNKNOWN
-    termination: Termination = Termination.CANCELLED
+    termination: Termination = Termination.NONE
     body_bytes: int = 0
 
 
