Pass a document on a streaming route on whole

An answer that declares another content type than text/event-stream is buffered and forwarded like that of any other route. Before: 'A document on a streaming route, with a length, is no broken stream' failed, with the document cut after its empty line.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -278,7 +278,7 @@
         self._last_activity_s = self._gateway.now_s()
         self._reply = head
         is_stream = self.route.is_stream and self.request.head.method != b"HEAD"
-        if self._is_valid_success(head) and is_stream:
+        if is_stream and head.is_event_stream and self._is_valid_success(head):
             self._splitter = event_streams.EventSplitter()
         return True
 
--- a/cicadaplank/gateway/dialects.py
+++ b/cicadaplank/gateway/dialects.py
@@ -81,6 +81,8 @@
     :param is_misdirected: whether the address belongs to another endpoint than the
         expected one, or to one with other weights.
     :param is_encoded: whether the body has a content coding.
+    :param is_event_stream: whether the body is an event stream, which is assumed when
+        no content type is declared.
     :param length: length of the body in bytes, or None when it is not declared.
     :param is_chunked: whether the body uses chunked transfer coding.
     :param keeps_open: whether the headers allow to reuse the connection.
@@ -94,6 +96,7 @@
     is_not_run: bool
     is_misdirected: bool
     is_encoded: bool
+    is_event_stream: bool
     length: int | None
     is_chunked: bool
     keeps_open: bool
--- a/cicadaplank/platform/headers.py
+++ b/cicadaplank/platform/headers.py
@@ -18,6 +18,7 @@
 # Servers that a request passes through; only this system may set it.
 SERVER_PATH = b"path"
 LEAST_URGENT_PRIORITY = 9
+EVENT_STREAM = b"text/event-stream"
 
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -155,6 +156,7 @@
         ]
         length = first.get(b"content-length")
         encoding = first.get(b"content-encoding", b"identity")
+        content_type = first.get(b"content-type", EVENT_STREAM).partition(b";")[0]
         return dialects.ResponseHead(
             status=status,
             headers=passed,
@@ -163,6 +165,7 @@
             is_not_run=NOT_EXECUTED in first,
             is_misdirected=status == 421,
             is_encoded=encoding.lower() != b"identity",
+            is_event_stream=content_type.strip().lower() == EVENT_STREAM,
             length=None if length is None else _parse_integer(length),
             is_chunked=b"chunked" in first.get(b"transfer-encoding", b"").lower(),
             keeps_open=b"close" not in named,
--- a/features/gateway/endings.feature
+++ b/features/gateway/endings.feature
@@ -176,3 +176,14 @@
       | framing  |
       | a length |
       | chunks   |
+
+  Scenario Outline: A document on a streaming route, with <framing>, is no broken stream
+    Given a gateway with 1 endpoints and a route that streams once
+    When a caller sends a call and gets a JSON document with <framing>
+    Then it has the whole document
+
+    Examples: framings
+      | framing  |
+      | a length |
+      | chunks   |
+      | neither  |
--- a/features/steps/gateway_endings.py
+++ b/features/steps/gateway_endings.py
@@ -354,3 +354,36 @@
             world.run(gateway_steps.STEP_S)
             assert world.has_dial == (cut == len(whole)), (cut, whole[:cut])
             assert world.gateway.open_calls == 0
+
+
+DOCUMENT = b'{"text": "an answer",\n\n"tokens": 2}'
+JSON_TYPE = b"Content-Type: application/json; charset=utf-8\r\n"
+
+
+@behave.when("a caller sends a call and gets a JSON document with {framing}")
+def step_document(context, framing):
+    protocol, _ = send_call(context.world)
+    data = framed(DOCUMENT, framing)
+    protocol.dataReceived(HEAD + JSON_TYPE + data.removeprefix(HEAD))
+    if framing == "neither":
+        end(context.world, protocol, "a close")
+
+
+@behave.then("it has the whole document")
+def step_whole_document(context):
+    got = parse_answer(context.world.client_transport.value())
+    assert got == (200, DOCUMENT, True), got
+
+
+@behave.when("the other endpoint answers event 3 by {answer}")
+def step_other_answer(context, answer):
+    protocol, _ = context.world.accept_call()
+    if answer == "status 404":
+        protocol.dataReceived(gateway_steps.answer(404))
+    else:
+        protocol.dataReceived(gateway_steps.answer(body=DOCUMENT, extra=JSON_TYPE))
+
+
+@behave.then("the caller has no second answer")
+def step_one_answer(context):
+    assert context.world.client_transport.value().count(b"HTTP/1.1") == 1
