Do not write a second answer into a stream that has begun

When a stream was resumed and the other endpoint answered with a signed 404 or another whole answer, the gateway wrote that answer, with its headers, into the chunks of the stream. The attempt is broken now, and the caller's connection is reset if no endpoint goes on. Before: 'A stream whose rest is answered by status 404 is broken off' failed, since the connection was not aborted.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -377,6 +377,10 @@
         if self._splitter is not None:
             self._stream_ended(end, state, now_s)
             return
+        if self._stream_began:
+            reason = f"status {head.status} instead of the rest of a stream"
+            self.attempt_ended(outcomes.Ending.BROKEN, reason, state)
+            return
         # Redirects and client errors of the application itself, such as 404, are
         # forwarded as they are.
         is_forwarded = head.is_signed and 300 <= head.status < 500
--- a/features/gateway/endings.feature
+++ b/features/gateway/endings.feature
@@ -187,3 +187,16 @@
       | a length |
       | chunks   |
       | neither  |
+
+  @always_2
+  Scenario Outline: A stream whose rest is answered by <answer> is broken off
+    Given a gateway with 2 endpoints and a route that streams and resumes
+    When an answer with chunks ends by a reset in the middle of event 3
+    And the other endpoint answers event 3 by <answer>
+    Then the caller's connection is broken off
+    And the caller has no second answer
+
+    Examples: answers
+      | answer          |
+      | status 404      |
+      | a JSON document |
