Resume streams that were cut at any byte in the scenarios

Each cut, by a close or a reset, with each framing of both answers, gives the caller the four events once and a complete end; without length and chunks a close between two events is an end.

--- a/features/gateway/endings.feature
+++ b/features/gateway/endings.feature
@@ -200,3 +200,13 @@
       | answer          |
       | status 404      |
       | a JSON document |
+
+  @always_2
+  Scenario Outline: A stream with <framing> is whole after it was cut at any byte and resumed
+    Then a stream with <framing>, cut at any byte and resumed, is whole for its caller
+
+    Examples: framings
+      | framing  |
+      | a length |
+      | chunks   |
+      | neither  |
--- a/features/steps/gateway_endings.py
+++ b/features/steps/gateway_endings.py
@@ -387,3 +387,44 @@
 @behave.then("the caller has no second answer")
 def step_one_answer(context):
     assert context.world.client_transport.value().count(b"HTTP/1.1") == 1
+
+
+def play_resumed(data, ending, cut, framing):
+    """Return what a caller gets when a cut stream is resumed at another endpoint."""
+    world = gateway_steps.World(2, "streams and resumes")
+    protocol, transport = send_call(world)
+    protocol.dataReceived(data[:cut])
+    if not transport.disconnecting:
+        end(world, protocol, ending)
+    if not transport.disconnecting or world.has_dial:
+        world.run(gateway_steps.STEP_S)
+    if world.has_dial:
+        protocol, transport = world.accept_call()
+        last = re.search(rb"(?i)last-event-id: (\d+)", transport.value())
+        first = int(last.group(1)) + 1 if last else 1
+        rest = b"".join(gateway_steps.event(number) for number in range(first, 5))
+        protocol.dataReceived(framed(rest, framing))
+        if framing == "neither":
+            end(world, protocol, "a close")
+    return parse_answer(world.client_transport.value())
+
+
+@behave.then(
+    "a stream with {framing}, cut at any byte and resumed, is whole for its caller"
+)
+def step_cut_and_resumed(context, framing):
+    boundaries = {
+        b"".join(gateway_steps.event(number) for number in range(1, count))
+        for count in range(2, 6)
+    }
+    for first in FRAMINGS:
+        data = framed(STREAM, first)
+        for ending in ("a close", "a reset"):
+            for cut in range(len(data) + 1):
+                got = play_resumed(data, ending, cut, framing)
+                case = (first, ending, cut, data[max(0, cut - 30) : cut], got)
+                _, _, arrived = data[:cut].partition(b"\r\n\r\n")
+                if (first, ending) == ("neither", "a close") and arrived in boundaries:
+                    assert got == (200, arrived, True), case
+                else:
+                    assert got == (200, STREAM, True), case
