Bound the time of a request's head on the HTTP port of a process

On the agent path a caller could send the head of a request byte by byte and keep its connection for good: Twisted restarts its limit of 60 s at each byte (by reading its code), and bounds the size only.

A head has to arrive within 30 s of its first byte; a connection that is kept open between requests has no such limit. The scenarios need the new factory, so that they were not run without it.

--- a/cicadaplank/daemons/base.py
+++ b/cicadaplank/daemons/base.py
@@ -14,7 +14,6 @@
 import klein
 from twisted import logger
 from twisted.internet import defer, task
-from twisted.web import server
 
 from cicadaplank.daemons import http_requests, table_requests
 from cicadaplank.external import errors, http, instances, tables
@@ -169,10 +168,7 @@
     async def _start(self):
         listen = self.settings.listen
         peer_port = await self.hub.listen(listen.host, listen.peer_port)
-        site = server.Site(
-            self.app.resource(), requestFactory=http_requests.BoundedRequest
-        )
-        site.noisy = False
+        site = http_requests.BoundedSite(self.app.resource())
         http_port = self.reactor.listenTCP(
             listen.http_port, site, interface=listen.host
         )
--- a/cicadaplank/daemons/http_requests.py
+++ b/cicadaplank/daemons/http_requests.py
@@ -1,16 +1,70 @@
-"""Requests to the HTTP port of a process, with bounds on their bodies."""
+"""Requests to the HTTP port of a process, with bounds on their heads and bodies."""
 
-from twisted.internet import reactor
+from twisted.internet import protocol, reactor
+from twisted.protocols import policies
 from twisted.web import server
 
 # Bytes of a body that are kept. The handlers reject a body that is longer than theirs.
 MAX_KEPT_BYTES = 1024 * 1024 + 1
 # A longer body is read, so that its sender gets an answer, up to this size.
 MAX_READ_BYTES = 8 * 1024 * 1024
+# Time in which the head of a request has to arrive. Twisted bounds its size.
+HEAD_TIMEOUT_S = 30.0
 # Time in which a body has to arrive.
 BODY_TIMEOUT_S = 30.0
 
 
+class _HeadTimer(policies.ProtocolWrapper):
+    """Aborts a connection on which the head of a request does not end in time."""
+
+    _head_timer = None
+    _is_reading_head = True
+
+    def dataReceived(self, data):
+        """Start the time limit at the first byte of a head."""
+        if self._is_reading_head and self._head_timer is None:
+            delay_s = self.factory.head_timeout_s
+            self._head_timer = reactor.callLater(delay_s, self.abortConnection)
+        super().dataReceived(data)
+
+    def head_received(self):
+        """Stop the time limit: the head is complete."""
+        self._is_reading_head = False
+        self._stop()
+
+    def request_received(self):
+        """Expect the head of the next request."""
+        self._is_reading_head = True
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        """Stop the time limit."""
+        self._stop()
+        super().connectionLost(reason)
+
+    def _stop(self):
+        timer, self._head_timer = self._head_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+
+class BoundedSite(policies.WrappingFactory):
+    """Factory of HTTP connections with time limits for heads and bodies.
+
+    :param resource: root resource.
+    :param head_timeout_s: seconds in which the head of a request has to arrive.
+    :param request_factory: :class:`BoundedRequest` or a subclass.
+    """
+
+    protocol = _HeadTimer
+    noisy = False
+
+    def __init__(self, resource, head_timeout_s=HEAD_TIMEOUT_S, request_factory=None):
+        site = server.Site(resource, requestFactory=request_factory or BoundedRequest)
+        site.noisy = False
+        super().__init__(site)
+        self.head_timeout_s = head_timeout_s
+
+
 class BoundedRequest(server.Request):
     """Request that keeps the start of its body, and is aborted if it does not end.
 
@@ -22,10 +76,11 @@
     _body_timer = None
 
     def gotLength(self, length):
-        """Start the time limit of the body.
+        """Start the time limit of the body, as the head is complete.
 
         :param length: length that the headers declare, or None.
         """
+        self.channel.transport.head_received()
         super().gotLength(None if length is None else min(length, MAX_KEPT_BYTES))
         self._body_timer = reactor.callLater(self.body_timeout_s, self._abort)
 
@@ -41,6 +96,7 @@
     def requestReceived(self, command, path, version):
         """Stop the time limit and process the request."""
         self._stop_body_timer()
+        self.channel.transport.request_received()
         super().requestReceived(command, path, version)
 
     def connectionLost(self, reason):
--- a/features/requests/endless.feature
+++ b/features/requests/endless.feature
@@ -14,6 +14,21 @@
       | a length | trickles   |
       | chunks   | trickles   |
 
+  Scenario Outline: A request whose head <course> is cut off
+    Given the HTTP port of a process with a time limit of 0.3 s for heads
+    When a caller sends a head that <course>
+    Then it is cut off within 3 s after at most 24 MB
+
+    Examples: heads
+      | course     |
+      | never ends |
+      | trickles   |
+
+  Scenario: A connection that is kept open between requests is not cut off
+    Given the HTTP port of a process with a time limit of 0.3 s for heads
+    When a caller sends 3 requests, one each 0.4 s, on a connection
+    Then each of the 3 requests has an answer
+
   Scenario: A body that is too long but ends gets an answer
     Given the HTTP port of a process with a time limit of 5 s for bodies
     When a caller sends a body of 2 MB
--- a/features/steps/requests_endless.py
+++ b/features/steps/requests_endless.py
@@ -2,7 +2,7 @@
 
 import behave
 from twisted.internet import protocol, reactor
-from twisted.web import resource, server
+from twisted.web import resource
 
 from cicadaplank.daemons import http_requests
 from features import reactors
@@ -56,16 +56,16 @@
         self.closed_s = reactor.seconds() - self.started_s
 
 
-async def listen(context, limit_s):
+async def listen(context, head_limit_s, body_limit_s):
     class Request(http_requests.BoundedRequest):
-        body_timeout_s = limit_s
+        body_timeout_s = body_limit_s
 
         def handleContentChunk(self, data):
             super().handleContentChunk(data)
             context.kept_bytes = self.content.tell()
 
     context.page = Page()
-    site = server.Site(context.page, requestFactory=Request)
+    site = http_requests.BoundedSite(context.page, head_limit_s, Request)
     port = reactor.listenTCP(0, site, interface="127.0.0.1")
     context.cleanups.append(lambda: reactors.run(port.stopListening))
     context.port = port.getHost().port
@@ -88,7 +88,42 @@
     "the HTTP port of a process with a time limit of {limit_s:g} s for bodies"
 )
 def step_port(context, limit_s):
-    reactors.run(listen, context, limit_s)
+    reactors.run(listen, context, 5.0, limit_s)
+
+
+@behave.given("the HTTP port of a process with a time limit of {limit_s:g} s for heads")
+def step_port_heads(context, limit_s):
+    reactors.run(listen, context, limit_s, 5.0)
+
+
+@behave.when("a caller sends a head that {course}")
+def step_endless_head(context, course):
+    script = (HEAD, b"X-More: 1\r\n" * 5000, 0.0)
+    if course == "trickles":
+        script = (HEAD + b"X-Long: ", b"x", 0.02)
+    reactors.run(call, context, script, lambda caller: caller.closed_s is not None)
+
+
+@behave.then("it is cut off within {limit_s:g} s after at most {limit_mb:d} MB")
+def step_head_cut_off(context, limit_s, limit_mb):
+    assert context.caller.closed_s <= limit_s, context.caller.closed_s
+    assert context.caller.sent_bytes <= limit_mb * MEBIBYTE, context.caller.sent_bytes
+    assert context.page.kept_bytes is None
+
+
+@behave.when("a caller sends {count:d} requests, one each {gap_s:g} s, on a connection")
+def step_kept_open(context, count, gap_s):
+    data = HEAD + b"Content-Length: 1\r\n\r\nx"
+
+    def is_done(caller):
+        return caller.received.count(b"answer") >= count or caller.closed_s is not None
+
+    reactors.run(call, context, (b"", data, gap_s), is_done)
+
+
+@behave.then("each of the {count:d} requests has an answer")
+def step_each_answered(context, count):
+    assert context.caller.received.count(b"HTTP/1.1 200") == count
 
 
 @behave.when("a caller sends a body with {framing} that {course}")
