Log from whom records came, late event loops and queueing delays between entries

The logs could not tell whether a change was late at its reader, on the way between two instances or in a process whose event loop ran late, nor in which phase a call was when its client left. Reports carry the sender's clock, from which the receiver works out the delay beyond the smallest one; lines about the state of the deployment have a rate limit of their own. No decision is changed.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -566,6 +566,7 @@
         """Cancel the call because its client has closed the connection."""
         if self.phase is Phase.ENDED:
             return
+        self.reason = f"{self.reason} in phase {self.phase.value}".strip()
         self._stop()
         self._finish("client_left", self.history.verdict)
 
--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -9,7 +9,7 @@
 import collections
 import zlib
 
-from cicadaplank.gateway import records, sync
+from cicadaplank.gateway import path_delays, records, sync
 from cicadaplank.messages import types
 from cicadaplank.world import machines
 
@@ -66,6 +66,7 @@
         self._instances = {}
         self._reports = {}
         self._requested_s = {}
+        self.path_delays = path_delays.PathDelays()
         # Time of the last report to local (True) and remote (False) instances.
         self._reported_s = {True: float("-inf"), False: float("-inf")}
         self._connect_attempted_s = float("-inf")
@@ -212,6 +213,7 @@
             newest,
             max(ages, default=0.0),
             self._weights_ages_s(now_s),
+            now_s,
         )
         names = [name for name in self._connected() if self._is_local(name) == is_local]
         self._hub.send_all(names, message)
@@ -242,12 +244,14 @@
         """
         self._last_received_s[peer] = self._reactor.seconds()
         if isinstance(message, types.GatewayReport):
-            self._reports[peer] = (message, self._reactor.seconds())
+            now_s = self._reactor.seconds()
+            self.path_delays.record(peer, message.sent_s, now_s)
+            self._reports[peer] = (message, now_s)
             self._request_records(peer, message)
         elif isinstance(message, types.RecordRequest):
             self._send_records(peer, message)
         elif isinstance(message, types.RecordReply):
-            self._apply_records(message)
+            self._apply_records(peer, message)
         else:
             return False
         return True
@@ -281,7 +285,7 @@
         reply = types.RecordReply(message.table, base, version, rows)
         self._hub.send(peer, reply)
 
-    def _apply_records(self, message):
+    def _apply_records(self, peer, message):
         table_sync = self._syncs.get(message.table)
         if table_sync is None:
             return
@@ -291,9 +295,15 @@
         if len(rows) != len(message.rows):
             self.counts["malformed_records"] += 1
             return
-        self._requested_s.pop(message.table, None)
+        requested_s = self._requested_s.pop(message.table, None)
+        now_s = self._reactor.seconds()
+        source = sync.Source(
+            peer,
+            requested_after_s=0.0 if requested_s is None else now_s - requested_s,
+            delay_s=self.path_delays.delay_s(peer, now_s),
+        )
         table_sync.apply_from_peer(
-            sync.Changes(tuple(rows), message.version), message.base
+            sync.Changes(tuple(rows), message.version), message.base, source
         )
 
 
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -37,6 +37,12 @@
 MEMBERS_INTERVAL_S = 10.0
 # Interval at which a stopping process checks for calls in progress.
 STOP_CHECK_INTERVAL_S = 0.1
+# Delay of the event loop from which on it is logged. Each client then waits as long.
+LATE_LOOP_S = 0.25
+# Delay of a message on the path from a peer from which on it is logged, and the least
+# interval of these lines.
+LATE_PATH_S = 0.5
+LATE_PATH_INTERVAL_S = 0.5
 ENTRY = "entry"
 AGENT = "agent"
 # Length of the listen backlog.
@@ -158,6 +164,9 @@
         self._stop_started_s = None
         self._front = None
         self._agents_notified_s = float("-inf")
+        self._tick_due_s = None
+        self._largest_loop_delay_s = 0.0
+        self._late_path_logged_s = float("-inf")
         reporter = reporting.Reporter(self.events, self.metrics, reactor.seconds)
         self._reporter = reporter
         store = sync.MeteredStore(store, reporter.count)
@@ -216,7 +225,7 @@
         self.gateway.broadcast = self.peers.broadcast
 
     def _log(self, event, **fields):
-        self._reporter.event(event, **fields)
+        self._reporter.state_event(event, **fields)
 
     # Start and stop.
 
@@ -327,6 +336,9 @@
             metric.set_gauge("weights_named_age_seconds", age_s, model=model)
         rejected = self.gateway.weights_requirement.rejected
         metric.set_gauge("weights_ages_rejected", rejected)
+        metric.set_gauge("event_loop_largest_delay_seconds", self._largest_loop_delay_s)
+        delay_s, _ = self.peers.path_delays.largest_s(now_s)
+        metric.set_gauge("peer_path_largest_delay_seconds", delay_s)
         metric.set_gauge("peak_memory_bytes", metrics.peak_memory_bytes())
         self.gateway.update_metrics(metric)
         self.hub.update_metrics(metric)
@@ -497,8 +509,23 @@
         """Drop the load report of a peer whose connection ended."""
         self.gateway.peer_lost(connection.peer)
 
+    def _record_lateness(self, now_s):
+        """Record how late the event loop runs and how long messages of peers take."""
+        if self._tick_due_s is not None:
+            late_s = now_s - self._tick_due_s
+            self._largest_loop_delay_s = max(self._largest_loop_delay_s, late_s)
+            if late_s > LATE_LOOP_S:
+                self._log("event_loop_late", late_s=late_s)
+        self._tick_due_s = now_s + gateway.TIMEOUT_CHECK_INTERVAL_S
+        if now_s - self._late_path_logged_s >= LATE_PATH_INTERVAL_S:
+            self._late_path_logged_s = now_s
+            delay_s, peer = self.peers.path_delays.largest_s(now_s)
+            if delay_s > LATE_PATH_S:
+                self._log("peer_path_late", peer=peer, delay_s=delay_s)
+
     def _tick(self):
         self.reactor.callLater(gateway.TIMEOUT_CHECK_INTERVAL_S, self._tick)
+        self._record_lateness(self.reactor.seconds())
         self.gateway.check_timeouts()
         self.peers.tick()
         now_s = self.reactor.seconds()
--- a/cicadaplank/gateway/reporting.py
+++ b/cicadaplank/gateway/reporting.py
@@ -16,6 +16,9 @@
 OTHER_LINES_PER_S = 60.0
 # Capacity of each token bucket in lines.
 BURST_LINES = 100
+# Limit for changes of what the process knows of the deployment. They have a limit of
+# their own, since failures of calls are most frequent just when these matter.
+STATE_LINES_PER_S = 20.0
 # Upper bounds of the buckets of the latency histogram in seconds.
 LATENCY_BOUNDS_S = (0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
 # Likewise for the time from the arrival of a call until it is first sent.
@@ -43,6 +46,7 @@
             ANSWERED_LINES_PER_S, BURST_LINES, now_s
         )
         self._other_bucket = links.TokenBucket(OTHER_LINES_PER_S, BURST_LINES, now_s)
+        self._state_bucket = links.TokenBucket(STATE_LINES_PER_S, BURST_LINES, now_s)
         self._reasons = set()
 
     def unix_s(self):
@@ -78,6 +82,14 @@
             return
         self._log.log(event, level, **fields)
 
+    def state_event(self, event, level="info", **fields):
+        """Write a log line about what the process knows of the deployment.
+
+        :param event: name of the event.
+        :param level: log level.
+        """
+        self.event(event, level, self._state_bucket, **fields)
+
     def turned_away(self, request, status, reason, version):
         """Report a request that was refused before an endpoint was sought."""
         self.count(
--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -43,6 +43,20 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Source:
+    """Origin of records, for the log.
+
+    :param name: name of the peer, or ``store``.
+    :param requested_after_s: seconds from the request for the records to their arrival.
+    :param delay_s: queueing delay of the path from a peer in seconds.
+    """
+
+    name: str
+    requested_after_s: float
+    delay_s: float = 0.0
+
+
 class Store(typing.Protocol):
     """Client of the store that reads tables.
 
@@ -219,6 +233,7 @@
 
     async def _read(self):
         base = self.copy.version
+        started_s = self._reactor.seconds()
         if self._needs_snapshot or base < 0:
             changes = await self._store.snapshot(self.table)
             self._needs_snapshot = False
@@ -229,11 +244,21 @@
             self._record_answer()
             changed = self.copy.merge(changes.records, changes.version, base)
         if changed:
-            self._notify(changed)
+            waited_s = self._reactor.seconds() - started_s
+            self._notify(changed, Source("store", waited_s))
         return changed
 
-    def _notify(self, changed):
+    def _notify(self, changed, source):
         self._last_change_s = self._reactor.seconds()
+        self._log(
+            "records_received",
+            table=self.table,
+            version=self.copy.version,
+            keys=len(changed),
+            source=source.name,
+            requested_after_s=source.requested_after_s,
+            path_delay_s=source.delay_s,
+        )
         self._on_change(changed)
 
     def version_age_s(self, now_s):
@@ -260,16 +285,16 @@
         self._reactor.callLater(delay_s, deferred.callback, None)
         return deferred
 
-    def apply_from_peer(self, changes, base):
+    def apply_from_peer(self, changes, base, source):
         """Apply records that a peer sent.
 
         :param changes: :class:`Changes`.
         :param base: version after which they are complete, -1 for a snapshot.
+        :param source: :class:`Source`.
         """
         if base < 0:
             changed = self.copy.replace(changes.records, changes.version)
         else:
             changed = self.copy.merge(changes.records, changes.version, base)
         if changed:
-            self._log("records_from_peer", table=self.table, version=changes.version)
-            self._notify(changed)
+            self._notify(changed, source)
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -460,12 +460,15 @@
     :param store_age_s: seconds since the store last answered the sender.
     :param weights_ages_s: maps model name to a list of ``[version, age_s]`` with the
         seconds since the operator named each version, as far as the sender knows.
+    :param sent_s: monotonic clock of the sender in seconds at the time of sending. Only
+        its differences between reports of one sender are meaningful.
     """
 
     loads: dict
     newest: dict
     store_age_s: float
     weights_ages_s: dict
+    sent_s: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -420,7 +420,7 @@
         store.waiting = []
     store.write()
     if store.trouble == "silent":
-        context.peers.message("peer", types.GatewayReport({}, {TABLE: 6}, 0.1, {}))
+        context.peers.message("peer", types.GatewayReport({}, {TABLE: 6}, 0.1, {}, 0.0))
         request = context.hub.sent[-1]
         assert request == types.RecordRequest(TABLE, 5), request
         rows = [["a", 6, b"v6"]]
@@ -436,7 +436,7 @@
 
 @behave.when("a peer reports version 4")
 def step_behind(context):
-    context.peers.message("peer", types.GatewayReport({}, {TABLE: 4}, 0.1, {}))
+    context.peers.message("peer", types.GatewayReport({}, {TABLE: 4}, 0.1, {}, 0.0))
 
 
 @behave.then("the peer is not asked for records")
@@ -447,7 +447,7 @@
 @behave.given("{count:d} peers of its data centre that heard the store {age_s:f} s ago")
 def step_near_peers(context, count, age_s):
     for number in range(count):
-        report = types.GatewayReport({}, {TABLE: 5}, age_s, {})
+        report = types.GatewayReport({}, {TABLE: 5}, age_s, {}, 0.0)
         context.peers.message(f"a-{number}", report)
 
 
@@ -553,7 +553,7 @@
 def step_two_seconds(context):
     for _ in range(40):
         for name in context.mesh.peers:
-            context.peers.message(name, types.GatewayReport({}, {}, 0.0, {}))
+            context.peers.message(name, types.GatewayReport({}, {}, 0.0, {}, 0.0))
         context.peers.tick()
         context.clock.advance(0.05)
 
--- a/features/steps/gateway_weights.py
+++ b/features/steps/gateway_weights.py
@@ -117,7 +117,7 @@
 
 def report(entry, ages_s):
     """Let an entry process a report with ages of named weights."""
-    message = types.GatewayReport({}, {}, 0.0, ages_s)
+    message = types.GatewayReport({}, {}, 0.0, ages_s, 0.0)
     entry.receive(codec.encode(codec.Envelope("10.0.0.9", 0, message)))
 
 
