Compare names of scenarios with KNOWN-RED.txt without trailing blanks

behave ends the names of the rows of an outline with a blank, so that an entry of KNOWN-RED.txt never matched one: the three entries of currency.feature counted as failures.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -55,7 +55,8 @@
         for element in feature.get("elements", ()):
             if element["type"] == "scenario":
                 error = _error(element.get("steps", ()))
-                results.append((element["name"], element["status"], error))
+                name = element["name"].strip()
+                results.append((name, element["status"], error))
     return results
 
 
