Read the store when no peer confirms that the copies are current

Cause: such an entry read the store only when the reports of its readers were old. An answer to a long poll without changes is up to 2 s old, so silence counted from 2.5 s on, 0.5 s passed until the next check, and newer records that a peer reported but that did not arrive did not count at all. Change: an entry keeps the time as of which its copies are known to be complete. When that is older than 1.4 s, or the readers' answers are, it reads the store itself; it checks every 0.2 s, and a long poll takes 1 s. Before: three scenarios of currency.feature failed, 'version 5 2.0 s after the change'. An entry whose peers keep it current still makes no call (scenario).

--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -31,9 +31,10 @@
 STORE_READERS = 4
 # A peer counts as a reader while its last report is at most this old.
 READER_REPORT_AGE_S = 1.0
-# Other instances read the store themselves when no reader has had an answer from it for
-# this time. A long poll for changes takes 2 s when there are none.
-READER_STORE_AGE_S = 2.5
+# Other instances read the store themselves when no reader has had an answer from it, or
+# their copies have not been confirmed, for this time. A long poll for changes takes 1 s
+# when there are none.
+MAX_UNCONFIRMED_S = 1.4
 # Values from this size on are compressed for peers. A configuration of 1,100 routes
 # shrinks from 300 KB to a tenth of that.
 COMPRESSED_BYTES = 1024
@@ -72,6 +73,8 @@
         self._connect_attempted_s = float("-inf")
         self._local_counted_s = float("-inf")
         self._local_count = 0
+        # Time in seconds as of which the copies are known to have held every change.
+        self._confirmed_s = float("-inf")
         # Last time at which the store had answered no instance for sync.OUTAGE_AFTER_S.
         self._store_unavailable_s = float("-inf")
 
@@ -123,12 +126,25 @@
             best_s = min(best_s, report.store_age_s + now_s - at_s)
         return best_s
 
+    def confirmed_age_s(self, now_s):
+        """Return the age of the state of the store that the copies are known to hold.
+
+        Unlike :meth:`store_age_s` it does not rise at once when a peer reports newer
+        records, as those usually arrive soon.
+
+        :param now_s: current time in seconds.
+        :returns: seconds, infinite when nothing is known.
+        """
+        self._confirmed_s = max(self._confirmed_s, now_s - self.store_age_s(now_s))
+        return now_s - self._confirmed_s
+
     def reads_store(self):
         """Tell whether this instance has to read the store itself.
 
         In each data centre the :data:`STORE_READERS` connected instances with the
-        lowest names do; the others do when none of those has had a recent answer from
-        the store.
+        lowest names do. The others do when none of those has had an answer from the
+        store for :data:`MAX_UNCONFIRMED_S`, and also when their own copies have not
+        been confirmed for this time, as newer records of the peers do not arrive.
         """
         now_s = self._reactor.seconds()
         readers = self._local_reports(now_s)
@@ -139,7 +155,8 @@
             readers[name][0].store_age_s + now_s - readers[name][1]
             for name in lower_named[:STORE_READERS]
         ]
-        return min(ages_s) > READER_STORE_AGE_S
+        oldest_s = max(min(ages_s), self.confirmed_age_s(now_s))
+        return oldest_s > MAX_UNCONFIRMED_S
 
     def _local_reports(self, now_s):
         return {
--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -10,13 +10,16 @@
 
 # Duration of a long poll for changes that finds none. A longer poll needs fewer calls,
 # but a connection that has gone silent is noticed only after this time.
-LONG_POLL_S = 2.0
+LONG_POLL_S = 1.0
 # Delay after a call that returned changes, so that the next one returns several at
 # once, as in a release of many endpoints. Changes have to be in force after 2 s.
 BATCH_DELAY_S = 0.1
 # Delay after a failed call. It doubles up to the maximum while calls keep failing.
 BACK_OFF_S = 0.1
 MAX_BACK_OFF_S = 0.5
+# Interval at which an instance that takes records from peers checks whether it has to
+# read the store itself.
+READ_CHECK_INTERVAL_S = 0.2
 # A copy counts as current when the store or an up-to-date peer has answered within this
 # time.
 MAX_CURRENT_AGE_S = 3.0
@@ -217,7 +220,7 @@
         while True:
             if not self._is_needed():
                 self.availability.record_pause()
-                await self._sleep(MAX_BACK_OFF_S)
+                await self._sleep(READ_CHECK_INTERVAL_S)
                 continue
             try:
                 if await self._read():
