Add failing scenarios for calls that are sent after their clients have left

GONE: the end of a client's connection can wait behind its request while the event loop runs late, and an endpoint that is silent gets calls again as soon as it takes a connection.

--- /dev/null
+++ b/features/gateway/left.feature
@@ -0,0 +1,40 @@
+Feature: No endpoint works for a client that has left
+  The end of a connection may wait in the socket behind the request, while the event loop
+  runs late; it has to be found before each send.
+
+  Scenario Outline: A client that <left> before its call is <sent>
+    Given a gateway with 2 endpoints and a route that <kind>
+    When a caller <left> and its call is to be <sent>
+    Then no endpoint is sent the call after that
+    And the call has ended
+
+    Examples:
+      | left                     | sent                | kind                |
+      | closes its connection    | sent on arrival     | may repeat          |
+      | resets its connection    | sent on arrival     | runs once only      |
+      | closes its connection    | sent after a wait   | may repeat          |
+      | closes its connection    | sent after a dial   | runs once only      |
+      | closes its connection    | sent a second time  | may repeat          |
+      | resets its connection    | sent a second time  | streams and resumes |
+
+  Scenario Outline: A client that <stays> is served
+    Given a gateway with 2 endpoints and a route that may repeat
+    When a caller <stays> and its call is to be sent on arrival
+    Then the call is at an endpoint
+
+    Examples:
+      | stays                    |
+      | stays connected          |
+      | sends the next request   |
+
+  Scenario Outline: An endpoint that takes connections after calls that were <ending>
+    Given a gateway with 2 endpoints and a route that may repeat
+    When 3 calls to an endpoint end "<ending>" and a connection to it opens
+    Then the endpoint is ejected for <ejected> s
+
+    # A connection shows that the host is reached and the process runs, not that calls
+    # reach it in time and are answered.
+    Examples:
+      | ending | ejected |
+      | silent | 1       |
+      | broken | 0       |
