Look for the end of a client's connection before each send

Cause: the end of a connection is reported only after all bytes before it were read and the event loop has come round again. A request that was read late, waited, was dialled or was repeated in the same turn was sent although its client had left. Change: before a dial and before each send the client's socket is looked at without taking bytes from it; a call whose client has closed or reset the connection ends. Before: six scenarios of left.feature failed, 'ASSERT FAILED: 1' and '2' sends.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -75,8 +75,8 @@
     """One call of a client, over all its attempts at endpoints.
 
     :param gateway: :class:`cicadaplank.gateway.gateway.Gateway`.
-    :param client: connection of the client, with ``reply``, ``begin_stream``,
-        ``stream``, ``end_stream`` and ``abort``.
+    :param client: connection of the client, with ``has_left``, ``reply``,
+        ``begin_stream``, ``stream``, ``end_stream`` and ``abort``.
     :param request: :class:`Request`.
     :param admitted: :class:`cicadaplank.gateway.admittance.Admitted`.
     :param service: service name.
@@ -252,9 +252,14 @@
     def send(self, state, now_s):
         """Start an attempt: get a connection to an endpoint and send the call on it.
 
+        The call ends instead when its client has left.
+
         :param state: :class:`cicadaplank.gateway.endpoints.EndpointState`.
         :param now_s: current time in seconds.
         """
+        if self._client.has_left:
+            self.client_left()
+            return
         self.state = state
         self.endpoint_name = state.endpoint.name
         self.phase = Phase.DIALLING
@@ -273,6 +278,10 @@
             self._gateway.release_connection(connection)
             return
         self._dial = None
+        if self._client.has_left:
+            self._gateway.release_connection(connection)
+            self.client_left()
+            return
         now_s = self._gateway.now_s()
         left_s = self.deadline_s - now_s
         # The endpoint, or what the call requires, may have changed during the dial.
--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server side of the gateway: reads requests and writes responses in order."""
 
 import collections
+import socket
 
 import httptools
 from twisted.internet import protocol
@@ -73,6 +74,23 @@
         if call is not None:
             call.client_left()
 
+    @property
+    def has_left(self):
+        """Whether the client has closed or reset the connection.
+
+        The end of a connection is reported after all bytes before it were read. While
+        the event loop runs late, it waits in the socket when a call is to be sent.
+        """
+        if self._is_disconnected:
+            return True
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        try:
+            return not self.transport.getHandle().recv(1, flags)
+        except ConnectionError:
+            return True
+        except OSError:
+            return False
+
     @property
     def is_idle(self):
         """Whether no request is being read or answered."""
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -35,11 +35,15 @@
 
 
 class Socket:
-    """Stands for the socket below a transport."""
+    """Stands for the socket below a transport, from which nothing can be read."""
 
     def setsockopt(self, *args):
         """Take any option."""
 
+    def recv(self, size, flags):
+        """Raise as a socket without waiting data does."""
+        raise BlockingIOError
+
 
 class Transport(testing.StringTransport):
     """Transport in memory that tells how it was closed."""
