--- a/cicadaplank/gateway/endpoints.py
+++ b/cicadaplank/gateway/endpoints.py
@@ -92,7 +92,6 @@
         self.missing_since_s = None
         self._ejections = 0
         self._is_on_trial = False
-        self._is_ejected_as_silent = False
         # By name of the other entry instance: its number of calls and the time of its
         # report. Then the sum of these calls, and a lower bound of the report times.
         self._peer_reports = {}
@@ -161,12 +160,11 @@
         self._is_on_trial = False
         self.ejected_until_s = min(self.ejected_until_s, now_s)
 
-    def record_failure(self, now_s, may_eject, is_silence=False):
+    def record_failure(self, now_s, may_eject):
         """Record a failure for which the endpoint is responsible.
 
         :param now_s: current time in seconds.
         :param may_eject: whether enough other endpoints are left.
-        :param is_silence: whether the call had no answer in time.
         :returns: duration of a new ejection in seconds, 0.0 when none begins.
         """
         self.failure_share += FAILURE_WEIGHT * (1 - self.failure_share)
@@ -178,7 +176,6 @@
         )
         if not (should_eject and may_eject) or now_s < self.ejected_until_s:
             return 0.0
-        self._is_ejected_as_silent = is_silence
         return self._eject(now_s)
 
     def record_connect_failure(self, now_s):
@@ -192,19 +189,13 @@
         """
         if now_s < self.ejected_until_s:
             return 0.0
-        self._is_ejected_as_silent = False
         return self._eject(now_s)
 
     def record_connect_success(self, now_s):
-        """Record that a probe could open a connection.
-
-        It ends an ejection unless calls had no answer in time: a connection does not
-        show that calls get one.
+        """Record that a probe could open a connection; it ends an ejection.
 
         :param now_s: current time in seconds.
         """
-        if self._is_ejected_as_silent:
-            return
         self._is_on_trial = False
         self.ejected_until_s = min(self.ejected_until_s, now_s)
 
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -531,9 +531,7 @@
             self._eject_unreachable(state, reason)
             return
         may_eject = self.endpoints.may_eject(state.endpoint.service, now_s)
-        is_silence = ending is outcomes.Ending.SILENT
-        for_s = state.record_failure(now_s, may_eject, is_silence)
-        self._report_ejection(state, for_s, reason)
+        self._report_ejection(state, state.record_failure(now_s, may_eject), reason)
         if ending in (outcomes.Ending.SILENT, outcomes.Ending.BROKEN):
             self._probe(state)
 
