Measure the rate of an agent's link while a chunk is received

Evidence: a trial that logged large frames and sends. An engine behind a squeezed link got 57 calls in 5 s and answered 3; connections to it opened in 5 ms. Its agent had 4 chunks (200 kB) in flight, which took 2.2 to 2.7 s, and then took its link for one of 486 kB/s: two of them had arrived 0.1 s apart. Cause: the receive window began with its limit on a link of unknown rate, and measured the rate between two arrivals, although chunks that share a link end together. Change: one chunk is in flight until a rate is known; the rate is that of all chunks that arrive while one is received, from its first byte to its last; it is measured anew after 5 s without a chunk. Before: 'ASSERT FAILED: 3' chunks in flight where 1 is right (4 scenarios), and 1 where 3 are, after a wait at the source. The row 'no' of an existing outline expected 3 chunks on a link of unknown rate, which is the fault; it expects 1 now, which is stricter.

--- a/cicadaplank/links/streams.py
+++ b/cicadaplank/links/streams.py
@@ -83,6 +83,8 @@
         # Bytes of frames that are not complete, and a count of complete ones.
         self._received = bytearray()
         self._frame_count = 0
+        # Time in seconds at which the first bytes of the frame being received came.
+        self._frame_began_s = 0.0
 
     def connectionMade(self):
         """Send the hello of this process and start the time limit for the peer's."""
@@ -102,6 +104,11 @@
         if self._hello_timer.active():
             self._hello_timer.cancel()
 
+    @property
+    def frame_receive_s(self):
+        """Seconds from the first bytes to the last of the frame that is delivered."""
+        return self.hub.seconds() - self._frame_began_s
+
     @property
     def has_room(self):
         """Whether :meth:`send` would accept a message of the maximum size now."""
@@ -198,6 +205,8 @@
         """Deliver the frames that the data completes."""
         if self.transport.disconnecting:
             return
+        if not self._received:
+            self._frame_began_s = self.hub.seconds()
         self._received += data
         while len(self._received) >= self.prefixLength:
             (length,) = struct.unpack_from(self.structFormat, self._received)
@@ -213,6 +222,7 @@
             self.stringReceived(frame)
             if self.transport.disconnecting:
                 return
+            self._frame_began_s = self.hub.seconds()
         self.hub.incomplete.set_held(self, len(self._received))
         if self._received and self._frame_timer is None:
             self._start_frame_timer()
@@ -334,6 +344,10 @@
         """Sorted instance names of the connected peers."""
         return sorted(self._connections)
 
+    def seconds(self):
+        """Return the time of the reactor's clock in seconds."""
+        return self._reactor.seconds()
+
     def call_later(self, delay_s, function, *args):
         """Call a function with arguments after a delay.
 
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -952,7 +952,10 @@
             return
         self._carry_out(
             self.transfers.message_received(
-                connection.peer, envelope.message, self.now_s
+                connection.peer,
+                envelope.message,
+                self.now_s,
+                connection.frame_receive_s,
             )
         )
 
--- a/cicadaplank/weights/transfers.py
+++ b/cicadaplank/weights/transfers.py
@@ -406,19 +406,23 @@
 
     # Messages from peers.
 
-    def message_received(self, peer, message, now_s):
+    def message_received(self, peer, message, now_s, receive_s=None):
         """Handle a message from a peer.
 
         :param peer: name of the instance at the other end of the stream.
         :param message: one of the manifest and chunk messages of
             :mod:`cicadaplank.messages.types`; messages of other types are ignored.
         :param now_s: current time in seconds.
+        :param receive_s: seconds from the first byte of the message to its last one, or
+            None when it is not known.
         """
         source = self._source(peer)
         if source is None:
             self.counts["unknown_peer"] += 1
             return ()
         source.note_message()
+        if isinstance(message, types.ChunkReply):
+            self._receive_window.received(len(message.data), now_s, receive_s)
         handler = self._HANDLERS.get(type(message))
         if handler is None:
             return ()
@@ -510,7 +514,6 @@
         if request and (request.peer, request.chunk_digest) == (source.name, digest):
             source.chunk_arrived(now_s - request.sent_s)
             self._estimates[request.remote].record_duration(now_s - request.sent_s)
-            self._receive_window.received(len(message.data), now_s)
             self._remove_request(message.transfer)
         source.received += 1
         outcome = self.store.put(digest, message.data)
@@ -585,7 +588,8 @@
         if outcome is chunks.PutOutcome.CORRUPT:
             self.counts["corrupt_from_origin"] += 1
             return self.origin_failed(chunk_digest, 0.0, now_s)
-        self._receive_window.received(len(data), now_s)
+        # How long it took to arrive is not known, as it may have waited at the origin.
+        self._receive_window.received(len(data), now_s, 0.0)
         self._remove_origin_requests(chunk_digest)
         if self._origin_failures:
             # After a partition that cut off the origin, other data centres may be
--- a/features/steps/manifests.py
+++ b/features/steps/manifests.py
@@ -164,6 +164,8 @@
     local: str
     peer: str
     hello = types.Hello("agent", "", "", 0)
+    # Time for which a chunk arrives on an idle link.
+    frame_receive_s = PIECE_BYTES / MACHINE_BYTES_PER_S
 
     def send(self, message, done=None):
         """Deliver a message after its delay, chunks at the rate of the link."""
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -548,6 +548,25 @@
         context.window.received(49_000, now_s)
 
 
+@behave.when(
+    "{count:d} chunks share a link of {rate:d} kB/s and waited {waited_s:f} s at their"
+    " sources"
+)
+def step_shared_link(context, count, rate, waited_s):
+    # Their bytes alternate on the link, so that all end within a part of its time.
+    transfer_s = count * 49 / rate
+    for number in range(count):
+        context.window.requested(0.0, number)
+    for number in range(count):
+        now_s = waited_s + transfer_s - 0.01 * (count - 1 - number)
+        context.window.received(49_000, now_s, now_s - waited_s)
+
+
+@behave.when("6 s pass without a chunk and the next is requested")
+def step_unused(context):
+    context.window.requested(7.0, 0)
+
+
 @behave.then("{count:d} chunks may be on their way")
 def step_window(context, count):
     assert context.window.size(49_000) == count, context.window.size(49_000)
--- a/features/weights/evenness.feature
+++ b/features/weights/evenness.feature
@@ -51,7 +51,7 @@
     # Requests to the machine wait behind them; a link may be squeezed to a quarter.
     Examples:
       | rates                   | chunks |
-      | no                      | 3      |
+      | no                      | 1      |
       | 470, 470                | 3      |
       | 300, 300                | 2      |
       | 600, 600                | 3      |
@@ -59,6 +59,26 @@
       | 600, 150, 150, 150, 150, 150 | 1      |
       | 150, 150, 600           | 3      |
 
+  Scenario Outline: Chunks that share a link of <rate> kB/s and arrive together
+    Given a receive window of 3 chunks of 49 kB and 0.3 s
+    When <count> chunks share a link of <rate> kB/s and waited <waited> s at their sources
+    Then <chunks> chunks may be on their way
+
+    # The time between two arrivals is short, also on a narrow link.
+    Examples:
+      | count | rate | waited | chunks |
+      | 3     | 150  | 0.0    | 1      |
+      | 2     | 150  | 0.0    | 1      |
+      | 3     | 470  | 0.0    | 3      |
+      | 1     | 470  | 1.0    | 3      |
+      | 3     | 470  | 1.0    | 3      |
+
+  Scenario: A link that was not used for a while is measured anew
+    Given a receive window of 3 chunks of 49 kB and 0.3 s
+    When chunks come at 470, 470 kB/s
+    And 6 s pass without a chunk and the next is requested
+    Then 1 chunks may be on their way
+
   Scenario Outline: A link that brings <rate> kB/s: chunks from the origin beside others
     Given a transfer that may let 3 chunks come in 0.3 s, and peers that hold some
     When chunks have come at <rate> kB/s and the instance owns missing ones
