Count the time that a request waited for a late event loop as its client's

Cause: the time of a request began when it was read. While the event loop runs late it has waited in the socket before. Change: after a loop that ran more than 0.1 s late, requests that are read count as having arrived before it; one without time left is rejected at once as not run. Before: 'ASSERT FAILED: 2000' ms handed where 550 were left, and one send of a call whose time was over.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -63,7 +63,8 @@
 
     :param head: :class:`cicadaplank.gateway.dialects.RequestHead`.
     :param body: bytes of the body.
-    :param arrived_s: time in seconds at which its last byte arrived.
+    :param arrived_s: time in seconds at which its last byte arrived; the earliest
+        possible time when it was read late.
     """
 
     head: object
--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -225,7 +225,8 @@
         if self._error is not None or self._head is None:
             return
         keeps_open = self._parser.should_keep_alive()
-        request = calls.Request(self._head, b"".join(self._body), self._gateway.now_s())
+        arrived_s = self._gateway.arrival_s()
+        request = calls.Request(self._head, b"".join(self._body), arrived_s)
         self._body = []
         self._queue.append((request, keeps_open, self._parser.get_http_version()))
         if len(self._queue) > MAX_PIPELINED:
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -26,6 +26,8 @@
 from cicadaplank.world import buffers
 
 TIMEOUT_CHECK_INTERVAL_S = 0.05
+# Delay of the event loop from which on requests count as having arrived before it.
+LATE_LOOP_S = 0.1
 # Number of endpoint crashes after which a request is blocked.
 CRASH_LIMIT = 3
 # Time for which a crash counts against a request: one that crashes endpoints is sent
@@ -93,6 +95,9 @@
         self._queues = collections.defaultdict(waiting.CallQueue)
         self._budgets = {}
         self.answer_times = collections.defaultdict(waiting.AnswerTimeAverage)
+        # Time of the last check of time-outs, and by how much it was late, in seconds.
+        self._checked_s = None
+        self._late_s = 0.0
         # Last report of each other entry instance: calls in progress by endpoint name.
         self._peer_loads = {}
 
@@ -102,6 +107,21 @@
         """Return the time of the monotonic clock in seconds."""
         return self._reactor.seconds()
 
+    def arrival_s(self):
+        """Return the earliest time at which data that is read now may have arrived.
+
+        While the event loop runs late, requests wait in the sockets, and the time that
+        their clients wait has begun.
+
+        :returns: time in seconds.
+        """
+        now_s = self.now_s()
+        if self._checked_s is None or self._late_s < LATE_LOOP_S:
+            return now_s
+        if now_s - self._checked_s > TIMEOUT_CHECK_INTERVAL_S:
+            return now_s
+        return self._checked_s - self._late_s
+
     def unix_s(self):
         """Return the time of day in Unix seconds."""
         return self._reporter.unix_s()
@@ -271,7 +291,11 @@
                 return None
         call = calls.Call(self, client, request, admitted, service, fingerprint)
         self._calls.add(call)
-        self.place(call, self.now_s())
+        now_s = self.now_s()
+        if call.deadline_s - now_s < outcomes.MIN_ATTEMPT_S:
+            call.refuse("deadline", now_s)
+        else:
+            self.place(call, now_s)
         return None if call.phase is calls.Phase.ENDED else call
 
     def _if_current(self, denied):
@@ -584,6 +608,9 @@
         It is called every :data:`TIMEOUT_CHECK_INTERVAL_S`.
         """
         now_s = self.now_s()
+        if self._checked_s is not None:
+            self._late_s = now_s - self._checked_s - TIMEOUT_CHECK_INTERVAL_S
+        self._checked_s = now_s
         for call in list(self._calls):
             call.check_timeouts(now_s)
         for service, queue in list(self._queues.items()):
--- a/features/gateway/left.feature
+++ b/features/gateway/left.feature
@@ -27,6 +27,20 @@
       | stays connected          |
       | sends the next request   |
 
+  Scenario Outline: A request with 2.0 s left that is read by an event loop that is <late> s late
+    Given a gateway with 2 endpoints and a route that <kind>
+    When the event loop runs <late> s late and a request has come meanwhile
+    Then an endpoint is handed <left> s for it at most, in <sends> sends
+
+    # The client's time began when it sent the request, not when that was read.
+    Examples:
+      | late | kind           | left | sends |
+      | 0.0  | may repeat     | 2.0  | 1     |
+      | 1.5  | may repeat     | 0.55 | 1     |
+      | 1.5  | runs once only | 0.55 | 1     |
+      | 2.5  | may repeat     | 0.0  | 0     |
+      | 2.5  | runs once only | 0.0  | 0     |
+
   Scenario Outline: An endpoint that takes connections after calls that were <ending>
     Given a gateway with 2 endpoints and a route that may repeat
     When 3 calls to an endpoint end "<ending>" and a connection to it opens
--- a/features/steps/gateway_left.py
+++ b/features/steps/gateway_left.py
@@ -1,5 +1,7 @@
 """Steps for clients that leave, and for endpoints that only take connections."""
 
+import re
+
 import behave
 from twisted.internet import error
 
@@ -101,3 +103,23 @@
     now_s = context.world.reactor.seconds()
     left_s = max(0.0, context.state.ejected_until_s - now_s)
     assert abs(left_s - duration_s) < 0.1, left_s
+
+
+@behave.when("the event loop runs {late_s:f} s late and a request has come meanwhile")
+def step_late_loop(context, late_s):
+    world = context.world
+    world.run(0.1)
+    world.reactor.advance(late_s)
+    world.gateway.check_timeouts()
+    world.client.dataReceived(world.request(body=b"call"))
+    while world.has_dial:
+        world.accept()
+
+
+@behave.then("an endpoint is handed {left_s:f} s for it at most, in {count:d} sends")
+def step_handed(context, left_s, count):
+    sent = [t.value() for _, _, t in context.world.sent if b"call" in t.value()]
+    assert len(sent) == count, len(sent)
+    for data in sent:
+        handed_ms = int(re.search(rb"X-Deadline-Ms: (\d+)", data).group(1))
+        assert handed_ms <= 1000 * left_s, handed_ms
