--- /dev/null
+++ b/features/gateway/crash_causes.feature
@@ -0,0 +1,25 @@
+Feature: A part of a prompt that crashes endpoints is not sent on
+  Requests that are otherwise different share one part of their prompts, under which every
+  endpoint crashes as it begins to answer.
+
+  Scenario Outline: Requests that share a part <with> after <crashes> crashes
+    Given a gateway with 2 endpoints and a route that streams once
+    And sound requests with parts "system,<sound>" are answered between crashes
+    When <crashes> different requests with parts "system,bad" crash their endpoints
+    Then a request with parts "<parts>" is <outcome>
+
+    Examples:
+      | with                         | crashes | sound | parts         | outcome               |
+      | with them                    | 3       | other | system,bad    | answered 503 unsent   |
+      | with them and have another   | 3       | other | system,x,bad  | answered 503 unsent   |
+      | with them before the limit   | 2       | other | system,bad    | sent                  |
+      | with sound requests          | 3       | other | system,other  | sent                  |
+      | with both, the first one     | 3       | other | system        | sent                  |
+      | with them, but were answered | 3       | bad   | system,bad    | sent                  |
+
+  Scenario: A call with a part that is blocked while it waits is not sent
+    Given a gateway with 2 endpoints and a route that streams once
+    And sound requests with parts "system,other" are answered between crashes
+    When 2 different requests with parts "system,bad" crash their endpoints
+    And a request with parts "system,bad" waits during another crash
+    Then it is answered 503 unsent
--- /dev/null
+++ b/features/steps/gateway_crash_causes.py
@@ -0,0 +1,119 @@
+"""Steps for requests that share a part of their prompts which crashes endpoints."""
+
+import itertools
+
+import behave
+from twisted.internet import error
+from twisted.python import failure
+
+from features.steps import gateway
+
+NUMBERS = itertools.count(1)
+# Time after which an endpoint that has crashed takes connections again.
+RESTART_S = 1.5
+
+
+def send(world, parts):
+    """Send a request with these parts and one of its own, on a new connection."""
+    number = next(NUMBERS)
+    listed = ",".join(f"{part}:100" for part in [*parts, f"own-{number}"])
+    world.connect()
+    extra = b"X-Prefix-Hash: %b\r\n" % listed.encode()
+    body = b"call-%d" % number
+    world.client.dataReceived(world.request(extra, body))
+    return body
+
+
+def refuse(world):
+    """Refuse the dials that wait, as the host of a crashed endpoint does."""
+    while world.has_dial:
+        _, _, factory, _, _ = world.reactor.tcpClients[world.dialled]
+        world.dialled += 1
+        refused = failure.Failure(error.ConnectionRefusedError())
+        factory.clientConnectionFailed(None, refused)
+
+
+def take_connections(world):
+    """Let the endpoints take the connections that wait."""
+    while world.has_dial:
+        world.accept()
+
+
+def take_call(world, body):
+    """Let the endpoints take connections until one is sent a call.
+
+    :returns: the protocol of the gateway's side of the connection.
+    """
+    take_connections(world)
+    for _, protocol, transport in world.sent:
+        if body in transport.value():
+            return protocol
+    raise AssertionError(f"{body} was not sent")
+
+
+def crash_once(world, parts):
+    """Send a request under which its endpoint crashes, and wait for the restart."""
+    body = send(world, parts)
+    protocol = take_call(world, body)
+    protocol.dataReceived(gateway.stream_head())
+    gateway.lose(protocol, error.ConnectionDone())
+    refuse(world)
+    for _ in range(round(RESTART_S / 0.1)):
+        world.run(0.1)
+        take_connections(world)
+
+
+def answer_once(world, parts):
+    """Send a request that is answered."""
+    body = send(world, parts)
+    protocol = take_call(world, body)
+    protocol.dataReceived(gateway.stream_head() + gateway.chunk(gateway.event(1)))
+    protocol.dataReceived(b"0\r\n\r\n")
+    world.run(0.1)
+
+
+@behave.given('sound requests with parts "{parts}" are answered between crashes')
+def step_sound(context, parts):
+    context.sound = parts.split(",")
+
+
+@behave.when('{count:d} different requests with parts "{parts}" crash their endpoints')
+def step_crash(context, count, parts):
+    for _ in range(count):
+        crash_once(context.world, parts.split(","))
+        answer_once(context.world, context.sound)
+
+
+@behave.when('a request with parts "{parts}" waits during another crash')
+def step_waits(context, parts):
+    world = context.world
+    for _ in range(2):
+        body = send(world, parts.split(","))
+        first = take_call(world, body)
+    context.body = send(world, parts.split(","))
+    context.transport = world.client_transport
+    first.dataReceived(gateway.stream_head())
+    gateway.lose(first, error.ConnectionDone())
+    refuse(world)
+    world.run(0.1)
+
+
+@behave.then('a request with parts "{parts}" is {outcome}')
+def step_outcome(context, parts, outcome):
+    world = context.world
+    context.body = send(world, parts.split(","))
+    context.transport = world.client_transport
+    take_connections(world)
+    if outcome == "sent":
+        take_call(world, context.body)
+    else:
+        step_unsent(context)
+
+
+@behave.then("it is answered 503 unsent")
+def step_unsent(context):
+    sent = [t.value() for _, _, t in context.world.sent]
+    assert not any(context.body in data for data in sent), "the call was sent"
+    got = context.transport.value()
+    assert gateway.status_of(got) == 503, got
+    assert b"Retry-After" in got, got
