Block parts of prompts that crash endpoints

Cause: a request that crashes endpoints was told by its whole content. Requests that share the part which crashes them, but nothing else, each crashed up to two engines. Change: a decision object, CrashCauses, finds the part from the prompts of which an answer had just begun at each crash and from sound answers. A part is blocked after three crashes without a sound answer in between; crashes that a blocked part explains count against no other one. A crash is confirmed by a refused connection, so that reset connections count for nothing. Calls with a blocked part are answered 503 with the time of the block, those that wait or have no answer yet too. A block ends after 120 s.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -27,6 +27,9 @@
 # abandon a stream after a gap of 2 s; the rest of it is left for the other endpoint to
 # process the prompt again.
 STREAM_STALL_TIMEOUT_S = 0.9
+# An endpoint that crashes under a part of a prompt does so as it begins to answer. A
+# stream that has gone on for this time shows that its prompt is sound.
+SOUND_STREAM_S = 0.5
 # A stream that has begun is aborted this long after the call's deadline.
 DEADLINE_SLACK_S = 0.1
 # Limit of an answer's body that is buffered until it is complete.
@@ -39,6 +42,10 @@
 FULL_BACK_OFF_S = 0.1
 
 
+# Reason of a call that ends because of :class:`crash_causes.CrashCauses`.
+BLOCKED = "a part of the prompt crashed several endpoints"
+
+
 class Phase(enum.Enum):
     """Phase of a call.
 
@@ -127,9 +134,34 @@
         self._is_event_due = False
         self._is_paused = False
         self._sent_s = 0.0
+        # Time at which the answer to the last attempt began, in seconds.
+        self._answer_began_s = None
         self._last_event_s = 0.0
         self._last_activity_s = 0.0
 
+    @property
+    def shared_parts(self):
+        """Return the parts of the prompt that other requests may share."""
+        return self.request.head.shared_parts
+
+    @property
+    def has_begun(self):
+        """Whether the answer to the last attempt has begun."""
+        return self._answer_began_s is not None
+
+    def block(self, after_s, now_s):
+        """End the call unless a part of its answer was forwarded.
+
+        :param after_s: seconds for which its prompt is blocked.
+        :param now_s: current time in seconds.
+        """
+        if self.phase in (Phase.STREAMING, Phase.ENDED):
+            return
+        if self.phase is Phase.SENT:
+            self.history.ended(outcomes.Ending.SILENT)
+        self._stop()
+        self.refuse(BLOCKED, now_s, after_s)
+
     # What the configuration says.
 
     @property
@@ -300,6 +332,7 @@
         self.response_end = framing.ResponseEnd()
         self.partial_event_bytes = 0
         self.phase = Phase.SENT
+        self._answer_began_s = None
         self._sent_s = self._last_activity_s = now_s
         if self.sent_after_s is None:
             self.sent_after_s = now_s - self.request.arrived_s
@@ -348,6 +381,8 @@
             self._gateway.count("answers_of_other_calls")
             return False
         self._last_activity_s = self._gateway.now_s()
+        if 200 <= head.status < 300:
+            self._answer_began_s = self._last_activity_s
         self._reply = head
         is_stream = self.route.is_stream and self.request.head.method != b"HEAD"
         if is_stream and head.is_event_stream and self._is_valid_success(head):
@@ -396,6 +431,8 @@
                 self.longest_gap_s = max(self.longest_gap_s, gap_s)
             self._last_event_s = self._last_activity_s = now_s
             self._forward(b"".join(forwarded))
+            if now_s - self._answer_began_s >= SOUND_STREAM_S:
+                self._gateway.record_sound(self)
         self._gateway.buffers.set_held(self, self._splitter.rest_bytes)
 
     def drop_buffer(self, reason):
@@ -460,6 +497,7 @@
             if not self._claims_not_run(head):
                 state.record_answer(now_s)
                 self._observe_answer(now_s)
+                self._gateway.record_sound(self)
                 self._finish("answered", verdicts.Verdict.RAN)
                 self._client.reply(head, bytes(self._body))
                 return
@@ -486,6 +524,9 @@
         rest = self._splitter.rest
         self._splitter = None
         state.record_answer(now_s)
+        # Without a length and chunks it ends in the same way when its endpoint crashes.
+        if end.framing is not framing.Framing.CLOSE:
+            self._gateway.record_sound(self)
         if rest or not self._stream_began:
             self._forward(rest)
         self._finish("answered", verdicts.Verdict.RAN)
--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -311,7 +311,7 @@
         return connection
 
     def clientConnectionFailed(self, connector, reason):
-        self._pool.dial_failed()
+        self._pool.dial_failed(reason.check(error.ConnectionRefusedError) is not None)
         self._failed(reason.getErrorMessage())
 
 
@@ -351,6 +351,8 @@
         self._open = set()
         self._connecting_count = 0
         self._closed = False
+        # Whether the last connection attempt was refused: no process listens there.
+        self.was_refused = False
 
     @property
     def open_count(self):
@@ -411,11 +413,16 @@
 
     def opened(self, connection):
         """Record that a connection attempt succeeded."""
+        self.was_refused = False
         self._connecting_count -= 1
         self._open.add(connection)
 
-    def dial_failed(self):
-        """Record that a connection attempt failed."""
+    def dial_failed(self, was_refused):
+        """Record that a connection attempt failed.
+
+        :param was_refused: whether the host is up but nothing listens at the port.
+        """
+        self.was_refused = was_refused
         self._connecting_count -= 1
         self.counts["dial_failed"] += 1
 
--- a/cicadaplank/gateway/dialects.py
+++ b/cicadaplank/gateway/dialects.py
@@ -35,6 +35,8 @@
         or empty.
     :param model: model name, or empty.
     :param headers: list of ``(name, value)`` to forward.
+    :param shared_parts: identifiers of the parts of the prompt that other requests may
+        share, from its start.
     """
 
     method: bytes
@@ -47,6 +49,7 @@
     resume_after: bytes
     model: str
     headers: list
+    shared_parts: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -22,7 +22,7 @@
     routes,
     waiting,
 )
-from cicadaplank.requests import crash_tracking
+from cicadaplank.requests import crash_causes, crash_tracking
 from cicadaplank.world import buffers
 
 TIMEOUT_CHECK_INTERVAL_S = 0.05
@@ -33,6 +33,10 @@
 # Time for which a crash counts against a request: one that crashes endpoints is sent
 # again within it.
 SUSPICION_S = 120.0
+# Attempts that broke within this time before a crash was found were part of it.
+CRASH_WINDOW_S = 1.0
+# Limit on the attempts of one endpoint that are kept until it is probed.
+MAX_BROKEN_ATTEMPTS = 32
 # Retry time given to clients when no better estimate is known, for example when no
 # endpoint can serve a call.
 DEFAULT_RETRY_AFTER_S = 1.0
@@ -80,6 +84,11 @@
         self.endpoints = endpoints.Endpoints()
         self.buffers = buffers.BufferBudget(MAX_BUFFERED_BYTES)
         self.suspects = crash_tracking.CrashTracker(CRASH_LIMIT, SUSPICION_S)
+        self.crash_causes = crash_causes.CrashCauses(random)
+        # By endpoint state: time, shared parts and whether the answer had begun, of the
+        # attempts that broke shortly before.
+        self._broken_attempts = {}
+        self._blocked_parts = []
         self.weights_requirement = named_versions.WeightsRequirement(bounds.weights_s)
         self.route_index = None
         self.members = 1
@@ -199,6 +208,7 @@
         for state in self.endpoints.update(listed, self.now_s(), keep_missing):
             name = state.endpoint.name
             self._reporter.event("endpoint_gone", endpoint=name)
+            self._broken_attempts.pop(state, None)
             pool = self._pools.pop(state.endpoint.identity, None)
             if pool is not None:
                 pool.close()
@@ -207,7 +217,7 @@
 
     def set_member_count(self, count):
         """Set the number of entry instances, this one included."""
-        self.members = count
+        self.members = self.crash_causes.members = count
         for retry_budget in self._budgets.values():
             retry_budget.members = count
 
@@ -281,6 +291,12 @@
             return None
         service = self._choose_service(admitted.route)
         self.budget(service).record_request(self.now_s())
+        blocked_s = self.crash_causes.blocked_for_s(
+            request.head.shared_parts, self.now_s()
+        )
+        if blocked_s > 0:
+            self._reject(client, request, 503, calls.BLOCKED, blocked_s)
+            return None
         fingerprint = ""
         if len(self.suspects):
             fingerprint = self._fingerprint(request, admitted)
@@ -360,6 +376,10 @@
         """
         if not call.admit_again(now_s):
             return
+        blocked_s = self.crash_causes.blocked_for_s(call.shared_parts, now_s)
+        if blocked_s > 0:
+            call.refuse(calls.BLOCKED, now_s, blocked_s)
+            return
         queue = self._queues[call.service]
         states = self.endpoints.of_service(call.service)
         demand = call.demand()
@@ -513,11 +533,73 @@
         """
         if not call.fingerprint:
             call.fingerprint = self._fingerprint(call.request, call.admitted)
+        if call.shared_parts:
+            attempts = self._broken_attempts.setdefault(state, [])
+            attempts.append((self.now_s(), call.shared_parts, call.has_begun))
+            del attempts[:-MAX_BROKEN_ATTEMPTS]
         name = state.endpoint.name
         sent = self.suspects.record_crash(call.fingerprint, name, self.unix_s())
         for action in sent:
             self.broadcast(action.message, action.exclude)
 
+    def record_sound(self, call):
+        """Record that an endpoint has answered a prompt without a crash.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        """
+        if call.shared_parts:
+            self.crash_causes.record_sound(call.shared_parts, self.now_s())
+            self._apply_blocked_parts()
+
+    def _record_crash(self, state):
+        """Record that an endpoint has crashed, with the attempts that broke there."""
+        now_s = self.now_s()
+        attempts = self._broken_attempts.pop(state, ())
+        recent = [a for a in attempts if now_s - a[0] <= CRASH_WINDOW_S]
+        run = f"{state.endpoint.name}/{state.endpoint.started_ms}"
+        begun = [parts for _, parts, has_begun in recent if has_begun]
+        waiting = [parts for _, parts, has_begun in recent if not has_begun]
+        sent = self.crash_causes.record_crash(run, begun, waiting, now_s)
+        for action in sent:
+            self.broadcast(action.message, "")
+        if sent:
+            self._reporter.state_event(
+                "endpoint_crashed",
+                endpoint=state.endpoint.name,
+                begun=len(begun),
+                waiting=len(waiting),
+            )
+        self._apply_blocked_parts()
+
+    def merge_crash(self, report):
+        """Record a crash that another entry instance observed.
+
+        :param report: :class:`cicadaplank.messages.types.CrashReport`.
+        """
+        self.crash_causes.merge_crash(report, self.now_s())
+        self._apply_blocked_parts()
+
+    def merge_sound(self, report):
+        """Record sound answers that another entry instance observed.
+
+        :param report: :class:`cicadaplank.messages.types.SoundPartsReport`.
+        """
+        self.crash_causes.merge_sound(report, self.now_s())
+        self._apply_blocked_parts()
+
+    def _apply_blocked_parts(self):
+        """End the calls whose prompts have come to be blocked."""
+        blocked = self.crash_causes.blocked
+        if blocked == self._blocked_parts:
+            return
+        self._blocked_parts = blocked
+        self._reporter.state_event("prompt_parts_blocked", parts=",".join(blocked))
+        now_s = self.now_s()
+        for call in list(self._calls):
+            blocked_s = self.crash_causes.blocked_for_s(call.shared_parts, now_s)
+            if blocked_s > 0:
+                call.block(blocked_s, now_s)
+
     def record_withdrawal(self, call, version, bound):
         """Report an attempt that is withdrawn from an endpoint with older weights.
 
@@ -596,9 +678,12 @@
 
         def failed(reason):
             state.is_being_probed = False
+            if pool.was_refused:
+                self._record_crash(state)
             self._eject_unreachable(state, f"probe: {reason}")
 
-        self.pool(state).acquire(opened, failed, reuse=False)
+        pool = self.pool(state)
+        pool.acquire(opened, failed, reuse=False)
 
     # Time.
 
@@ -608,6 +693,8 @@
         It is called every :data:`TIMEOUT_CHECK_INTERVAL_S`.
         """
         now_s = self.now_s()
+        for action in self.crash_causes.tick(now_s):
+            self.broadcast(action.message, "")
         if self._checked_s is not None:
             self._late_s = now_s - self._checked_s - TIMEOUT_CHECK_INTERVAL_S
         self._checked_s = now_s
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -489,6 +489,10 @@
             if isinstance(message, types.GatewayReport):
                 self.gateway.set_peer_loads(connection.peer, message.loads)
                 self._record_weights_ages(message.weights_ages_s)
+        elif isinstance(message, types.CrashReport):
+            self.gateway.merge_crash(message)
+        elif isinstance(message, types.SoundPartsReport):
+            self.gateway.merge_sound(message)
         elif isinstance(message, types.SuspectReport):
             self._record_suspicion(connection.peer, message)
 
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -405,6 +405,34 @@
     crashed_unix_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class CrashReport:
+    """An endpoint has crashed while it answered requests.
+
+    A prompt is a list of the parts that other requests may share, from its start.
+
+    :param run: name of the run of the endpoint that has crashed.
+    :param age_s: seconds since the crash.
+    :param begun: prompts whose answers had begun shortly before.
+    :param waiting: prompts that had no answer yet.
+    """
+
+    run: str
+    age_s: float
+    begun: list
+    waiting: list
+
+
+@dataclasses.dataclass(frozen=True)
+class SoundPartsReport:
+    """Parts of prompts that endpoints have answered without a crash.
+
+    :param ages_s: maps each part to the seconds since the newest such answer.
+    """
+
+    ages_s: dict
+
+
 @dataclasses.dataclass(frozen=True)
 class DemandReport:
     """Demand for rate-limited rows at an entry instance.
--- a/cicadaplank/platform/headers.py
+++ b/cicadaplank/platform/headers.py
@@ -11,6 +11,7 @@
 TENANT = b"x-tenant"
 PRIORITY = b"x-request-priority"
 MODEL = b"x-model"
+PROMPT_PARTS = b"x-prefix-hash"
 LAST_EVENT = b"last-event-id"
 SIGNATURE = b"x-server-signature"
 NOT_EXECUTED = b"x-not-executed"
@@ -120,6 +121,7 @@
             wait_s=None if wait_ms is None else wait_ms / 1000.0,
             resume_after=first.get(LAST_EVENT, b""),
             model=first.get(MODEL, b"").decode("latin-1"),
+            shared_parts=_read_shared_parts(first.get(PROMPT_PARTS, b"")),
             headers=passed,
         )
 
@@ -215,6 +217,15 @@
     return key.strip().decode("latin-1") if scheme.lower() == b"bearer" else ""
 
 
+def _read_shared_parts(value):
+    """Return the identifiers of a prompt's parts but for the last.
+
+    The last part belongs to the request itself or to its session.
+    """
+    entries = value.decode("latin-1").split(",")[:-1]
+    return tuple(entry.partition(":")[0].strip() for entry in entries)
+
+
 def _read_idle_timeout_s(value):
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
--- /dev/null
+++ b/cicadaplank/requests/crash_causes.py
@@ -0,0 +1,281 @@
+"""Parts of prompts that crash each engine that begins to answer them.
+
+Requests share the parts of their prompts: a system prompt, a document, a conversation.
+When one of the parts crashes engines, requests that are otherwise different crash one
+engine after the other. The part is found from crashes and from sound answers: it is in
+the prompts of every crash, and no answer to a prompt with it is ever written.
+"""
+
+import collections
+import dataclasses
+import functools
+
+from cicadaplank.messages import types
+
+# Number of crashes without a sound answer in between after which a part is blocked.
+CRASH_LIMIT = 3
+# Crashes closer to each other count as one: engines of one host or rack go down at the
+# same time, and no sound answer can come in between.
+SAME_CAUSE_S = 0.1
+# Time for which a crash counts against the parts that were part of it.
+SUSPICION_S = 120.0
+# Time for which a part that was blocked is blocked again by a single crash.
+RECIDIVISM_S = 3600.0
+# Longest wait before other instances are told of a sound answer, for each of them. One
+# that hears of an answer in the meantime says nothing.
+HOLD_OFF_PER_INSTANCE_S = 0.002
+MAX_HOLD_OFF_S = 1.0
+MAX_CRASHES = 64
+MAX_PROMPTS = 32
+MAX_PARTS = 16
+MAX_FORMER = 256
+
+
+@dataclasses.dataclass(frozen=True)
+class Broadcast:
+    """Action: send a message to every connected instance.
+
+    :param message: :class:`cicadaplank.messages.types.CrashReport` or
+        :class:`cicadaplank.messages.types.SoundPartsReport`.
+    """
+
+    message: object
+
+
+@dataclasses.dataclass
+class _Crash:
+    """Crash of one run of an endpoint, as all instances have observed it.
+
+    :ivar crashed_s: time of the crash in seconds.
+    :ivar begun: parts of the prompts whose answers had begun shortly before.
+    :ivar waiting: parts of the prompts that had no answer yet.
+    """
+
+    crashed_s: float
+    begun: set
+    waiting: set
+
+    @property
+    def parts(self):
+        """Parts of which one has caused the crash."""
+        return {p for prompt in self.begun or self.waiting for p in prompt}
+
+
+class CrashCauses:
+    """Crashes, sound answers and blocked parts, as known to one instance.
+
+    :param random: ``random.Random``, which spreads messages of several instances.
+    :ivar members: number of instances, this one included.
+    :ivar evicted: number of crashes dropped because of ``MAX_CRASHES``.
+    """
+
+    def __init__(self, random):
+        self.members = 1
+        self.evicted = 0
+        self._random = random
+        self._crashes = collections.OrderedDict()
+        # Time in seconds of the newest sound answer by part, for parts of crashes.
+        self._sound_s = {}
+        # Time in seconds at which other instances are to be told of a sound part.
+        self._told_at_s = {}
+        # Time in seconds at which each blocked part was blocked last.
+        self._blocked_s = {}
+        self._blocked = {}
+        self._next_expiry_s = float("inf")
+
+    def __len__(self):
+        return len(self._crashes)
+
+    @property
+    def blocked(self):
+        """Return the blocked parts as a sorted list, for logs and metrics."""
+        return sorted(self._blocked)
+
+    def blocked_for_s(self, parts, now_s):
+        """Return for how long requests with these parts must not be run.
+
+        :param parts: parts of the prompt that other requests may share.
+        :param now_s: current time in seconds.
+        :returns: seconds, 0.0 when they may run now.
+        """
+        if not self._blocked:
+            return 0.0
+        if now_s >= self._next_expiry_s:
+            self._update(now_s)
+        until_s = max((self._blocked.get(p, now_s) for p in parts), default=now_s)
+        return until_s - now_s
+
+    def record_crash(self, run, begun, waiting, now_s):
+        """Record a crash that this instance observed.
+
+        :param run: name of the run of the endpoint that has crashed.
+        :param begun: prompts, each a tuple of parts, whose answers had begun shortly
+            before.
+        :param waiting: prompts that had no answer yet.
+        :param now_s: current time in seconds.
+        :returns: tuple of :class:`Broadcast`.
+        """
+        begun = [prompt[:MAX_PARTS] for prompt in begun[:MAX_PROMPTS] if prompt]
+        waiting = [prompt[:MAX_PARTS] for prompt in waiting[:MAX_PROMPTS] if prompt]
+        if not begun and not waiting:
+            return ()
+        self._add(run, begun, waiting, now_s, now_s)
+        return (Broadcast(types.CrashReport(run, 0.0, begun, waiting)),)
+
+    def merge_crash(self, report, now_s):
+        """Record a crash that another instance observed.
+
+        :param report: :class:`cicadaplank.messages.types.CrashReport`.
+        :param now_s: current time in seconds.
+        """
+        begun = _valid_prompts(report.begun)
+        waiting = _valid_prompts(report.waiting)
+        crashed_s = now_s - max(0.0, report.age_s)
+        if begun or waiting:
+            self._add(report.run, begun, waiting, crashed_s, now_s)
+
+    def _add(self, run, begun, waiting, crashed_s, now_s):
+        crash = self._crashes.get(run)
+        if crash is None:
+            while len(self._crashes) >= MAX_CRASHES:
+                self._crashes.popitem(last=False)
+                self.evicted += 1
+            crash = self._crashes[run] = _Crash(crashed_s, set(), set())
+        for known, prompts in ((crash.begun, begun), (crash.waiting, waiting)):
+            room = MAX_PROMPTS - len(known)
+            known.update([tuple(prompt) for prompt in prompts][:room])
+        self._update(now_s)
+
+    def record_sound(self, parts, now_s):
+        """Record a sound answer, or a part of one that shows its prompt to be sound.
+
+        :param parts: parts of the prompt.
+        :param now_s: current time in seconds.
+        """
+        if not self._crashes:
+            return
+        suspects = [p for p in parts if self._is_suspect(p)]
+        if not suspects:
+            return
+        hold_off_s = min(MAX_HOLD_OFF_S, HOLD_OFF_PER_INSTANCE_S * self.members)
+        due_s = now_s + self._random.uniform(0.0, hold_off_s)
+        for part in suspects:
+            self._sound_s[part] = now_s
+            self._blocked_s.pop(part, None)
+            self._told_at_s.setdefault(part, due_s)
+        self._update(now_s)
+
+    def _is_suspect(self, part):
+        sound_s = self._sound_s.get(part, float("-inf"))
+        crashes = self._crashes.values()
+        return any(c.crashed_s > sound_s and part in c.parts for c in crashes)
+
+    def merge_sound(self, report, now_s):
+        """Record sound answers that another instance observed.
+
+        :param report: :class:`cicadaplank.messages.types.SoundPartsReport`.
+        :param now_s: current time in seconds.
+        """
+        for part, age_s in report.ages_s.items():
+            if not isinstance(age_s, (int, float)) or not self._is_suspect(part):
+                continue
+            sound_s = now_s - max(0.0, age_s)
+            self._blocked_s.pop(part, None)
+            self._sound_s[part] = max(self._sound_s.get(part, sound_s), sound_s)
+            if not self._is_suspect(part):
+                self._told_at_s.pop(part, None)
+        self._update(now_s)
+
+    def tick(self, now_s):
+        """Tell other instances of sound parts that none of them has told of.
+
+        :param now_s: current time in seconds.
+        :returns: tuple of :class:`Broadcast`.
+        """
+        due = [p for p, due_s in self._told_at_s.items() if due_s <= now_s]
+        if not due:
+            return ()
+        for part in due:
+            del self._told_at_s[part]
+        ages_s = {p: now_s - self._sound_s[p] for p in due if p in self._sound_s}
+        return (Broadcast(types.SoundPartsReport(ages_s)),) if ages_s else ()
+
+    # Blame.
+
+    def _update(self, now_s):
+        """Work out the blocked parts from the crashes and sound answers."""
+        for run, crash in list(self._crashes.items()):
+            if crash.crashed_s + SUSPICION_S <= now_s:
+                del self._crashes[run]
+        suspected = {p for crash in self._crashes.values() for p in crash.parts}
+        for part in self._sound_s.keys() - suspected:
+            del self._sound_s[part]
+        for part, at_s in list(self._blocked_s.items()):
+            if at_s + RECIDIVISM_S <= now_s:
+                del self._blocked_s[part]
+        self._blocked = self._blame()
+        self._next_expiry_s = min(self._blocked.values(), default=float("inf"))
+        for part in self._blocked:
+            self._blocked_s[part] = now_s
+        while len(self._blocked_s) > MAX_FORMER:
+            del self._blocked_s[min(self._blocked_s, key=self._blocked_s.get)]
+
+    def _blame(self):
+        """Return a dict from each blocked part to the time until which it is.
+
+        The part that explains most crashes is blamed first, and the crashes in which
+        it took part count against no other one.
+        """
+        unexplained = sorted(self._crashes.values(), key=lambda c: c.crashed_s)
+        blocked = {}
+        while unexplained:
+            candidates = {p for crash in unexplained for p in crash.parts}
+            counted = {p: self._count(p, unexplained) for p in candidates}
+            order = functools.partial(self._blame_order, counted, unexplained)
+            part = max(candidates, key=order)
+            limit = 1 if part in self._blocked_s else CRASH_LIMIT
+            if counted[part] < limit:
+                return blocked
+            newest_s = max(c.crashed_s for c in unexplained if part in c.parts)
+            blocked[part] = newest_s + SUSPICION_S
+            unexplained = [c for c in unexplained if part not in c.parts]
+        return blocked
+
+    def _count(self, part, crashes):
+        """Return the number of crashes with a part since its last sound answer."""
+        sound_s = self._sound_s.get(part, float("-inf"))
+        count, last_s = 0, float("-inf")
+        for crash in crashes:
+            if part not in crash.parts or crash.crashed_s <= sound_s:
+                continue
+            if crash.crashed_s - last_s >= SAME_CAUSE_S:
+                count += 1
+                last_s = crash.crashed_s
+        return count
+
+    def _blame_order(self, counted, crashes, part):
+        """Return the sort key of a part; the last one is blamed first.
+
+        Among equals that is a part without any sound answer, then the one that stands
+        deepest in its prompts, which fewest requests share.
+        """
+        depths = [
+            prompt.index(part)
+            for crash in crashes
+            for prompt in crash.begun | crash.waiting
+            if part in prompt
+        ]
+        is_former = part in self._blocked_s and counted[part] > 0
+        has_no_sound_answer = part not in self._sound_s
+        return is_former, counted[part], has_no_sound_answer, max(depths), part
+
+
+def _valid_prompts(prompts):
+    """Return the prompts of a report without values of other types, within bounds."""
+    return [
+        tuple(prompt[:MAX_PARTS])
+        for prompt in prompts[:MAX_PROMPTS]
+        if isinstance(prompt, (list, tuple))
+        and prompt
+        and all(isinstance(part, str) for part in prompt)
+    ]
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -87,6 +87,10 @@
         """Keep an event."""
         self.events.append((event, fields))
 
+    def state_event(self, event, level="info", **fields):
+        """Keep an event."""
+        self.events.append((event, fields))
+
     def turned_away(self, *args):
         """Keep a refusal."""
         self.events.append(("turned_away", args))
--- a/features/steps/gateway_crash_causes.py
+++ b/features/steps/gateway_crash_causes.py
@@ -1,5 +1,6 @@
 """Steps for requests that share a part of their prompts which crashes endpoints."""
 
+import dataclasses
 import itertools
 
 import behave
@@ -9,7 +10,7 @@
 from features.steps import gateway
 
 NUMBERS = itertools.count(1)
-# Time after which an endpoint that has crashed takes connections again.
+# Time after which an endpoint that has crashed is listed as started anew.
 RESTART_S = 1.5
 
 
@@ -51,16 +52,25 @@
     raise AssertionError(f"{body} was not sent")
 
 
-def crash_once(world, parts):
-    """Send a request under which its endpoint crashes, and wait for the restart."""
-    body = send(world, parts)
-    protocol = take_call(world, body)
+def crash(world, protocol):
+    """Let the endpoint of a connection begin an answer, crash and start anew."""
+    host = next(host for host, made, _ in world.sent if made is protocol)
     protocol.dataReceived(gateway.stream_head())
     gateway.lose(protocol, error.ConnectionDone())
     refuse(world)
-    for _ in range(round(RESTART_S / 0.1)):
-        world.run(0.1)
-        take_connections(world)
+    for name, endpoint in list(world.listed.items()):
+        if endpoint.host == host:
+            started_ms = endpoint.started_ms + 1
+            world.listed[name] = dataclasses.replace(endpoint, started_ms=started_ms)
+    world.gateway.set_endpoints(world.listed, False)
+
+
+def crash_once(world, parts):
+    """Send a request under which its endpoint crashes, and wait for the restart."""
+    body = send(world, parts)
+    crash(world, take_call(world, body))
+    world.run(RESTART_S)
+    take_connections(world)
 
 
 def answer_once(world, parts):
@@ -92,9 +102,7 @@
         first = take_call(world, body)
     context.body = send(world, parts.split(","))
     context.transport = world.client_transport
-    first.dataReceived(gateway.stream_head())
-    gateway.lose(first, error.ConnectionDone())
-    refuse(world)
+    crash(world, first)
     world.run(0.1)
 
 
