Look for callers that have left before work is written to an agent

Callers saw: nothing in the record; the same fault as at the gateway, on the way through agents (GONE). Cause: work was written, the first time and again, although the end of the caller's connection waited in the socket behind its request. Change: the check of the gateway's client connections is shared, and is made before work is written.

--- a/cicadaplank/entry/serving.py
+++ b/cicadaplank/entry/serving.py
@@ -6,6 +6,7 @@
 import collections
 
 from cicadaplank.entry import claimcalls, frontend
+from cicadaplank.links import sockets
 from cicadaplank.messages import types
 from cicadaplank.reports import objectives
 from cicadaplank.requests import (
@@ -49,6 +50,11 @@
         self.last_token_s = None
         self.tokens = 0
 
+    @property
+    def has_caller_left(self):
+        """Whether the caller has closed or reset its connection, reported or not."""
+        return sockets.has_peer_left(self.request.transport.getHandle())
+
 
 class Serving:
     """Handles the callers' requests of one entry instance.
@@ -303,6 +309,11 @@
         dialled.addErrback(self._daemon.report_failure)
 
     def _write_work(self, connection, work):
+        identifier = work.attempt.rpartition(".")[0]
+        open_request = self._open_requests.get(identifier)
+        if open_request is not None and open_request.has_caller_left:
+            self._caller_disconnected(None, identifier)
+            return
         if connection is None:
             self._undelivered(work.attempt, "connection refused")
         elif not connection.has_room:
--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -1,12 +1,12 @@
 """HTTP/1.1 server side of the gateway: reads requests and writes responses in order."""
 
 import collections
-import socket
 
 import httptools
 from twisted.internet import protocol
 
 from cicadaplank.gateway import calls, dialects
+from cicadaplank.links import sockets
 from cicadaplank.world import buffers
 
 # Pipelined requests that a client may have queued behind the one in progress.
@@ -76,20 +76,10 @@
 
     @property
     def has_left(self):
-        """Whether the client has closed or reset the connection.
-
-        The end of a connection is reported after all bytes before it were read. While
-        the event loop runs late, it waits in the socket when a call is to be sent.
-        """
-        if self._is_disconnected:
-            return True
-        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-        try:
-            return not self.transport.getHandle().recv(1, flags)
-        except ConnectionError:
-            return True
-        except OSError:
-            return False
+        """Whether the client has closed or reset the connection, reported or not."""
+        return self._is_disconnected or sockets.has_peer_left(
+            self.transport.getHandle()
+        )
 
     @property
     def is_idle(self):
