Reject requests that wait for a row which the table drops

Callers saw: nothing in the record; on the way through agents, a request that waits is overtaken by a table without its row (class of CONFIG). Cause: only rows of the table in force were dispatched, so that such a request waited for the limit of its wait. Change: every row with waiting requests is dispatched; without a row that is a rejection at once. Before: the scenario failed, '[]' in place of an answer.

--- a/cicadaplank/entry/serving.py
+++ b/cicadaplank/entry/serving.py
@@ -256,9 +256,9 @@
 
     def start_waiting_of_all_rows(self):
         """Dispatch the waiting requests of every row that an endpoint can take."""
-        for row in self._daemon.configuration.table.rows:
-            if self.admission.queued(row.name):
-                self._start_waiting(row.name)
+        # Rows that the table no longer has are included: their requests are rejected.
+        for row in self.admission.rows_with_requests():
+            self._start_waiting(row)
 
     def _shed(self, action):
         self._queued_requests.pop(action.request, None)
--- a/cicadaplank/requests/admission.py
+++ b/cicadaplank/requests/admission.py
@@ -124,6 +124,10 @@
         """Return the number of queued requests of a row."""
         return len(self._rows[row].order) if row in self._rows else 0
 
+    def rows_with_requests(self):
+        """Return the names of the rows for which requests are queued, as a list."""
+        return [name for name, queue in self._rows.items() if queue.order]
+
     def max_wait_s(self, row):
         """Return the time in the queue after which a request misses the objective.
 
--- a/features/requests/left.feature
+++ b/features/requests/left.feature
@@ -13,3 +13,9 @@
       | resets its connection | not written    | 0     |
       | closes its connection | to be repeated | 0     |
       | stays connected       | to be repeated | 1     |
+
+  @always_7
+  Scenario: Requests that wait for a row which the table drops are rejected at once
+    Given an entry instance with a request that waits for row "m"
+    When a newer table has no row "m"
+    Then the request is dispatched and fails as "no_endpoint"
--- a/features/steps/requests_left.py
+++ b/features/steps/requests_left.py
@@ -7,7 +7,7 @@
 
 from cicadaplank.entry import frontend, serving
 from cicadaplank.reports import objectives
-from cicadaplank.requests import dispatcher, exchange
+from cicadaplank.requests import admission, answers, dispatcher, exchange
 from cicadaplank.world import contracts
 from features.steps import gateway_left
 
@@ -103,3 +103,24 @@
     assert len(context.connection.sent) == count, context.connection.sent
     if not count:
         assert not len(context.serving.dispatcher)
+
+
+@behave.given('an entry instance with a request that waits for row "{row}"')
+def step_waiting(context, row):
+    context.serving, context.actions = entry()
+    queued = admission.QueuedRequest(IDENTIFIER, row, CALL.client, 1, 20.0)
+    context.serving._queued_requests[IDENTIFIER] = request()
+    assert not context.serving.admission.submit(queued, 10.0)
+
+
+@behave.when('a newer table has no row "{row}"')
+def step_no_row(context, row):
+    assert context.serving._daemon.configuration.table.row(row) is None
+    context.serving.start_waiting_of_all_rows()
+
+
+@behave.then('the request is dispatched and fails as "{code}"')
+def step_fails(context, code):
+    found = [a.code for a in context.actions if isinstance(a, answers.Answer)]
+    assert found == [code], context.actions
+    assert not len(context.serving.admission)
