Tell entry instances that connect of the crashes and sound answers known

Cause: crashes were told once, when they happened. Change: an entry sends those that it knows, with their ages, and the sound answers to each entry that connects. Before: the scenario could not be written, as there was no such message.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -485,6 +485,8 @@
             notice = self._build_notice()
             if notice is not None:
                 connection.send(notice)
+        if isinstance(message, types.Hello) and message.role == ENTRY:
+            self._send_crash_causes(connection)
         if self.peers.message(connection.peer, message):
             if isinstance(message, types.GatewayReport):
                 self.gateway.set_peer_loads(connection.peer, message.loads)
@@ -496,6 +498,12 @@
         elif isinstance(message, types.SuspectReport):
             self._record_suspicion(connection.peer, message)
 
+    def _send_crash_causes(self, connection):
+        """Tell another entry instance, which may have restarted, of the crashes."""
+        causes = self.gateway.crash_causes
+        for message in causes.messages_for_new_peer(self.reactor.seconds()):
+            connection.send(message)
+
     def _record_suspicion(self, peer, report):
         """Record a crash that a peer observed.
 
--- a/cicadaplank/requests/crash_causes.py
+++ b/cicadaplank/requests/crash_causes.py
@@ -187,6 +187,22 @@
                 self._told_at_s.pop(part, None)
             self._is_outdated = True
 
+    def messages_for_new_peer(self, now_s):
+        """Return what an instance needs that has just started, as a tuple of messages.
+
+        :param now_s: current time in seconds.
+        """
+        crashes = tuple(
+            types.CrashReport(
+                run, now_s - crash.crashed_s, sorted(crash.begun), sorted(crash.waiting)
+            )
+            for run, crash in self._crashes.items()
+        )
+        if not crashes:
+            return ()
+        ages_s = {part: now_s - sound_s for part, sound_s in self._sound_s.items()}
+        return (*crashes, types.SoundPartsReport(ages_s))
+
     def tick(self, now_s):
         """Work out the blocked parts and tell other instances of sound ones.
 
--- a/features/gateway/crash_causes.feature
+++ b/features/gateway/crash_causes.feature
@@ -41,3 +41,8 @@
     Given a replay of requests that share one part at 6 entry instances
     When 5 engines crash at once under requests with the same parts
     Then no part is blocked
+
+  Scenario: An entry instance that has restarted learns which parts are blocked
+    Given an entry instance that has blocked the part "bad" after crashes of "system,bad"
+    When another one starts and connects to it 5 s later
+    Then that one blocks the part "bad" for 115 s and no other
--- a/features/steps/gateway_crash_causes.py
+++ b/features/steps/gateway_crash_causes.py
@@ -9,6 +9,7 @@
 from twisted.python import failure
 
 from bench import crashes
+from cicadaplank.messages import types
 from cicadaplank.requests import crash_causes
 from features.steps import gateway
 
@@ -169,3 +170,39 @@
 @behave.then("no part is blocked")
 def step_none_blocked(context):
     assert not context.causes.blocked, context.causes.blocked
+
+
+def causes(seed):
+    """Return the decision object of an entry instance."""
+    return crash_causes.CrashCauses(random.Random(seed))
+
+
+@behave.given(
+    'an entry instance that has blocked the part "{part}" after crashes of "{parts}"'
+)
+def step_blocking(context, part, parts):
+    context.causes = causes(1)
+    prompt = tuple(parts.split(","))
+    for number in range(3):
+        context.causes.record_crash(f"engine-{number}", [prompt], [], 10.0 + number)
+        context.causes.record_sound(prompt[:1], 10.5 + number)
+    context.causes.tick(13.0)
+    assert context.causes.blocked == [part], context.causes.blocked
+
+
+@behave.when("another one starts and connects to it 5 s later")
+def step_connects(context):
+    context.other = causes(2)
+    for message in context.causes.messages_for_new_peer(17.0):
+        if isinstance(message, types.CrashReport):
+            context.other.merge_crash(message, 1000.0)
+        else:
+            context.other.merge_sound(message, 1000.0)
+    context.other.tick(1000.0)
+
+
+@behave.then('that one blocks the part "{part}" for {duration_s:d} s and no other')
+def step_blocks(context, part, duration_s):
+    assert context.other.blocked == [part], context.other.blocked
+    left_s = context.other.blocked_for_s((part,), 1000.0)
+    assert abs(left_s - duration_s) < 0.01, left_s
