Count crashes of one request at several endpoints, and spare first parts longer

Cause: crashes closer to each other than 0.1 s counted as one. Change: 0.03 s, which still takes engines that go down at once together. A part with which prompts begin, which most requests share, is blocked after six crashes. Scenarios fix the limits.

--- a/cicadaplank/requests/crash_causes.py
+++ b/cicadaplank/requests/crash_causes.py
@@ -13,9 +13,12 @@
 
 # Number of crashes without a sound answer in between after which a part is blocked.
 CRASH_LIMIT = 3
+# The same for a part with which prompts begin. Most requests share one, so that a wrong
+# block costs most there.
+FIRST_PART_CRASH_LIMIT = 6
 # Crashes closer to each other count as one: engines of one host or rack go down at the
 # same time, and no sound answer can come in between.
-SAME_CAUSE_S = 0.1
+SAME_CAUSE_S = 0.03
 # Time for which a crash counts against the parts that were part of it.
 SUSPICION_S = 120.0
 # Time for which a part that was blocked is blocked again by a single crash.
@@ -279,31 +282,25 @@
     def _most_suspect(self, counted, crashes):
         """Return the part that is to be blocked next, or None.
 
-        It is the one with most crashes. Among equals it is one without any sound
-        answer, then the one that stands deepest in its prompts, which fewest requests
-        share.
+        It is one that was blocked before, if any, or the one with most crashes. Among
+        equals it is one without any sound answer, then the one that stands deepest in
+        its prompts, which fewest requests share.
         """
-        former = [part for part in counted if part in self._blocked_s]
-        most = max((counted[part] for part in former), default=0)
-        tied = [part for part in former if counted[part] == most]
-        if not tied:
-            most = max(counted.values(), default=0)
-            if most < CRASH_LIMIT:
-                return None
-            tied = [part for part in counted if counted[part] == most]
-        if len(tied) == 1:
-            return tied[0]
-
-        def order(part):
-            depths = (
+        found = []
+        for part, count in counted.items():
+            is_former = part in self._blocked_s
+            if count < CRASH_LIMIT and not is_former:
+                continue
+            depth = max(
                 prompt.index(part)
                 for crash in crashes
                 for prompt in (crash.begun or crash.waiting)
                 if part in prompt
             )
-            return part not in self._sound_s, max(depths, default=0), part
-
-        return max(tied, key=order)
+            if depth or is_former or count >= FIRST_PART_CRASH_LIMIT:
+                is_unsound = part not in self._sound_s
+                found.append((is_former, count, is_unsound, depth, part))
+        return max(found)[-1] if found else None
 
 
 def _valid_prompts(prompts):
--- a/features/gateway/crash_causes.feature
+++ b/features/gateway/crash_causes.feature
@@ -46,3 +46,15 @@
     Given an entry instance that has blocked the part "bad" after crashes of "system,bad"
     When another one starts and connects to it 5 s later
     Then that one blocks the part "bad" for 115 s and no other
+
+  Scenario Outline: A part with which prompts begin is blocked after <crashes> crashes: <blocked>
+    Given an entry instance that knows of no crash
+    When <crashes> engines crash in turn under requests with parts "<parts>"
+    Then the blocked parts are "<blocked>"
+
+    Examples:
+      | crashes | parts      | blocked |
+      | 5       | bad        | none    |
+      | 6       | bad        | bad     |
+      | 2       | system,bad | none    |
+      | 3       | system,bad | bad     |
--- a/features/steps/gateway_crash_causes.py
+++ b/features/steps/gateway_crash_causes.py
@@ -206,3 +206,22 @@
     assert context.other.blocked == [part], context.other.blocked
     left_s = context.other.blocked_for_s((part,), 1000.0)
     assert abs(left_s - duration_s) < 0.01, left_s
+
+
+@behave.given("an entry instance that knows of no crash")
+def step_no_crash(context):
+    context.causes = causes(1)
+
+
+@behave.when('{count:d} engines crash in turn under requests with parts "{parts}"')
+def step_in_turn(context, count, parts):
+    for number in range(count):
+        now_s = 10.0 + number
+        prompts = [tuple(parts.split(","))]
+        context.causes.record_crash(f"engine-{number}", prompts, [], now_s)
+    context.causes.tick(now_s)
+
+
+@behave.then('the blocked parts are "{parts}"')
+def step_blocked_parts(context, parts):
+    assert context.causes.blocked == [p for p in parts.split(",") if p != "none"]
