Play shared parts that crash servers, revoked keys and clients that leave in the soak

Additional events of each seed: clients whose prompts share a part under which servers crash, two revocations, and silence of the store towards single entries. Clients that leave early run beside them. Checked: a part that has crashed five servers is not sent more than three times later than 3 s after; a revoked key is not valid again at an entry that has rejected it, nor anywhere once the faults have ended; nothing is sent 3 s after its client left.

--- a/features/steps/soak_seeds.py
+++ b/features/steps/soak_seeds.py
@@ -3,13 +3,15 @@
 import behave
 
 from soak import __main__ as soak_command
-from soak import fleet, plan
+from soak import fleet
 
 
 @behave.when("the soak plays seed {seed:d} with {faults:d} faults in {length_s:d} s")
 def step_play(context, seed, faults, length_s):
-    modes = soak_command.regressions().get(seed, plan.MODES)
-    context.violations, context.requests = fleet.play(seed, length_s, faults, modes)
+    arguments = soak_command.regressions().get(seed, {"has_extras": True})
+    context.violations, context.requests = fleet.play(
+        seed, length_s, faults, **arguments
+    )
 
 
 @behave.then("nothing that must hold was violated in at least {count:d} requests")
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,12 +26,20 @@
 
 
 def regressions():
-    """Return a dict from each seed that failed once to the modes it was drawn from.
+    """Return the arguments of :func:`soak.fleet.play` for each seed that failed once.
 
-    Later modes would change what such a seed plays.
+    Later modes and additional events would change what such a seed plays.
+
+    :returns: dict from seed to a dict with ``modes`` and ``has_extras``.
     """
     entries = json.loads(REGRESSIONS.read_text())
-    return {entry["seed"]: plan.MODES[: entry["modes"]] for entry in entries}
+    return {
+        entry["seed"]: {
+            "modes": plan.MODES[: entry["modes"]],
+            "has_extras": entry.get("extras", False),
+        }
+        for entry in entries
+    }
 
 
 def main(seeds="regressions", seconds=8.0, faults=12):
@@ -48,10 +56,11 @@
         chosen = range(first, first + int(str(seeds).partition("-")[2]))
     else:
         chosen = numbers(seeds)
-    modes = regressions() if seeds == "regressions" else {}
+    arguments = regressions() if seeds == "regressions" else {}
     failed = 0
     for seed in chosen:
-        found, count = fleet.play(seed, seconds, faults, modes.get(seed, plan.MODES))
+        chosen_arguments = arguments.get(seed, {"has_extras": True})
+        found, count = fleet.play(seed, seconds, faults, **chosen_arguments)
         failed += bool(found)
         print(f"seed {seed}: {count} requests, {len(found)} violations", flush=True)
         for text in found[:10]:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,11 @@
 # A server that is marked as leaving gets nothing new after this time.
 DRAIN_S = 3.0
 RETRY_SHARE, RETRY_ALLOWANCE = 0.2, 100
+# A link may hold a request back for 2.5 s.
+GONE_S = 3.0
+# A part that has crashed this many servers is not sent more often than allowed later
+# than this.
+JUDGED_CRASH, POISON_S, MAX_LATE_POISON = 5, 3.0, 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,6 +28,7 @@
     :param version: configuration whose path was asked for.
     :param sent_s: steady time of the sending.
     :param ended_s: steady time of the end.
+    :param key: API key.
     """
 
     request: str
@@ -36,6 +42,7 @@
     version: int
     sent_s: float
     ended_s: float
+    key: str = "key-1"
 
 
 def _answers(seen):
@@ -94,6 +101,42 @@
             )
 
 
+def _revocations(seen, after, revoked):
+    """Check that a revoked key is never valid again, and nowhere once faults ended."""
+    for each in after:
+        if each.key in revoked and each.status == 200:
+            yield f"revoked keys: entry {each.entry} took {each.key} after the faults"
+    known = collections.defaultdict(list)
+    for each in sorted(seen, key=lambda each: each.ended_s):
+        place = each.entry, each.life, each.key
+        if each.status == 401:
+            known[place].append(each.ended_s)
+        elif each.status == 200 and any(at_s < each.sent_s for at_s in known[place]):
+            yield f"revoked keys: entry {each.entry} took {each.key} again"
+
+
+def _gone(ledger, left):
+    """Check that nothing is sent on long after its client left."""
+    left_s = {each.request: each.left_s for each in left}
+    late = [
+        arrival.at_s - left_s[arrival.request]
+        for arrival in ledger.arrivals
+        if arrival.at_s > left_s.get(arrival.request, float("inf")) + GONE_S
+    ]
+    if late:
+        yield f"clients that left: {len(late)} requests up to {max(late):.1f} s later"
+
+
+def _poisoned(ledger, crashes_s):
+    """Check that a part which crashes servers is not sent on for long."""
+    if len(crashes_s) < JUDGED_CRASH:
+        return
+    bound_s = sorted(crashes_s)[JUDGED_CRASH - 1] + POISON_S
+    late = [a for a in ledger.arrivals if a.is_bad and a.at_s > bound_s]
+    if len(late) > MAX_LATE_POISON:
+        yield f"blocked parts: {len(late)} sends, {len(crashes_s)} crashes"
+
+
 def _leaving(ledger, drained):
     for arrival in ledger.arrivals:
         since_s = drained.get(arrival.server)
@@ -110,8 +153,9 @@
         yield f"retry budget: {repeats} repeats of {len(seen)} requests"
 
 
-def _served(seen):
+def _served(seen, revoked):
     """Check that requests are answered once every fault has ended."""
+    seen = [each for each in seen if each.key not in revoked]
     answered = sum(1 for each in seen if each.status == 200 and each.is_whole)
     if answered < 0.9 * len(seen):
         others = collections.Counter(
@@ -125,13 +169,28 @@
         )
 
 
-def violations(seen, after, ledger, drained):
+@dataclasses.dataclass(frozen=True)
+class Extras:
+    """What the additional events did.
+
+    :param revoked: set of the revoked keys.
+    :param left: list of :class:`soak.extras.Left`.
+    :param crashes_s: list of the steady times at which servers crashed.
+    """
+
+    revoked: set
+    left: list
+    crashes_s: list
+
+
+def violations(seen, after, ledger, drained, extras):
     """Return what did not hold, as texts that begin with the property.
 
     :param seen: list of :class:`Seen` during the faults.
     :param after: the same, after their end.
     :param ledger: :class:`soak.servers.Ledger`.
     :param drained: dict from server to the time at which its row said it leaves.
+    :param extras: :class:`Extras`.
     """
     runs = ledger.runs()
     every = [*seen, *after]
@@ -143,5 +202,8 @@
         *_configurations(every),
         *_leaving(ledger, drained),
         *_budget(every, ledger),
-        *_served(after),
+        *_revocations(every, after, extras.revoked),
+        *_gone(ledger, extras.left),
+        *_poisoned(ledger, extras.crashes_s),
+        *_served(after, extras.revoked),
     ]
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -31,6 +31,7 @@
         self._rng = random.Random(f"{fleet.seed}-{name}")
         self._connections = {}
         self._count = 0
+        self._key_rng = random.Random(f"{fleet.seed}-{name}-keys")
 
     def run(self):
         """Send requests until the end."""
@@ -49,8 +50,9 @@
         version = self._fleet.version - self._rng.choice((0, 0, 1))
         life, address = process.life, process.front
         events = EVENTS if kind == "stream" else 0
+        key = self._key_rng.choice(("key-1",) * 12 + self._fleet.extra_keys)
         sent_s = time.monotonic()
-        status, body, whole = self._ask(address, version, kind, request, events)
+        status, body, whole = self._ask(address, version, kind, request, events, key)
         self.seen.append(
             checks.Seen(
                 request,
@@ -65,17 +67,19 @@
                 version,
                 sent_s,
                 time.monotonic(),
+                key,
             )
         )
 
-    def _ask(self, address, version, kind, request, events):
+    def _ask(self, address, version, kind, request, events, key):
         connection = self._connections.get(address)
         if connection is None:
             connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
             self._connections[address] = connection
         headers = {
             "Host": "host.example",
-            "Authorization": "Bearer key-1",
+            "Authorization": f"Bearer {key}",
+            "X-Prefix-Hash": f"system:10,document-{self._count % 3}:10,{request}:10",
             "X-Attempt-Id": request,
             "X-Deadline-Ms": str(int(TIMEOUT_S * 1000)),
         }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,7 +12,7 @@
 import threading
 import time
 
-from soak import checks, clients, links, plan, servers
+from soak import checks, clients, extras, links, plan, servers
 from standins import rowstore
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -23,6 +23,8 @@
 # After the last fault ends: ejections last up to 8 s.
 SETTLE_S = 4.0
 AFTER_S = 2.0
+# Time after which a crashed server is replaced.
+RESTART_S = 1.0
 
 
 def _free_port():
@@ -31,8 +33,12 @@
         return sock.getsockname()[1]
 
 
-def configuration(version):
-    """Return a configuration that knows the paths of its version and all before."""
+def configuration(version, keys=()):
+    """Return a configuration that knows the paths of its version and all before.
+
+    :param version: its number.
+    :param keys: further API keys.
+    """
     kinds = {
         "once": ("non_idempotent", False),
         "free": ("idempotent", False),
@@ -59,7 +65,7 @@
         "routes": routes,
         "services": [{"name": SERVICE, "health_path": "/h", "max_conns": 60}],
         "limits": {},
-        "tenants": [{"name": "tenant-1", "api_keys": ["key-1"]}],
+        "tenants": [{"name": "tenant-1", "api_keys": ["key-1", *keys]}],
     }
 
 
@@ -158,10 +164,16 @@
 
     :param seed: integer.
     :param folder: folder for settings and logs.
+    :param has_extras: whether the additional events and clients are played.
     """
 
-    def __init__(self, seed, folder):
+    def __init__(self, seed, folder, has_extras):
         self.seed = seed
+        self._has_extras = has_extras
+        self.extra_keys = extras.KEYS if has_extras else ()
+        self._keys = list(self.extra_keys)
+        self._crashes_s = []
+        self._left = []
         # The newest configuration, and the newest whose paths clients ask for.
         self._newest = self.version = 2
         self._naming = threading.Lock()
@@ -169,8 +181,11 @@
         self.drained = {}
         self._busy = []
         self._store = rowstore.RowStore()
-        self._store.put("op", "config", configuration(self.version))
-        self._store_link = links.Link((rowstore.LOOPBACK, self._store.server_port))
+        self._store.put("op", "config", configuration(self.version, self._keys))
+        self._store_links = [
+            links.Link((rowstore.LOOPBACK, self._store.server_port))
+            for _ in range(ENTRIES)
+        ]
         self.servers, self.links = [], []
         for number in range(SERVERS):
             self._add_server(number)
@@ -178,12 +193,13 @@
         hosts = [f"127.0.0.{number + 2}" for number in range(ENTRIES)]
         seeds = [(host, port) for host in hosts]
         self.entries = [
-            EntryProcess(folder, f"edge-{n}", host, self._store_link.address, seeds)
-            for n, host in enumerate(hosts)
+            EntryProcess(folder, f"edge-{n}", host, link.address, seeds)
+            for n, (host, link) in enumerate(zip(hosts, self._store_links, strict=True))
         ]
 
     def _add_server(self, number):
         server = servers.Server(f"i-{number}", self.ledger)
+        server.crash = self._crash
         link = links.Link((servers.LOOPBACK, server.server_port))
         self.servers.append(server)
         self.links.append(link)
@@ -205,13 +221,18 @@
         for entry in self.entries:
             entry.start()
         self._wait_ready()
-        seen = self._load(
-            "faults", lambda: self._play(plan.draw(self.seed, length_s, count, modes))
-        )
+        events = plan.draw(self.seed, length_s, count, modes)
+        if self._has_extras:
+            events += plan.draw_extras(self.seed, length_s)
+            events.sort(key=lambda event: event.at_s)
+        seen = self._load("faults", lambda: self._play(events))
         self._wait_ready()
         time.sleep(SETTLE_S)
         after = self._load("after", lambda: time.sleep(AFTER_S))
-        return checks.violations(seen, after, self.ledger, self.drained), len(seen)
+        revoked = set(self.extra_keys) - set(self._keys)
+        found = checks.Extras(revoked, self._left, self._crashes_s)
+        violations = checks.violations(seen, after, self.ledger, self.drained, found)
+        return violations, len(seen)
 
     def _wait_ready(self):
         deadline_s = time.monotonic() + READY_S
@@ -223,9 +244,14 @@
 
     def _load(self, name, function):
         running = [clients.Client(f"{name}-{n}", self) for n in range(CLIENTS)]
+        leavers = extras.Leavers(f"leaver-{name}", self)
+        if self._has_extras:
+            leavers.start()
         for client in running:
             client.start()
         function()
+        leavers.is_ending = True
+        self._left += leavers.left
         for client in running:
             client.is_ending = True
         for client in running:
@@ -291,15 +317,55 @@
         self._store.is_down = False
 
     def _store_silent(self, event):
-        self._store_link.silent.add("back")
+        for link in self._store_links:
+            link.silent.add("back")
         time.sleep(event.for_s)
-        self._store_link.silent.discard("back")
+        for link in self._store_links:
+            link.silent.discard("back")
+
+    def _store_partial(self, event):
+        link = self._store_links[event.target % ENTRIES]
+        link.silent.add("back")
+        time.sleep(event.for_s)
+        link.silent.discard("back")
+
+    def _poison(self, event):
+        clients = [extras.Poisoners(f"poison-{n}", self) for n in range(2)]
+        for client in clients:
+            client.start()
+        time.sleep(event.for_s + checks.POISON_S)
+        for client in clients:
+            client.is_ending = True
+
+    def _crash(self, server):
+        """Let a server crash; another one replaces it."""
+        number = self.servers.index(server)
+        with self._naming:
+            if server.has_crashed:
+                return
+            server.has_crashed = True
+            self._crashes_s.append(time.monotonic())
+        self.links[number].stop()
+        self._list(number, "crashed")
+        threading.Timer(RESTART_S, self._replace).start()
+
+    def _replace(self):
+        with self._naming:
+            self._add_server(len(self.servers))
+
+    def _revoke(self, event):
+        with self._naming:
+            if not self._keys:
+                return
+            self._keys.pop(event.target % len(self._keys))
+            self._newest += 1
+            self._store.put("op", "config", configuration(self._newest, self._keys))
 
     def _configuration(self, event):
         with self._naming:
             self._newest += 1
             named = self._newest
-            self._store.put("op", "config", configuration(named))
+            self._store.put("op", "config", configuration(named, self._keys))
         # Clients use the new paths once a change has to be in force.
         time.sleep(2.0)
         self.version = max(self.version, named)
@@ -318,21 +384,22 @@
         """End every process and port."""
         for entry in self.entries:
             entry.stop()
-        for link in (*self.links, self._store_link):
+        for link in (*self.links, *self._store_links):
             link.stop()
         for server in (*self.servers, self._store):
             server.shutdown()
             server.server_close()
 
 
-def play(seed, length_s, count, modes=plan.MODES):
+def play(seed, length_s, count, modes=plan.MODES, has_extras=False):
     """Play one seed from the start to the end.
 
     :param modes: modes of servers that are drawn from.
+    :param has_extras: whether the additional events and clients are played.
     :returns: list of violations and the number of requests.
     """
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(seed, pathlib.Path(folder))
+        fleet = Fleet(seed, pathlib.Path(folder), has_extras)
         try:
             return fleet.run(length_s, count, modes)
         finally:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -34,6 +34,11 @@
 )
 
 
+# Drawn in addition to the others, from a generator of their own: the plans of the seeds
+# that failed before they existed stay as they were.
+EXTRA_KINDS = ("poison", "revoke", "revoke", "store_partial", "store_partial")
+
+
 @dataclasses.dataclass(frozen=True)
 class Event:
     """One fault or change.
@@ -76,3 +81,18 @@
             again_s = min(length_s, at_s + rng.choice((0.0, 0.3, 1.5)))
             found.append(Event(again_s, kind, rng.randrange(100), for_s, detail))
     return sorted(found[:count], key=lambda event: event.at_s)
+
+
+def draw_extras(seed, length_s):
+    """Draw the additional events of a seed, in a series that may overlap.
+
+    :param seed: integer.
+    :param length_s: time in which they begin.
+    :returns: list of :class:`Event`.
+    """
+    rng = random.Random(f"{seed}-extras")
+    return [
+        Event(rng.uniform(0.3, length_s), kind, rng.randrange(100), for_s, "")
+        for kind in EXTRA_KINDS
+        for for_s in (rng.uniform(1.0, 3.0),)
+    ]
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -10,7 +10,7 @@
 import time
 import zlib
 
-from soak import links
+from soak import extras, links
 
 LOOPBACK = "127.0.0.1"
 EVENT_GAP_S = 0.01
@@ -29,12 +29,14 @@
     :param server: server name.
     :param at_s: steady time.
     :param ran: whether it was run.
+    :param is_bad: whether its prompt has the part that crashes servers.
     """
 
     request: str
     server: str
     at_s: float
     ran: bool
+    is_bad: bool = False
 
 
 class Ledger:
@@ -44,10 +46,11 @@
         self.arrivals = []
         self._lock = threading.Lock()
 
-    def add(self, request, server, ran):
+    def add(self, request, server, ran, is_bad=False):
         """Write down an arrival."""
+        arrival = Arrival(request, server, time.monotonic(), ran, is_bad)
         with self._lock:
-            self.arrivals.append(Arrival(request, server, time.monotonic(), ran))
+            self.arrivals.append(arrival)
 
     def runs(self):
         """Return the number of runs by request."""
@@ -75,6 +78,9 @@
         self.ledger = ledger
         self.mode = "ok"
         self.delay_s = 0.02
+        self.has_crashed = False
+        # Called with this server when it crashes.
+        self.crash = lambda server: None
         super().__init__((LOOPBACK, 0), _Handler)
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
@@ -98,11 +104,15 @@
             self._answer(421, b"")
             return
         runs = server.mode != "refuse"
-        server.ledger.add(request, server.name, runs)
+        is_bad = extras.BAD_PART in self._parts()
+        server.ledger.add(request, server.name, runs, is_bad)
         if not runs:
             self._answer(503, b"", [("X-Not-Executed", "1")])
             return
         time.sleep(server.delay_s)
+        if is_bad:
+            self._begin_and_crash()
+            return
         if server.mode == "reset":
             self._break_off()
         elif server.mode == "hang":
@@ -129,6 +139,19 @@
                 self.close_connection = True
                 self.wfile.write(b"\x00\x01 garbage")
 
+    def _parts(self):
+        """Return the parts of the prompt that other requests may share."""
+        entries = self.headers.get("X-Prefix-Hash", "").split(",")[:-1]
+        return [entry.partition(":")[0] for entry in entries]
+
+    def _begin_and_crash(self):
+        self.send_response(200)
+        self._head()
+        self.send_header("Content-Type", "text/event-stream")
+        self._send_framing("chunks", 0)
+        self.close_connection = True
+        self.server.crash(self.server)
+
     def _send_endless(self, first, unit):
         self.close_connection = True
         self.wfile.write(first)
