Do not count sound streams as part of a crash

Callers saw: nothing; found in the read-through. Cause: a stream that had gone on for seconds when its endpoint crashed was reported among the prompts whose answers had just begun, so that its parts were suspected until the next sound answer; and an answer with a client error, or one that ended with its connection, was taken for a sound one. Change: streams that have gone on for 0.5 s are left out of a crash, and only a whole successful answer with a length or chunks counts as sound. The new scenario states the limit of 0.5 s. It passes without the change as well, since each later stream cleared its parts before the crash: it guards the limit, and does not prove the change.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -149,6 +149,13 @@
         """Whether the answer to the last attempt has begun."""
         return self._answer_began_s is not None
 
+    def is_sound(self, now_s):
+        """Tell whether the last attempt was answered for :data:`SOUND_STREAM_S`.
+
+        :param now_s: current time in seconds.
+        """
+        return self.has_begun and now_s - self._answer_began_s >= SOUND_STREAM_S
+
     def block(self, after_s, now_s):
         """End the call unless a part of its answer was forwarded.
 
@@ -431,7 +438,7 @@
                 self.longest_gap_s = max(self.longest_gap_s, gap_s)
             self._last_event_s = self._last_activity_s = now_s
             self._forward(b"".join(forwarded))
-            if now_s - self._answer_began_s >= SOUND_STREAM_S:
+            if self.is_sound(now_s):
                 self._gateway.record_sound(self)
         self._gateway.buffers.set_held(self, self._splitter.rest_bytes)
 
@@ -497,7 +504,8 @@
             if not self._claims_not_run(head):
                 state.record_answer(now_s)
                 self._observe_answer(now_s)
-                self._gateway.record_sound(self)
+                if self._is_valid_success(head):
+                    self._record_sound(end)
                 self._finish("answered", verdicts.Verdict.RAN)
                 self._client.reply(head, bytes(self._body))
                 return
@@ -524,14 +532,20 @@
         rest = self._splitter.rest
         self._splitter = None
         state.record_answer(now_s)
-        # Without a length and chunks it ends in the same way when its endpoint crashes.
-        if end.framing is not framing.Framing.CLOSE:
-            self._gateway.record_sound(self)
+        self._record_sound(end)
         if rest or not self._stream_began:
             self._forward(rest)
         self._finish("answered", verdicts.Verdict.RAN)
         self._client.end_stream()
 
+    def _record_sound(self, end):
+        """Record a whole answer, as evidence that its prompt crashes no endpoint.
+
+        Without a length and chunks it ends in the same way when its endpoint crashes.
+        """
+        if end.framing is not framing.Framing.CLOSE:
+            self._gateway.record_sound(self)
+
     def _stream_fault(self, end):
         """Return why a stream whose answer has ended is not whole, empty if it is.
 
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -533,9 +533,10 @@
         """
         if not call.fingerprint:
             call.fingerprint = self._fingerprint(call.request, call.admitted)
-        if call.shared_parts:
+        now_s = self.now_s()
+        if call.shared_parts and not call.is_sound(now_s):
             attempts = self._broken_attempts.setdefault(state, [])
-            attempts.append((self.now_s(), call.shared_parts, call.has_begun))
+            attempts.append((now_s, call.shared_parts, call.has_begun))
             del attempts[:-MAX_BROKEN_ATTEMPTS]
         name = state.endpoint.name
         sent = self.suspects.record_crash(call.fingerprint, name, self.unix_s())
--- a/features/gateway/crash_causes.feature
+++ b/features/gateway/crash_causes.feature
@@ -17,6 +17,18 @@
       | with both, the first one     | 3       | other | system        | sent                  |
       | with them, but were answered | 3       | bad   | system,bad    | sent                  |
 
+  Scenario Outline: Endpoints that crash <after> s after they have begun to answer
+    Given a gateway with 2 endpoints and a route that streams once
+    And sound requests with parts "system,other" are answered between crashes
+    When 3 endpoints crash <after> s after they began to answer parts "system,bad"
+    Then a request with parts "system,bad" is <outcome>
+
+    # A part crashes endpoints as they begin; a stream that has gone on is sound.
+    Examples:
+      | after | outcome             |
+      | 0.2   | answered 503 unsent |
+      | 0.7   | sent                |
+
   Scenario: A call with a part that is blocked while it waits is not sent
     Given a gateway with 2 endpoints and a route that streams once
     And sound requests with parts "system,other" are answered between crashes
--- a/features/steps/gateway_crash_causes.py
+++ b/features/steps/gateway_crash_causes.py
@@ -56,10 +56,13 @@
     raise AssertionError(f"{body} was not sent")
 
 
-def crash(world, protocol):
+def crash(world, protocol, after_s=0.0):
     """Let the endpoint of a connection begin an answer, crash and start anew."""
     host = next(host for host, made, _ in world.sent if made is protocol)
     protocol.dataReceived(gateway.stream_head())
+    for number in range(round(after_s / 0.1)):
+        protocol.dataReceived(gateway.chunk(gateway.event(number + 1)))
+        world.run(0.1)
     gateway.lose(protocol, error.ConnectionDone())
     refuse(world)
     for name, endpoint in list(world.listed.items()):
@@ -69,10 +72,10 @@
     world.gateway.set_endpoints(world.listed, False)
 
 
-def crash_once(world, parts):
+def crash_once(world, parts, after_s=0.0):
     """Send a request under which its endpoint crashes, and wait for the restart."""
     body = send(world, parts)
-    crash(world, take_call(world, body))
+    crash(world, take_call(world, body), after_s)
     world.run(RESTART_S)
     take_connections(world)
 
@@ -98,6 +101,15 @@
         answer_once(context.world, context.sound)
 
 
+@behave.when(
+    '{count:d} endpoints crash {after_s:f} s after they began to answer parts "{parts}"'
+)
+def step_crash_later(context, count, after_s, parts):
+    for _ in range(count):
+        crash_once(context.world, parts.split(","), after_s)
+        answer_once(context.world, context.sound)
+
+
 @behave.when('a request with parts "{parts}" waits during another crash')
 def step_waits(context, parts):
     world = context.world
