Keep in mind that an endpoint leaves whose record says ready again

Callers saw: a request reached an endpoint that had said that it leaves (DRAIN).

Cause: what an endpoint says in an answer is kept for its run, but what it says in its record was read anew with each record. A heartbeat whose answer the store lost may be written seconds later, with the state "ready"; a record that is gone and comes back says so too. Calls were then sent to the leaving endpoint again.

Proof: on "The row of an endpoint says that it leaves, and then is written again" and "... and then goes and comes back" fail: ASSERT FAILED: ('10.0.0.1', EndpointConnection, Transport), a sent call.

Idle connections are closed and waiting calls that nothing else can serve are refused at once. The log line and the counter tell the two sources apart.

--- a/cicadaplank/gateway/endpoints.py
+++ b/cicadaplank/gateway/endpoints.py
@@ -73,6 +73,18 @@
         return self.name, self.host, self.port, self.started_ms
 
 
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """What a new list of endpoints has changed.
+
+    :param removed: tuple of the removed :class:`EndpointState`.
+    :param leaving: tuple of those whose record is the first to say that they leave.
+    """
+
+    removed: tuple
+    leaving: tuple
+
+
 class EndpointState:
     """An endpoint with the load and failures that this entry instance has observed.
 
@@ -298,41 +310,45 @@
     def update(self, listed, now_s, keep_missing=False):
         """Apply a new list of endpoints.
 
-        An endpoint that was started anew is replaced by a new state.
+        An endpoint that was started anew is replaced by a new state. One whose record
+        says that it is draining has said that it leaves, whatever its record says
+        later: a delayed write may bring an older record back.
 
         :param listed: dict from name to :class:`Endpoint`.
         :param now_s: current time in seconds.
         :param keep_missing: keep missing endpoints for :data:`MISSING_GRACE_S`, since
             the store is in an outage or has just recovered from one.
-        :returns: tuple of the removed :class:`EndpointState`.
+        :returns: :class:`Changes`.
         """
-        removed = []
+        removed, leaving = [], []
         for name, endpoint in listed.items():
             state = self._states.get(name)
             if state and state.endpoint.identity != endpoint.identity:
                 removed.append(self._remove(state))
                 state = None
             if state is None:
-                self._add(EndpointState(endpoint))
-                continue
-            if state.endpoint.service != endpoint.service:
+                state = self._add(EndpointState(endpoint))
+            elif state.endpoint.service != endpoint.service:
                 self._services[state.endpoint.service].pop(name, None)
                 self._services[endpoint.service][name] = state
             state.set_endpoint(endpoint)
             state.missing_since_s = None
+            if endpoint.is_draining and self.record_leaving(state, now_s):
+                leaving.append(state)
         for name in set(self._states) - set(listed):
             state = self._states[name]
             if state.missing_since_s is None:
                 state.missing_since_s = now_s
             if not keep_missing or now_s - state.missing_since_s > MISSING_GRACE_S:
                 removed.append(self._remove(state))
-        return tuple(removed)
+        return Changes(tuple(removed), tuple(leaving))
 
     def _add(self, state):
         self.counts["added"] += 1
         state.word = self.announcements.of(state.endpoint.identity)
         self._states[state.endpoint.name] = state
         self._services[state.endpoint.service][state.endpoint.name] = state
+        return state
 
     def _remove(self, state):
         self.counts["removed"] += 1
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -206,13 +206,17 @@
         :param keep_missing: whether missing endpoints are kept for a while, since their
             records may have expired during an outage of the store.
         """
-        for state in self.endpoints.update(listed, self.now_s(), keep_missing):
+        now_s = self.now_s()
+        changes = self.endpoints.update(listed, now_s, keep_missing)
+        for state in changes.removed:
             name = state.endpoint.name
             self._reporter.event("endpoint_gone", endpoint=name)
             self._broken_attempts.pop(state, None)
             pool = self._pools.pop(state.endpoint.identity, None)
             if pool is not None:
                 pool.close()
+        for state in changes.leaving:
+            self._report_leaving(state, now_s, "")
         for service in list(self._queues):
             self.dispatch(service)
 
@@ -664,7 +668,11 @@
             )
         now_s = self.now_s()
         if head.is_leaving and self.endpoints.record_leaving(state, now_s):
-            self._report_leaving(call, state, now_s)
+            self._report_leaving(state, now_s, call.name)
+            if not state.word.is_said_to_leave(now_s):
+                endpoint = state.endpoint
+                report = types.LeavingReport(endpoint.name, endpoint.started_ms, 0.0)
+                self.broadcast(report, "")
         if head.busy_for_s is not None:
             for_s = self.endpoints.record_busy(state, head.busy_for_s, now_s)
             if for_s:
@@ -678,18 +686,26 @@
                 )
                 self._refuse_all_unservable(state.endpoint.service, now_s)
 
-    def _report_leaving(self, call, state, now_s):
+    def _report_leaving(self, state, now_s, request):
+        """Report that an endpoint leaves, and end what depends on it.
+
+        :param state: :class:`cicadaplank.gateway.endpoints.EndpointState`.
+        :param now_s: current time in seconds.
+        :param request: name of the call whose answer says so, empty when it is the
+            endpoint's record.
+        """
         endpoint = state.endpoint
-        self._reporter.count("endpoints_leaving", service=endpoint.service)
+        self._reporter.count(
+            "endpoints_leaving",
+            service=endpoint.service,
+            source="answer" if request else "record",
+        )
         self._reporter.state_event(
             "endpoint_leaving",
-            request=call.name,
+            request=request,
             endpoint=endpoint.name,
             calls=state.in_flight,
         )
-        if not state.word.is_said_to_leave(now_s):
-            report = types.LeavingReport(endpoint.name, endpoint.started_ms, 0.0)
-            self.broadcast(report, "")
         pool = self._pools.get(endpoint.identity)
         if pool is not None:
             pool.drop_idle()
--- a/features/gateway/announcements.feature
+++ b/features/gateway/announcements.feature
@@ -43,6 +43,22 @@
       | tells of a new run      | is sent                 |
       | names another endpoint  | is sent                 |
 
+  @always_4
+  Scenario Outline: The row of an endpoint says that it leaves, and then <change>
+    Given a gateway with 1 endpoints and a route that may repeat
+    And the endpoint started at 3
+    When its row says that it leaves
+    And its row <change>
+    Then a further call <outcome>
+
+    # A heartbeat whose answer the store has lost may be written seconds later.
+    Examples:
+      | change                  | outcome                 |
+      | is written again        | is answered 503 at once |
+      | goes and comes back     | is answered 503 at once |
+      | tells of a new run      | is sent                 |
+      | names another endpoint  | is sent                 |
+
   Scenario Outline: Another entry instance says that an endpoint leaves, <about>
     Given a gateway with <count> endpoints and a route that may repeat
     When a peer says <age> s after it that the endpoint "x" started at <started> leaves
--- a/features/steps/gateway_announcements.py
+++ b/features/steps/gateway_announcements.py
@@ -140,6 +140,20 @@
         assert gateway.status_of(got) == 503 and b"Retry-After" in got, got
 
 
+@behave.given("the endpoint started at {started_ms:d}")
+def step_started(context, started_ms):
+    world = context.world
+    world.listed["x"] = dataclasses.replace(world.listed["x"], started_ms=started_ms)
+    world.gateway.set_endpoints(world.listed, False)
+
+
+@behave.when("its row says that it leaves")
+def step_row_leaves(context):
+    world = context.world
+    leaving = dataclasses.replace(world.listed["x"], is_draining=True)
+    world.gateway.set_endpoints({"x": leaving}, False)
+
+
 @behave.when("its row {change}")
 def step_row(context, change):
     world = context.world
