Take a record without a valid start for no new run of its endpoint

Callers saw: a request reached an endpoint that had said that it leaves (DRAIN).

Cause: what an endpoint has said is kept by run, and the run is told by the start in its record. A record of another writer that lacks the field, or has `true` or a fraction there, gave another start, so that the word was lost and calls went to the endpoint again.

Proof: before the change "The row of an endpoint says that it leaves, and then tells no start" fails: ASSERT FAILED: ('10.0.0.1', EndpointConnection, Transport); "A server's row with a start that is a text", "... true" and "... with a fraction" fail: such rows named an endpoint.

Change: a record without a start keeps the start that is known; one with a start that is no whole number names no endpoint, as the platform's page says.

--- a/cicadaplank/gateway/endpoints.py
+++ b/cicadaplank/gateway/endpoints.py
@@ -323,6 +323,11 @@
         removed, leaving = [], []
         for name, endpoint in listed.items():
             state = self._states.get(name)
+            if state and not endpoint.started_ms:
+                # A record without a start does not tell of a new run.
+                endpoint = dataclasses.replace(
+                    endpoint, started_ms=state.endpoint.started_ms
+                )
             if state and state.endpoint.identity != endpoint.identity:
                 removed.append(self._remove(state))
                 state = None
--- a/cicadaplank/platform/rows.py
+++ b/cicadaplank/platform/rows.py
@@ -172,11 +172,21 @@
         slots=int(value.get("slots") or 1),
         is_draining=value["state"] == DRAINING,
         weights=served_versions(value),
-        started_ms=int(value.get("born") or 0),
+        started_ms=_parse_start_ms(value.get("born", 0)),
         warm_up_s=float(value.get("warmup_left_ms") or 0) / 1000.0,
     )
 
 
+def _parse_start_ms(value):
+    """Return the start of a server's run in Unix milliseconds, 0 when it is not told.
+
+    :raises TypeError: when it is not a whole number; another writer wrote the row.
+    """
+    if type(value) is not int:
+        raise TypeError(f"born is {value!r}, expected a whole number")
+    return value
+
+
 def served_versions(value):
     """Return the versions of the weights that a server has completely loaded.
 
--- a/features/gateway/announcements.feature
+++ b/features/gateway/announcements.feature
@@ -56,6 +56,7 @@
       | change                  | outcome                 |
       | is written again        | is answered 503 at once |
       | goes and comes back     | is answered 503 at once |
+      | tells no start          | is answered 503 at once |
       | tells of a new run      | is sent                 |
       | names another endpoint  | is sent                 |
 
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -10,6 +10,9 @@
       | row                       | use       |
       | nothing unusual           | used      |
       | the state draining        | leaving   |
+      | a start that is a text    | not used  |
+      | a start that is true      | not used  |
+      | a start with a fraction   | not used  |
       | an unknown state          | not used  |
       | an unknown service        | not used  |
       | no address                | not used  |
--- a/features/steps/gateway_announcements.py
+++ b/features/steps/gateway_announcements.py
@@ -162,6 +162,8 @@
         world.gateway.set_endpoints({}, False)
     elif change == "tells of a new run":
         endpoint = dataclasses.replace(endpoint, started_ms=5)
+    elif change == "tells no start":
+        endpoint = dataclasses.replace(endpoint, started_ms=0)
     elif change == "names another endpoint":
         endpoint = dataclasses.replace(endpoint, name="z")
     world.gateway.set_endpoints({endpoint.name: endpoint}, False)
--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -86,6 +86,12 @@
         value["address"] = "10.0.0.1:http"
     elif row == "a zone of another type":
         value["zone"] = 7
+    elif row == "a start that is a text":
+        value["born"] = "1792322763233"
+    elif row == "a start that is true":
+        value["born"] = True
+    elif row == "a start with a fraction":
+        value["born"] = 1792322763233.5
     elif row == "fields that are unknown":
         value["mood"] = ["good"]
     raw = json.dumps(value).encode()
