Close every connection to an endpoint that leaves, and test four mechanisms

"Connections to an endpoint that leaves are closed" fails before: the connection on which the endpoint said so was kept open and idle, one of the few that it accepts.

Cause: idle connections were closed when the word was read, and the connection that brought it became idle later.

Change: the pool is closed, which also closes connections in use as they end.

Four mechanisms could be taken out without a failing scenario. Each now fails when taken out: the busy time looked at after a dial; the closed connections; the word for other entry instances; the longer of two named times.

--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -712,7 +712,7 @@
         )
         pool = self._pools.get(endpoint.identity)
         if pool is not None:
-            pool.drop_idle()
+            pool.close()
         self._refuse_all_unservable(endpoint.service, now_s)
 
     def merge_leaving(self, peer, report):
--- a/features/gateway/announcements.feature
+++ b/features/gateway/announcements.feature
@@ -30,6 +30,17 @@
       | 2     | waiting | waits                   |
       | 1     | dialled | is answered 503 at once |
 
+  Scenario: Connections to an endpoint that leaves are closed
+    Given a gateway with 1 endpoints and a route that may repeat
+    When two calls are answered, the second with "Server-Leaving: 1"
+    Then no connection to the endpoint stays open
+
+  Scenario: An endpoint says to one entry instance that it leaves
+    Given a gateway with 2 endpoints and a route that may repeat
+    When an endpoint gives a whole answer with "Server-Leaving: 1"
+    Then the instance tells the others once that it leaves
+    And one that is told sends its next call to another endpoint
+
   Scenario Outline: The row of an endpoint that has said that it leaves <change>
     Given a gateway with 1 endpoints and a route that may repeat
     When an endpoint gives a whole answer with "Server-Leaving: 1"
@@ -122,6 +133,22 @@
       | 0.5  | is sent within 1.0 s    |
       | 5    | is answered 503 at once |
 
+  Scenario: A call is dialled as its endpoint names a time
+    Given a gateway with 1 endpoints and a route that streams once
+    When a call streams from an endpoint and another is dialled
+    And the endpoint refuses the first call with Retry-After "5"
+    Then the other call is answered 503 at once
+
+  Scenario Outline: An endpoint names <first> s and then <second> s
+    Given a gateway with 1 endpoints and a route that runs once only
+    When two calls are refused with Retry-After "<first>" and then "<second>"
+    Then it gets no calls for 3.0 s and gets some after 3.7 s
+
+    Examples:
+      | first | second |
+      | 3     | 0.5    |
+      | 0.5   | 3      |
+
   Scenario: Entry instances come back to a busy endpoint at different times
     Given 20 entry instances to which an endpoint has named 3.0 s
     Then they come back between 3.0 and 3.6 s and not within 0.2 s
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -127,6 +127,10 @@
             self.reporter,
         )
         self.gateway.is_current = lambda: True
+        self.broadcasts = []
+        self.gateway.broadcast = lambda message, exclude: self.broadcasts.append(
+            message
+        )
         retry_policy, streams = KINDS[kind]
         route = routes.Route(
             "r",
--- a/features/steps/gateway_announcements.py
+++ b/features/steps/gateway_announcements.py
@@ -113,6 +113,68 @@
     answer_next(context.world, refusal)
 
 
+def send_two(context):
+    """Send two calls to an endpoint with two slots, and return their protocols."""
+    world = context.world
+    world.listed["x"] = dataclasses.replace(world.listed["x"], slots=2)
+    world.gateway.set_endpoints(world.listed, False)
+    places = [place_of(world, send(world)) for _ in range(2)]
+    for _, _, transport in places:
+        transport.take()
+    context.host = places[0][0]
+    return [protocol for _, protocol, _ in places]
+
+
+@behave.when('two calls are answered, the second with "{headers}"')
+def step_two_answered(context, headers):
+    first, second = send_two(context)
+    first.dataReceived(gateway.answer())
+    second.dataReceived(gateway.answer(extra=lines(headers)))
+
+
+@behave.then("no connection to the endpoint stays open")
+def step_closed(context):
+    assert all(transport.disconnecting for _, _, transport in context.world.sent)
+
+
+@behave.when('two calls are refused with Retry-After "{first}" and then "{second}"')
+def step_two_refused(context, first, second):
+    for protocol, value in zip(send_two(context), (first, second), strict=True):
+        protocol.dataReceived(refusal(f"Retry-After: {value}"))
+    context.refused_s = context.world.reactor.seconds()
+
+
+@behave.when('the endpoint refuses the first call with Retry-After "{value}"')
+def step_first_refused(context, value):
+    context.protocol.dataReceived(refusal(f"Retry-After: {value}"))
+
+
+def refusal(headers):
+    """Return the bytes of an answer of an endpoint that did not run the call."""
+    return gateway.answer(503, signed=False, extra=NOT_RUN + lines(headers))
+
+
+@behave.then("the instance tells the others once that it leaves")
+def step_told(context):
+    (report,) = context.world.broadcasts
+    assert isinstance(report, types.LeavingReport), report
+    context.report = report
+
+
+@behave.then("one that is told sends its next call to another endpoint")
+def step_peer_told(context):
+    left = context.host
+    context.world = gateway.World(2, "may repeat")
+    context.world.gateway.merge_leaving("peer", context.report)
+    # The endpoint would be chosen by an instance that is not told.
+    context.world.listed = {
+        name: dataclasses.replace(endpoint, warm_up_s=float(endpoint.host != left))
+        for name, endpoint in context.world.listed.items()
+    }
+    context.world.gateway.set_endpoints(context.world.listed, False)
+    assert place_of(context.world, send(context.world))[0] != left
+
+
 @behave.when("a call streams from an endpoint and another is {phase}")
 def step_streams(context, phase):
     world = context.world
