Let servers of the soak leave by word of their answers only

The soak let servers say that they leave only beside their record, and judged only requests that ran.

--- a/features/soak/seeds.feature
+++ b/features/soak/seeds.feature
@@ -15,3 +15,4 @@
       | 33   |
       | 123  |
       | 130  |
+      | 7006 |
--- a/features/steps/soak_seeds.py
+++ b/features/steps/soak_seeds.py
@@ -8,13 +8,14 @@
 
 @behave.when("the soak plays seed {seed:d} with {faults:d} faults in {length_s:d} s")
 def step_play(context, seed, faults, length_s):
-    arguments = soak_command.regressions().get(seed, {"has_extras": True})
-    context.violations, context.requests = fleet.play(
-        seed, length_s, faults, **arguments
+    arguments = soak_command.regressions().get(
+        seed, {"has_extras": True, "has_words": True}
     )
+    context.outcome = fleet.play(seed, length_s, faults, **arguments)
 
 
 @behave.then("nothing that must hold was violated in at least {count:d} requests")
 def step_violations(context, count):
-    assert not context.violations, "\n".join(context.violations[:10])
-    assert context.requests >= count, context.requests
+    outcome = context.outcome
+    assert not outcome.violations, "\n".join(outcome.violations[:10])
+    assert outcome.requests >= count, outcome.requests
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -30,13 +30,15 @@
 
     Later modes and additional events would change what such a seed plays.
 
-    :returns: dict from seed to a dict with ``modes`` and ``has_extras``.
+    :returns: dict from seed to a dict with ``modes``, ``has_extras`` and
+        ``has_words``.
     """
     entries = json.loads(REGRESSIONS.read_text())
     return {
         entry["seed"]: {
             "modes": plan.MODES[: entry["modes"]],
             "has_extras": entry.get("extras", False),
+            "has_words": entry.get("words", False),
         }
         for entry in entries
     }
@@ -59,10 +61,16 @@
     arguments = regressions() if seeds == "regressions" else {}
     failed = 0
     for seed in chosen:
-        chosen_arguments = arguments.get(seed, {"has_extras": True})
-        found, count = fleet.play(seed, seconds, faults, **chosen_arguments)
+        chosen_arguments = arguments.get(seed, {"has_extras": True, "has_words": True})
+        outcome = fleet.play(seed, seconds, faults, **chosen_arguments)
+        found = outcome.violations
         failed += bool(found)
-        print(f"seed {seed}: {count} requests, {len(found)} violations", flush=True)
+        words = ", ".join(f"{n} answers {word}" for word, n in outcome.words.items())
+        print(
+            f"seed {seed}: {outcome.requests} requests, {words}, "
+            f"{len(found)} violations",
+            flush=True,
+        )
         for text in found[:10]:
             print(f"  {text}", flush=True)
     print(f"{len(chosen) - failed} passed, {failed} failed")
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -29,7 +29,7 @@
     :param sent_s: steady time of the sending.
     :param ended_s: steady time of the end.
     :param key: API key.
-    :param says_leaving: whether the answer came with the word that its server leaves.
+    :param leaving: server whose answer came with the word that it leaves, or empty.
     """
 
     request: str
@@ -44,7 +44,7 @@
     sent_s: float
     ended_s: float
     key: str = "key-1"
-    says_leaving: bool = False
+    leaving: str = ""
 
 
 def _answers(seen):
@@ -151,14 +151,12 @@
     """Check that an entry obeys the word of a server that it has passed on."""
     by_request = {each.request: each for each in seen}
     told_s = {}
+    for each in seen:
+        place = each.leaving, each.entry, each.life
+        told_s[place] = min(told_s.get(place, float("inf")), each.ended_s)
     for arrival in ledger.arrivals:
         each = by_request.get(arrival.request)
-        if each is not None and each.says_leaving and arrival.ran:
-            place = arrival.server, each.entry, each.life
-            told_s[place] = min(told_s.get(place, float("inf")), each.ended_s)
-    for arrival in ledger.arrivals:
-        each = by_request.get(arrival.request)
-        if each is None:
+        if each is None or arrival.is_misdirected:
             continue
         place = arrival.server, each.entry, each.life
         late_s = each.sent_s - told_s.get(place, float("inf"))
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -43,7 +43,7 @@
 
     def _one(self):
         self._count += 1
-        self._says_leaving = False
+        self._leaving = ""
         request = f"r-{self._name}-{self._count}"
         kind = self._rng.choice(KINDS)
         entry = self._rng.randrange(len(self._fleet.entries))
@@ -54,7 +54,6 @@
         key = self._key_rng.choice(("key-1",) * 12 + self._fleet.extra_keys)
         sent_s = time.monotonic()
         status, body, whole = self._ask(address, version, kind, request, events, key)
-        says_leaving, self._says_leaving = self._says_leaving, False
         self.seen.append(
             checks.Seen(
                 request,
@@ -70,7 +69,7 @@
                 sent_s,
                 time.monotonic(),
                 key,
-                says_leaving,
+                self._leaving,
             )
         )
 
@@ -92,7 +91,8 @@
             connection.request("POST", f"/v{version}/{kind}/x", body, headers)
             response = connection.getresponse()
             status = response.status
-            self._says_leaving = response.getheader("Server-Leaving") == "1"
+            if response.getheader("Server-Leaving") == "1":
+                self._leaving = response.getheader("X-Server-Name")
             answer = response.read()
             if response.will_close:
                 self._forget(address)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,6 +1,8 @@
 """Entry processes, servers, links and the store of one seed."""
 
+import collections
 import contextlib
+import dataclasses
 import json
 import os
 import pathlib
@@ -69,6 +71,20 @@
     }
 
 
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """What a seed has shown.
+
+    :param violations: list of texts.
+    :param requests: number of requests during the faults.
+    :param words: number of answers to clients by what the server said of itself.
+    """
+
+    violations: list
+    requests: int
+    words: collections.Counter
+
+
 class EntryProcess:
     """One entry process that can be killed, stopped, frozen and started again.
 
@@ -165,10 +181,12 @@
     :param seed: integer.
     :param folder: folder for settings and logs.
     :param has_extras: whether the additional events and clients are played.
+    :param has_words: whether servers say of themselves what no record says.
     """
 
-    def __init__(self, seed, folder, has_extras):
+    def __init__(self, seed, folder, has_extras, has_words):
         self.seed = seed
+        self._has_words = has_words
         self._has_extras = has_extras
         self.extra_keys = extras.KEYS if has_extras else ()
         self._keys = list(self.extra_keys)
@@ -216,7 +234,7 @@
         :param length_s: time in which faults begin.
         :param count: number of faults.
         :param modes: modes of servers that are drawn from.
-        :returns: list of violations and the number of requests.
+        :returns: :class:`Outcome`.
         """
         for entry in self.entries:
             entry.start()
@@ -224,7 +242,9 @@
         events = plan.draw(self.seed, length_s, count, modes)
         if self._has_extras:
             events += plan.draw_extras(self.seed, length_s)
-            events.sort(key=lambda event: event.at_s)
+        if self._has_words:
+            events += plan.draw_words(self.seed, length_s)
+        events.sort(key=lambda event: event.at_s)
         seen = self._load("faults", lambda: self._play(events))
         self._wait_ready()
         time.sleep(SETTLE_S)
@@ -232,7 +252,10 @@
         revoked = set(self.extra_keys) - set(self._keys)
         found = checks.Extras(revoked, self._left, self._crashes_s)
         violations = checks.violations(seen, after, self.ledger, self.drained, found)
-        return violations, len(seen)
+        words = collections.Counter(
+            leaving=sum(1 for each in (*seen, *after) if each.leaving)
+        )
+        return Outcome(violations, len(seen), words)
 
     def _wait_ready(self):
         deadline_s = time.monotonic() + READY_S
@@ -381,6 +404,11 @@
         if not self._store.is_down:
             self.drained[self.servers[leaving].name] = time.monotonic() + event.for_s
 
+    def _leave_unlisted(self, event):
+        """Let a server say in its answers that it leaves, while its record is ready."""
+        self._add_server(len(self.servers))
+        self.servers[event.target % SERVERS].is_leaving = True
+
     def stop(self):
         """End every process and port."""
         for entry in self.entries:
@@ -392,15 +420,16 @@
             server.server_close()
 
 
-def play(seed, length_s, count, modes=plan.MODES, has_extras=False):
+def play(seed, length_s, count, modes=plan.MODES, has_extras=False, has_words=False):
     """Play one seed from the start to the end.
 
     :param modes: modes of servers that are drawn from.
     :param has_extras: whether the additional events and clients are played.
-    :returns: list of violations and the number of requests.
+    :param has_words: whether servers say of themselves what no record says.
+    :returns: :class:`Outcome`.
     """
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(seed, pathlib.Path(folder), has_extras)
+        fleet = Fleet(seed, pathlib.Path(folder), has_extras, has_words)
         try:
             return fleet.run(length_s, count, modes)
         finally:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -40,6 +40,10 @@
 EXTRA_KINDS = ("poison", "revoke", "revoke", "store_partial", "store_partial")
 
 
+# What servers say of themselves in answers only, drawn apart for the same reason.
+WORD_KINDS = ("leave_unlisted", "leave_unlisted")
+
+
 @dataclasses.dataclass(frozen=True)
 class Event:
     """One fault or change.
@@ -91,9 +95,22 @@
     :param length_s: time in which they begin.
     :returns: list of :class:`Event`.
     """
-    rng = random.Random(f"{seed}-extras")
+    return _draw_each(random.Random(f"{seed}-extras"), EXTRA_KINDS, length_s)
+
+
+def draw_words(seed, length_s):
+    """Draw the events of a seed in which servers say something of themselves.
+
+    :param seed: integer.
+    :param length_s: time in which they begin.
+    :returns: list of :class:`Event`.
+    """
+    return _draw_each(random.Random(f"{seed}-words"), WORD_KINDS, length_s)
+
+
+def _draw_each(rng, kinds, length_s):
     return [
         Event(rng.uniform(0.3, length_s), kind, rng.randrange(100), for_s, "")
-        for kind in EXTRA_KINDS
+        for kind in kinds
         for for_s in (rng.uniform(1.0, 3.0),)
     ]
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -32,6 +32,7 @@
     :param at_s: steady time.
     :param ran: whether it was run.
     :param is_bad: whether its prompt has the part that crashes servers.
+    :param is_misdirected: whether it was meant for another server.
     """
 
     request: str
@@ -39,6 +40,7 @@
     at_s: float
     ran: bool
     is_bad: bool = False
+    is_misdirected: bool = False
 
 
 class Ledger:
@@ -48,9 +50,9 @@
         self.arrivals = []
         self._lock = threading.Lock()
 
-    def add(self, request, server, ran, is_bad=False):
+    def add(self, request, server, ran, **marks):
         """Write down an arrival."""
-        arrival = Arrival(request, server, time.monotonic(), ran, is_bad)
+        arrival = Arrival(request, server, time.monotonic(), ran, **marks)
         with self._lock:
             self.arrivals.append(arrival)
 
@@ -105,12 +107,12 @@
         asked = json.loads(body)
         server, request = self.server, asked["id"]
         if self.headers["X-Expect-Instance"] != server.name:
-            server.ledger.add(request, server.name, False)
+            server.ledger.add(request, server.name, False, is_misdirected=True)
             self._answer(421, b"")
             return
         runs = server.mode not in ("refuse", "busy")
         is_bad = extras.BAD_PART in self._parts()
-        server.ledger.add(request, server.name, runs, is_bad)
+        server.ledger.add(request, server.name, runs, is_bad=is_bad)
         if not runs:
             headers = [("X-Not-Executed", "1")]
             if server.mode == "busy":
@@ -191,6 +193,7 @@
             attempt = "another-attempt"
         self.send_header("X-Attempt-Id", attempt)
         self.send_header("X-Server-Signature", "s.1")
+        self.send_header("X-Server-Name", self.server.name)
         if self.server.is_leaving:
             self.send_header("Server-Leaving", "1")
 
