Log the limits that endpoints name in their answers

Nothing that the processes wrote could tell the hypotheses on LIMIT apart: the header is not read, so neither a line nor a counter says that an endpoint named a limit, or to which entry instances. Each answer with a readable `Server-Limit` is now counted and logged (`endpoint_limit`); malformed ones are counted as the other headers about endpoints are. No call is decided by it yet.

--- a/cicadaplank/gateway/dialects.py
+++ b/cicadaplank/gateway/dialects.py
@@ -93,6 +93,9 @@
     :param is_leaving: whether the endpoint says that it leaves.
     :param busy_for_s: seconds for which the endpoint wants no calls, or None when it
         names no time.
+    :param limit_per_s: requests a second that the endpoint takes from all entry
+        instances together, or None when it names no limit that can be read.
+    :param names_limit: whether it names a limit, which may be malformed.
     :param malformed: names of the headers about the endpoint that cannot be read.
     """
 
@@ -110,6 +113,8 @@
     idle_timeout_s: float | None
     is_leaving: bool = False
     busy_for_s: float | None = None
+    limit_per_s: float | None = None
+    names_limit: bool = False
     malformed: tuple = ()
 
 
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -677,6 +677,8 @@
                 endpoint = state.endpoint
                 report = types.LeavingReport(endpoint.name, endpoint.started_ms, 0.0)
                 self.broadcast(report, "")
+        if head.limit_per_s is not None:
+            self._record_limit(call, state, head)
         if head.busy_for_s is not None:
             for_s = self.endpoints.record_busy(state, head.busy_for_s, now_s)
             if for_s:
@@ -690,6 +692,17 @@
                 )
                 self._refuse_all_unservable(state.endpoint.service, now_s)
 
+    def _record_limit(self, call, state, head):
+        """Report a limit that an endpoint names in an answer."""
+        self._reporter.count("endpoint_limits", service=state.endpoint.service)
+        self._reporter.state_event(
+            "endpoint_limit",
+            request=call.name,
+            endpoint=state.endpoint.name,
+            limit_per_s=head.limit_per_s,
+            calls=state.in_flight,
+        )
+
     def _report_leaving(self, state, now_s, request):
         """Report that an endpoint leaves, and end what depends on it.
 
--- a/cicadaplank/platform/headers.py
+++ b/cicadaplank/platform/headers.py
@@ -16,6 +16,7 @@
 SIGNATURE = b"x-server-signature"
 NOT_EXECUTED = b"x-not-executed"
 LEAVING = b"server-leaving"
+LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 AUTHORIZATION = b"authorization"
 # Servers that a request passes through; only this system may set it.
@@ -163,8 +164,10 @@
         content_type = first.get(b"content-type", EVENT_STREAM).partition(b";")[0]
         is_leaving, is_leaving_valid = _read_leaving(lowered)
         busy_for_s, is_busy_valid = _read_retry_after_s(status, lowered)
+        limit_per_s, is_limit_valid = _read_limit_per_s(lowered)
         malformed = () if is_leaving_valid else ("Server-Leaving",)
         malformed += () if is_busy_valid else ("Retry-After",)
+        malformed += () if is_limit_valid else ("Server-Limit",)
         return dialects.ResponseHead(
             status=status,
             headers=passed,
@@ -180,6 +183,8 @@
             idle_timeout_s=_read_idle_timeout_s(first.get(b"keep-alive", b"")),
             is_leaving=is_leaving,
             busy_for_s=busy_for_s,
+            limit_per_s=limit_per_s,
+            names_limit=LIMIT in first,
             malformed=malformed,
         )
 
@@ -261,6 +266,20 @@
     return max(valid_s, default=None), len(valid_s) == len(times_s)
 
 
+def _read_limit_per_s(fields):
+    """Read how many requests a second a server takes from all instances together.
+
+    Of several valid limits the smallest counts. Negative numbers, numbers without end
+    and texts are invalid.
+
+    :param fields: list of ``(name, value)``, names in lower case.
+    :returns: tuple of requests per second or None, and whether every value is valid.
+    """
+    limits_per_s = [_parse_number(value) for name, value in fields if name == LIMIT]
+    valid_per_s = [limit for limit in limits_per_s if limit is not None]
+    return min(valid_per_s, default=None), len(valid_per_s) == len(limits_per_s)
+
+
 def _read_idle_timeout_s(value):
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
