Share the limit that an endpoint names among all entry instances

Callers saw: an endpoint in need, which had named a limit of 1.3 to 1.7 requests a second, got 19 to 26 requests in 4 s from entry instances that it had told (LIMIT).

Cause: `Server-Limit` was not read.

Change: what an endpoint says of its limit is kept with its other words, by run (requests/announcements.py), told to the other instances, and ends with the first answer to a later call that names none. requests/limit_shares.py divides it: for each run an instance follows one issuer of permits, which issues the part of the limit that its followers are of all instances; each call needs a permit, whatever brought it to be placed, and placement sees an endpoint without one as full. A call for which no permit is expected within its waiting time is refused at once with the time that the issuer expects. Limits below 0.1 count as 0.1, so that a call now and then finds out whether they hold; above 10,000 as none; others are malformed and change nothing. All are counted.

--- a/bench/limited.py
+++ b/bench/limited.py
@@ -15,7 +15,7 @@
 from twisted.python import failure
 
 from cicadaplank.gateway import calls, endpoints, gateway, routes
-from cicadaplank.messages import codec
+from cicadaplank.messages import codec, types
 from cicadaplank.platform import headers
 
 SERVICE = "drafts"
@@ -250,6 +250,11 @@
         self.outcomes = collections.Counter()
         self.endpoints = {}
         self.gateways = {}
+        self._known = set()
+        # Time in seconds at which an instance was cut off, and the messages that wait
+        # for a frozen one.
+        self._cut_s = {}
+        self._frozen = {}
         self._count = 0
         self._connecting = ""
         for number in range(scenario.endpoints):
@@ -277,6 +282,7 @@
         )
         made.is_current = lambda: True
         made.broadcast = lambda message, exclude: self._broadcast(name, message)
+        made.send_to_peer = lambda peer, message: self._deliver(name, peer, message)
         policy = routes.RetryPolicy.IDEMPOTENT
         if self.scenario.is_stream:
             policy = routes.RetryPolicy.RESUMABLE
@@ -312,6 +318,49 @@
         made.set_endpoints(listed, False)
         made.set_member_count(self.scenario.entries)
         self.gateways[name] = made
+        self._known.add(name)
+        for other, each in self.gateways.items():
+            for report in each.limit_reports():
+                self._deliver(other, name, report)
+
+    def end_entry(self, name):
+        """Let the process of an entry instance end at once."""
+        del self.gateways[name]
+        self._known.discard(name)
+
+    def cut(self, name):
+        """Cut an entry instance off from the others, but not from endpoints."""
+        self._cut_s[name] = self.reactor.seconds()
+
+    def heal(self, name):
+        """End the cut of an entry instance."""
+        del self._cut_s[name]
+        for other, each in self.gateways.items():
+            for report in each.limit_reports():
+                self._deliver(other, name, report)
+
+    def freeze(self, name):
+        """Let an entry instance stand still."""
+        self._frozen[name] = []
+
+    def thaw(self, name):
+        """Let a frozen entry instance go on, and process what it has received."""
+        for envelope in self._frozen.pop(name):
+            self._process(name, envelope)
+
+    def _is_silent(self, name, other):
+        """Tell whether two instances have noticed that they do not hear each other."""
+        cut_s = [self._cut_s[each] for each in (name, other) if each in self._cut_s]
+        return bool(cut_s) and self.reactor.seconds() - min(cut_s) > SILENCE_S
+
+    def _set_members(self, name):
+        connected = {
+            other: self._centre(int(other.rpartition("-")[2]))
+            for other in self.gateways
+            if other == name or not self._is_silent(name, other)
+        }
+        silent = len(self._known) - len(connected)
+        self.gateways[name].set_permit_members(name, connected, silent)
 
     def _broadcast(self, sender, message):
         for name in self.gateways:
@@ -319,14 +368,31 @@
                 self._deliver(sender, name, message)
 
     def _deliver(self, sender, name, message):
+        if sender in self._cut_s or name in self._cut_s:
+            return
         frame = codec.encode(codec.Envelope(sender, 0, message))
         self.reactor.callLater(self.rng.uniform(*DELAY_S), self._receive, name, frame)
 
     def _receive(self, name, frame):
         """Let an instance process a message of another one."""
         envelope = codec.decode(frame)
-        if name in self.gateways:
-            self.gateways[name].merge_leaving(envelope.sender, envelope.message)
+        if name in self._frozen:
+            self._frozen[name].append(envelope)
+        elif name in self.gateways:
+            self._process(name, envelope)
+
+    def _process(self, name, envelope):
+        its = self.gateways[name]
+        receive = {
+            types.LeavingReport: its.merge_leaving,
+            types.LimitReport: its.merge_limit,
+            types.PermitRequest: its.receive_permit_request,
+            types.PermitGrant: its.receive_permits,
+        }
+        self._connecting = name
+        act = receive.get(type(envelope.message))
+        if act is not None:
+            act(envelope.sender, envelope.message)
 
     # Calls.
 
@@ -347,7 +413,7 @@
         return dial
 
     def _call(self):
-        name = self.rng.choice(list(self.gateways))
+        name = self.rng.choice([n for n in self.gateways if n not in self._frozen])
         self._count += 1
         dialect = headers.PlatformDialect()
         head = dialect.read_request(
@@ -365,8 +431,10 @@
 
     def _tick(self):
         for name, each in self.gateways.items():
-            self._connecting = name
-            each.check_timeouts()
+            if name not in self._frozen:
+                self._connecting = name
+                self._set_members(name)
+                each.check_timeouts()
 
     # The whole.
 
--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -126,6 +126,8 @@
         self._connection = None
         self._dial = None
         self._attempt = 0
+        # Permit of the attempt as long as it is not sent, for an endpoint with a limit.
+        self._permit = None
         self._reply = None
         self._body = bytearray()
         self._splitter = None
@@ -307,6 +309,7 @@
         self._attempt += 1
         attempt = self._attempt
         state.call_started()
+        self._permit = state.allowance.take(now_s)
         may_retry = self.route.retry_policy is not routes.RetryPolicy.NEVER
         self._dial = self._gateway.pool(state).acquire(
             lambda connection: self._opened(connection, attempt),
@@ -328,8 +331,8 @@
         # The endpoint, or what the call requires, may have changed during the dial.
         is_usable = (
             not self.state.is_removed
-            and placement.accepts(self.state, self.demand())
-            and not self.state.word.is_busy(now_s)
+            and placement.may_be_sent(self.state, self.demand(), now_s)
+            and self.state.allowance.honours(self._permit)
         )
         if left_s < outcomes.MIN_ATTEMPT_S or not is_usable:
             self._gateway.release_connection(connection)
@@ -337,6 +340,7 @@
             self.attempt_ended(outcomes.Ending.UNREACHABLE, "endpoint left", None)
             return
         self._connection = connection
+        self._permit = None
         self._reply = None
         self._body = bytearray()
         self.response_end = framing.ResponseEnd()
@@ -373,10 +377,13 @@
             or None when there was none.
         """
         state, self.state = self.state, None
+        permit, self._permit = self._permit, None
         self._connection = None
         self._gateway.buffers.release(self)
         if state is not None:
             state.call_ended()
+            if permit is not None:
+                state.allowance.give_back(permit)
         return state
 
     # Answer of the endpoint.
@@ -388,7 +395,7 @@
         :returns: False when it answers another call and has to be skipped.
         """
         if self.state is not None:
-            self._gateway.record_word(self, self.state, head)
+            self._gateway.record_word(self, self.state, head, self._sent_s)
         if head.attempt and head.attempt != self.request.head.attempt:
             self._gateway.count("answers_of_other_calls")
             return False
@@ -646,7 +653,7 @@
         else:
             self.fail(502, reason, now_s)
 
-    def refuse(self, reason, now_s, expected_s=0.0):
+    def refuse(self, reason, now_s, expected_s=0.0, has_told_time=False):
         """End the call as not run, and tell the client when to retry.
 
         When an attempt may have run, the call fails instead; when a stream has begun,
@@ -655,6 +662,8 @@
         :param reason: text for the client and the log.
         :param now_s: current time in seconds.
         :param expected_s: expected time in seconds until a slot is free.
+        :param has_told_time: whether endpoints have told that time: the client is told
+            no earlier one, also if its deadline comes before.
         """
         if self.history.verdict is not verdicts.Verdict.NOT_RUN:
             self.fail(502, reason, now_s)
@@ -663,7 +672,11 @@
             self.abort(reason)
             return
         self.reason = reason
-        after_s = self._gateway.retry_after_s(expected_s, self.deadline_s - now_s)
+        if has_told_time:
+            after_s = self._gateway.told_retry_after_s(expected_s)
+        else:
+            left_s = self.deadline_s - now_s
+            after_s = self._gateway.retry_after_s(expected_s, left_s)
         self._finish("refused", verdicts.Verdict.NOT_RUN)
         self._client.refuse(503, f"not run: {reason}; send it again later", after_s)
 
--- a/cicadaplank/gateway/endpoints.py
+++ b/cicadaplank/gateway/endpoints.py
@@ -8,7 +8,7 @@
 import collections
 import dataclasses
 
-from cicadaplank.requests import announcements
+from cicadaplank.requests import announcements, limit_shares
 
 # Weight of the newest call in the moving average of an endpoint's failure share.
 FAILURE_WEIGHT = 0.2
@@ -100,6 +100,8 @@
     :ivar is_being_probed: whether a connection is being opened to test whether it is
         reachable.
     :ivar word: :class:`cicadaplank.requests.announcements.Word` of the endpoint.
+    :ivar allowance: :class:`cicadaplank.requests.limit_shares.Allowance` that decides
+        whether a limit leaves room for a call.
     """
 
     def __init__(self, endpoint):
@@ -123,6 +125,7 @@
         self.full_until_s = 0.0
         self.is_being_probed = False
         self.word = announcements.NOTHING
+        self.allowance = limit_shares.UNLIMITED
 
     # Load.
 
@@ -283,10 +286,13 @@
     :ivar announcements: :class:`cicadaplank.requests.announcements.Announcements`, by
         :attr:`Endpoint.identity`. It outlasts the state of an endpoint whose row is
         missing for a while.
+    :ivar limits: :class:`cicadaplank.requests.limit_shares.LimitShares`, by the same
+        key, of the known endpoints that have named a limit.
     """
 
     def __init__(self, random):
         self.counts = collections.Counter()
+        self.limits = limit_shares.LimitShares()
         self.announcements = announcements.Announcements(random)
         self._states = {}
         self._services = collections.defaultdict(dict)
@@ -332,7 +338,7 @@
                 removed.append(self._remove(state))
                 state = None
             if state is None:
-                state = self._add(EndpointState(endpoint))
+                state = self._add(EndpointState(endpoint), now_s)
             elif state.endpoint.service != endpoint.service:
                 self._services[state.endpoint.service].pop(name, None)
                 self._services[endpoint.service][name] = state
@@ -348,16 +354,17 @@
                 removed.append(self._remove(state))
         return Changes(tuple(removed), tuple(leaving))
 
-    def _add(self, state):
+    def _add(self, state, now_s):
         self.counts["added"] += 1
-        state.word = self.announcements.of(state.endpoint.identity)
         self._states[state.endpoint.name] = state
+        self._update_word(state, now_s)
         self._services[state.endpoint.service][state.endpoint.name] = state
         return state
 
     def _remove(self, state):
         self.counts["removed"] += 1
         state.is_removed = True
+        self.limits.drop(state.endpoint.identity)
         del self._states[state.endpoint.name]
         self._services[state.endpoint.service].pop(state.endpoint.name, None)
         return state
@@ -371,7 +378,7 @@
         """
         run = state.endpoint.identity
         is_new = self.announcements.record_leaving(run, now_s)
-        self._update_word(state)
+        self._update_word(state, now_s)
         return is_new
 
     def record_busy(self, state, for_s, now_s):
@@ -384,7 +391,7 @@
         """
         run = state.endpoint.identity
         left_alone_s = self.announcements.record_busy(run, for_s, now_s)
-        self._update_word(state)
+        self._update_word(state, now_s)
         return left_alone_s
 
     def merge_leaving(self, name, started_ms, age_s, now_s):
@@ -396,22 +403,78 @@
         :param now_s: current time in seconds.
         :returns: whether it counts; one about another run than the present does not.
         """
-        state = self._states.get(name)
-        if state is None or state.endpoint.started_ms != started_ms:
-            self.announcements.counts["rejected"] += 1
+        state = self.of_run(name, started_ms)
+        if state is None:
             return False
         run = state.endpoint.identity
         counts = self.announcements.merge_leaving(run, age_s, now_s)
-        self._update_word(state)
+        self._update_word(state, now_s)
         return counts
 
-    def _update_word(self, state):
+    def of_run(self, name, started_ms):
+        """Return the :class:`EndpointState` that another entry instance speaks of.
+
+        :param name: name of the endpoint.
+        :param started_ms: start of its run in Unix milliseconds.
+        :returns: None when it is about another run than the present; that is counted.
+        """
+        state = self._states.get(name)
+        if state is None or state.endpoint.started_ms != started_ms:
+            self.announcements.counts["rejected"] += 1
+            return None
+        return state
+
+    def record_limit(self, state, limit_per_s, now_s):
+        """Record that an endpoint has named a limit.
+
+        :param state: :class:`EndpointState`, which may have been removed.
+        :param limit_per_s: requests per second for all entry instances together.
+        :param now_s: current time in seconds.
+        :returns: whether it is another one than before.
+        """
+        run = state.endpoint.identity
+        is_new = self.announcements.record_limit(run, limit_per_s, now_s)
+        self._update_word(state, now_s)
+        return is_new
+
+    def record_no_limit(self, state, sent_s, now_s):
+        """Record that an endpoint has named no limit in the answer to a call.
+
+        :param state: :class:`EndpointState`, which may have been removed.
+        :param sent_s: time in seconds at which the call was sent.
+        :param now_s: current time in seconds.
+        :returns: whether it had named one before.
+        """
+        run = state.endpoint.identity
+        has_ended = self.announcements.record_no_limit(run, sent_s, now_s)
+        if has_ended:
+            self._update_word(state, now_s)
+        return has_ended
+
+    def merge_limit(self, state, limit_per_s, age_s, now_s):
+        """Record the word of another entry instance on the limit of an endpoint.
+
+        :param state: :class:`EndpointState`.
+        :param limit_per_s: requests per second, or None for no limit.
+        :param age_s: seconds since the endpoint said so.
+        :param now_s: current time in seconds.
+        :returns: whether it is another one than before.
+        """
+        run = state.endpoint.identity
+        is_new = self.announcements.merge_limit(run, limit_per_s, age_s, now_s)
+        self._update_word(state, now_s)
+        return is_new
+
+    def _update_word(self, state, now_s):
         """Update the state that holds the run now, which may be a newer object."""
         run = state.endpoint.identity
         state.word = self.announcements.of(run)
         present = self._states.get(state.endpoint.name)
         if present is not None and present.endpoint.identity == run:
             present.word = state.word
+            present.allowance = self.limits.set_limit(
+                run, present.endpoint.data_centre, state.word, now_s
+            )
 
     def may_eject(self, service, now_s):
         """Tell whether one more endpoint of a service may be ejected.
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -45,6 +45,12 @@
 MAX_BUFFERED_BYTES = 48 * 1024 * 1024
 # An endpoint's connections are divided among at least this many entry instances.
 MIN_MEMBERS = 8
+# Interval at which one entry instance wishes for a permit of an endpoint to which it
+# would send a call, although none waits: the answer shows whether the limit holds.
+# It is longer where more instances wish for the permits of a smaller limit.
+MIN_WISH_S = 0.25
+MAX_WISH_S = 5.0
+WISHES_PER_PERMIT = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,6 +100,7 @@
         # Returns whether the configuration is known to be the newest.
         self.is_current = lambda: False
         self.broadcast = lambda message, exclude: None
+        self.send_to_peer = lambda peer, message: None
         self._reactor = reactor
         self._bounds = bounds
         self._random = random
@@ -106,6 +113,8 @@
         # Time of the last check of time-outs, and by how much it was late, in seconds.
         self._checked_s = None
         self._late_s = 0.0
+        # Time until which this instance does not wish for another permit, by endpoint.
+        self._wished_until_s = {}
         # Last report of each other entry instance: calls in progress by endpoint name.
         self._peer_loads = {}
 
@@ -190,6 +199,9 @@
         metrics.set_gauge("endpoints_ejected", ejected)
         for kind, count in self.endpoints.announcements.counts.items():
             metrics.set_gauge("endpoint_announcements", count, kind=kind)
+        metrics.set_gauge("endpoints_limited", len(self.endpoints.limits))
+        for kind, count in self.endpoints.limits.counts.items():
+            metrics.set_gauge("limit_permits", count, kind=kind)
 
     @property
     def limits(self):
@@ -231,6 +243,17 @@
         for retry_budget in self._budgets.values():
             retry_budget.members = self._budget_members
 
+    def set_permit_members(self, name, members, silent):
+        """Set the entry instances that share the limits of endpoints.
+
+        :param name: name of this instance.
+        :param members: dict from name to data centre of this instance and those that
+            it is connected to.
+        :param silent: number of further instances that may run but are not connected.
+        """
+        self.endpoints.limits.name = name
+        self.endpoints.limits.set_members(members, silent)
+
     def set_peer_loads(self, peer, loads, period_s=0.0):
         """Record the calls in progress of another entry instance.
 
@@ -396,6 +419,7 @@
         demand = call.demand()
         if not len(queue) or call.excluded:
             state = placement.choose(states, demand, now_s, self._random)
+            self._wish_for_permits(states, demand, state, now_s)
             if state is not None:
                 queue.record_start(now_s)
                 call.send(state, now_s)
@@ -403,15 +427,60 @@
         queue_entry = call.queue_entry()
         if self._refuse_unservable(call, queue_entry, states, now_s):
             return
-        expected_s = queue.expected_wait_s(now_s)
-        reason = queue.admit(queue_entry, now_s)
+        permit_wait_s = placement.permit_wait_s(states, demand, len(queue), now_s)
+        expected_s = permit_wait_s
+        if expected_s is None:
+            expected_s = queue.expected_wait_s(now_s)
+        reason = queue.admit(queue_entry, now_s, permit_wait_s)
         if reason:
-            call.refuse(reason, now_s, expected_s)
+            call.refuse(reason, now_s, expected_s, permit_wait_s is not None)
             return
         call.phase = calls.Phase.WAITING
         self._reporter.waiting(call, len(queue), expected_s, states, demand, now_s)
         if len(queue) > 1:
             self.dispatch(call.service)
+        self._update_permits(now_s)
+
+    def _wish_for_permits(self, states, demand, chosen, now_s):
+        """Wish for permits of endpoints with a limit that would serve a call better.
+
+        :param states: states of the service's endpoints.
+        :param demand: :class:`placement.Demand` of the call.
+        :param chosen: state of the endpoint that the call is sent to, or None.
+        :param now_s: current time in seconds.
+        """
+        if not len(self.endpoints.limits) or chosen is None:
+            return
+        cost = placement.cost(chosen, demand, now_s)
+        for state in states:
+            limit_per_s, name = state.word.limit_per_s, state.endpoint.name
+            if limit_per_s is None or now_s < self._wished_until_s.get(name, 0.0):
+                continue
+            if placement.cost(state, demand, now_s) < cost:
+                wish_s = self.members / (WISHES_PER_PERMIT * limit_per_s)
+                wish_s = min(MAX_WISH_S, max(MIN_WISH_S, wish_s))
+                self._wished_until_s[name] = now_s + wish_s
+                state.allowance.want(1, False)
+
+    def _update_permits(self, now_s):
+        """Ask for the permits that waiting calls can use, and issue those of others."""
+        if not len(self.endpoints.limits):
+            return
+        for state in self.endpoints.all():
+            if state.word.limit_per_s is None:
+                continue
+            waiting = len(self._queues[state.endpoint.service])
+            is_usable = not (
+                state.word.is_leaving
+                or state.word.is_busy(now_s)
+                or state.is_ejected(now_s)
+                or state.calls(now_s) >= state.endpoint.slots
+            )
+            wished = now_s < self._wished_until_s.get(state.endpoint.name, 0.0)
+            wanted = max(waiting, wished) if is_usable else 0
+            state.allowance.want(wanted, waiting > 0)
+        for outgoing in self.endpoints.limits.tick(now_s):
+            self.send_to_peer(outgoing.peer, outgoing.message)
 
     def _refuse_unservable(self, call, queue_entry, states, now_s):
         """Refuse a call that no endpoint can serve within the time that it may wait.
@@ -569,6 +638,14 @@
         """
         return waiting.retry_after_s(expected_s, left_s, self._random)
 
+    def told_retry_after_s(self, expected_s):
+        """Return the same when endpoints have told the time until there is room.
+
+        :param expected_s: that time in seconds.
+        :returns: seconds, no fewer than ``expected_s``.
+        """
+        return waiting.told_retry_after_s(expected_s, self._random)
+
     def connection_broken(self, call, state):
         """Record that a request may have crashed its endpoint, and tell the peers.
 
@@ -651,7 +728,7 @@
         """
         self._reporter.attempt_withdrawn(call, version, bound)
 
-    def record_word(self, call, state, head):
+    def record_word(self, call, state, head, sent_s):
         """Record what an endpoint says of itself in an answer, and act on it.
 
         A misdirected call was answered by another endpoint, which speaks of itself.
@@ -659,6 +736,7 @@
         :param call: :class:`cicadaplank.gateway.calls.Call` at that endpoint.
         :param state: :class:`cicadaplank.gateway.endpoints.EndpointState`.
         :param head: :class:`cicadaplank.gateway.dialects.ResponseHead`.
+        :param sent_s: time in seconds at which the call was sent.
         """
         for header in head.malformed:
             self._reporter.count("malformed_headers", header=header)
@@ -677,8 +755,7 @@
                 endpoint = state.endpoint
                 report = types.LeavingReport(endpoint.name, endpoint.started_ms, 0.0)
                 self.broadcast(report, "")
-        if head.limit_per_s is not None:
-            self._record_limit(call, state, head)
+        self._record_limit(call, state, head, sent_s)
         if head.busy_for_s is not None:
             for_s = self.endpoints.record_busy(state, head.busy_for_s, now_s)
             if for_s:
@@ -692,17 +769,110 @@
                 )
                 self._refuse_all_unservable(state.endpoint.service, now_s)
 
-    def _record_limit(self, call, state, head):
-        """Report a limit that an endpoint names in an answer."""
-        self._reporter.count("endpoint_limits", service=state.endpoint.service)
+    def _record_limit(self, call, state, head, sent_s):
+        """Record the limit that an endpoint names in an answer, or that it names none.
+
+        A limit that cannot be read says nothing: the one that was named before holds.
+        """
+        now_s = self.now_s()
+        if head.limit_per_s is not None:
+            self._reporter.count("endpoint_limits", service=state.endpoint.service)
+            is_new = self.endpoints.record_limit(state, head.limit_per_s, now_s)
+        elif head.names_limit or head.attempt != call.request.head.attempt:
+            return
+        elif not (head.is_signed or head.is_not_run):
+            return
+        else:
+            is_new = self.endpoints.record_no_limit(state, sent_s, now_s)
+        if not is_new:
+            return
+        self._report_limit(state, request=call.name, named_per_s=head.limit_per_s)
+        self.broadcast(self._limit_report(state), "")
+
+    def _report_limit(self, state, **source):
+        """Log the limit of an endpoint that is in force from now on, and act on it."""
         self._reporter.state_event(
             "endpoint_limit",
-            request=call.name,
             endpoint=state.endpoint.name,
-            limit_per_s=head.limit_per_s,
+            limit_per_s=state.word.limit_per_s,
             calls=state.in_flight,
+            **source,
+        )
+        self._reactor.callLater(0, self.dispatch, state.endpoint.service)
+
+    def _limit_report(self, state):
+        endpoint, word = state.endpoint, state.word
+        return types.LimitReport(
+            endpoint.name,
+            endpoint.started_ms,
+            word.limit_per_s is not None,
+            word.limit_per_s or 0.0,
+            self.now_s() - word.limit_said_s,
         )
 
+    def limit_reports(self):
+        """Return a :class:`types.LimitReport` for each limit that is known.
+
+        An entry instance that connects, and may have restarted, is told them.
+        """
+        return [
+            self._limit_report(state)
+            for state in self.endpoints.all()
+            if state.word.limit_per_s is not None
+        ]
+
+    def merge_limit(self, peer, report):
+        """Record the word of another entry instance on the limit of an endpoint.
+
+        :param peer: name of the instance.
+        :param report: :class:`cicadaplank.messages.types.LimitReport`.
+        """
+        state = self.endpoints.of_run(report.endpoint, report.started_ms)
+        if state is None:
+            return
+        limit_per_s = report.limit_per_s if report.is_limited else None
+        now_s = self.now_s()
+        if self.endpoints.merge_limit(state, limit_per_s, report.age_s, now_s):
+            self._report_limit(state, peer=peer, age_s=report.age_s)
+
+    def receive_permit_request(self, peer, request):
+        """Issue permits to another entry instance, if there are any.
+
+        :param peer: name of the instance.
+        :param request: :class:`cicadaplank.messages.types.PermitRequest`.
+        """
+        state = self.endpoints.of_run(request.endpoint, request.started_ms)
+        if state is None:
+            return
+        report = types.LimitReport(
+            request.endpoint,
+            request.started_ms,
+            True,
+            request.limit_per_s,
+            request.limit_age_s,
+        )
+        self.merge_limit(peer, report)
+        if state.word.limit_per_s is None:
+            self.send_to_peer(peer, self._limit_report(state))
+            return
+        run, now_s = state.endpoint.identity, self.now_s()
+        for outgoing in self.endpoints.limits.receive(peer, run, request, now_s):
+            self.send_to_peer(outgoing.peer, outgoing.message)
+
+    def receive_permits(self, peer, grant):
+        """Use the permits that another entry instance has granted.
+
+        :param peer: name of the instance.
+        :param grant: :class:`cicadaplank.messages.types.PermitGrant`.
+        """
+        state = self.endpoints.of_run(grant.endpoint, grant.started_ms)
+        if state is None:
+            return
+        run, now_s = state.endpoint.identity, self.now_s()
+        if self.endpoints.limits.grant(peer, run, grant, now_s):
+            self.dispatch(state.endpoint.service)
+            self._update_permits(now_s)
+
     def _report_leaving(self, state, now_s, request):
         """Report that an endpoint leaves, and end what depends on it.
 
@@ -838,6 +1008,7 @@
         self._checked_s = now_s
         for call in list(self._calls):
             call.check_timeouts(now_s)
+        self._update_permits(now_s)
         for service, queue in list(self._queues.items()):
             for queued_call in queue.pop_expired(now_s):
                 queued_call.call.refuse("waited too long", now_s, DEFAULT_RETRY_AFTER_S)
--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -37,6 +37,9 @@
 MAX_VALUE_BYTES = 16 * 1024 * 1024
 # A peer counts as live while its last report is at most this old.
 REPORT_AGE_S = 3.0
+# An instance without a connection may go on and send calls. After this time it is taken
+# for gone.
+MAX_SILENT_S = 30.0
 
 
 class Peers:
@@ -69,6 +72,8 @@
         # Time of the last report to local (True) and remote (False) instances.
         self._reported_s = {True: float("-inf"), False: float("-inf")}
         self._connect_attempted_s = float("-inf")
+        # Time in seconds since which an instance is not connected.
+        self._missing_since_s = {}
         self._local_counted_s = float("-inf")
         self._local_count = 0
         # Time in seconds as of which the copies are known to have held every change.
@@ -109,6 +114,24 @@
         oldest_s = self._reactor.seconds() - REPORT_AGE_S
         return sum(1 for _, at_s in self._reports.values() if at_s >= oldest_s)
 
+    def permit_members(self, now_s):
+        """Return the instances that may send calls to endpoints.
+
+        :param now_s: current time in seconds.
+        :returns: dict from name to data centre of this instance and those that are
+            connected, and the number of others whose processes may run.
+        """
+        members = {self._me.name: self._me.data_centre}
+        for name in self._connected():
+            members[name] = self._hub.connection(name).hello.data_centre
+            self._missing_since_s.pop(name, None)
+        silent = 0
+        for name in self._instances.keys() - members.keys():
+            since_s = self._missing_since_s.setdefault(name, now_s)
+            is_recent = now_s - since_s < MAX_SILENT_S
+            silent += is_recent and not self._hub.has_refused(name)
+        return members, silent
+
     def store_age_s(self, now_s):
         """Return the time since the store last answered this instance or a peer.
 
--- a/cicadaplank/gateway/placement.py
+++ b/cicadaplank/gateway/placement.py
@@ -75,6 +75,16 @@
     return not state.word.is_leaving and serves(state.endpoint, demand)
 
 
+def may_be_sent(state, demand, now_s):
+    """Tell whether an endpoint may be sent a call now, whatever its load.
+
+    :param state: :class:`cicadaplank.gateway.endpoints.EndpointState`.
+    :param demand: :class:`Demand`.
+    :param now_s: current time in seconds.
+    """
+    return accepts(state, demand) and not state.word.is_busy(now_s)
+
+
 def soonest_s(states, demand, now_s):
     """Return when the first endpoint wants calls that accepts a call.
 
@@ -110,16 +120,35 @@
 
 
 def has_free_slot(state, now_s):
-    """Tell whether an endpoint has a free slot and wants calls.
+    """Tell whether an endpoint has a free slot, wants calls and its limit has room.
 
     :param state: :class:`cicadaplank.gateway.endpoints.EndpointState`.
     :param now_s: current time in seconds.
     """
     if now_s < state.full_until_s or state.word.is_busy(now_s):
         return False
+    if not state.allowance.has_room(now_s):
+        return False
     return state.calls(now_s) < state.endpoint.slots
 
 
+def permit_wait_s(states, demand, waiting, now_s):
+    """Return how long a call waits for a permit when every endpoint has a limit.
+
+    :param states: list of :class:`cicadaplank.gateway.endpoints.EndpointState`.
+    :param demand: :class:`Demand`.
+    :param waiting: number of calls that wait before it.
+    :param now_s: current time in seconds.
+    :returns: seconds, or None when an endpoint without a limit accepts the call, or
+        none does.
+    """
+    usable = [s for s in states if may_be_sent(s, demand, now_s)]
+    intervals_s = [s.allowance.interval_s() for s in usable]
+    if not intervals_s or not all(intervals_s):
+        return None
+    return (waiting + 1) / sum(1.0 / interval_s for interval_s in intervals_s)
+
+
 def is_available(state, now_s):
     """Tell whether an endpoint is not ejected and has a free slot.
 
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -228,6 +228,7 @@
         self._apply_settings(settings)
         self.gateway.is_current = self.is_current
         self.gateway.broadcast = self.peers.broadcast
+        self.gateway.send_to_peer = self.hub.send
 
     def _log(self, event, **fields):
         self._reporter.state_event(event, **fields)
@@ -512,6 +513,8 @@
                 connection.send(notice)
         if isinstance(message, types.Hello) and message.role == ENTRY:
             self._send_crash_causes(connection)
+            for report in self.gateway.limit_reports():
+                connection.send(report)
         if self.peers.message(connection.peer, message):
             if isinstance(message, types.GatewayReport):
                 period_s = self.peers.report_period_s(connection.peer)
@@ -523,6 +526,12 @@
             self.gateway.merge_sound(message)
         elif isinstance(message, types.LeavingReport):
             self.gateway.merge_leaving(connection.peer, message)
+        elif isinstance(message, types.LimitReport):
+            self.gateway.merge_limit(connection.peer, message)
+        elif isinstance(message, types.PermitRequest):
+            self.gateway.receive_permit_request(connection.peer, message)
+        elif isinstance(message, types.PermitGrant):
+            self.gateway.receive_permits(connection.peer, message)
         elif isinstance(message, types.SuspectReport):
             self._record_suspicion(connection.peer, message)
 
@@ -565,7 +574,10 @@
 
     def _tick(self):
         self.reactor.callLater(gateway.TIMEOUT_CHECK_INTERVAL_S, self._tick)
-        self._record_lateness(self.reactor.seconds())
+        now_s = self.reactor.seconds()
+        self._record_lateness(now_s)
+        members, silent = self.peers.permit_members(now_s)
+        self.gateway.set_permit_members(self.instance.name, members, silent)
         self.gateway.check_timeouts()
         self.peers.tick()
         now_s = self.reactor.seconds()
--- a/cicadaplank/gateway/waiting.py
+++ b/cicadaplank/gateway/waiting.py
@@ -25,6 +25,9 @@
 MAX_RETRY_AFTER_SHARE = 0.3
 # Random factor of the retry time, so that refused clients do not retry simultaneously.
 RETRY_JITTER = (0.7, 1.3)
+# The same for a time that endpoints have told, and the longest such time.
+TOLD_JITTER = (1.0, 1.2)
+MAX_TOLD_S = 60.0
 
 
 # Weight of the newest sample in the moving average of a service's answer time.
@@ -131,18 +134,22 @@
             return 0.0 if waited_s < RATE_WINDOW_S else float("inf")
         return (len(self._queued_calls) + 1) * RATE_WINDOW_S / len(self._start_times_s)
 
-    def admit(self, queued_call, now_s):
+    def admit(self, queued_call, now_s, expected_s=None):
         """Add a call to the queue, or refuse it.
 
         :param queued_call: :class:`QueuedCall`.
         :param now_s: current time in seconds.
+        :param expected_s: its expected wait in seconds, None to estimate it from the
+            rate at which calls start.
         :returns: empty string when the call was added, else the reason of the refusal:
             ``queue_full``, or ``overload`` when its expected wait exceeds its limit.
         """
         reason = ""
+        if expected_s is None:
+            expected_s = self.expected_wait_s(now_s)
         if len(self._queued_calls) >= MAX_WAITING:
             reason = "queue_full"
-        elif now_s + self.expected_wait_s(now_s) > queued_call.wait_until_s:
+        elif now_s + expected_s > queued_call.wait_until_s:
             reason = "overload"
         if reason:
             self.refused[reason] += 1
@@ -213,6 +220,18 @@
     return max(objective_s, now_s + MAX_WAIT_SHARE * (deadline_s - now_s))
 
 
+def told_retry_after_s(expected_s, random):
+    """Return the time after which a client should retry when endpoints have told it.
+
+    :param expected_s: expected time in seconds until there is room, which may be after
+        the client's deadline.
+    :param random: ``random.Random``; clients come back at different times.
+    :returns: seconds, no less than ``expected_s`` up to :data:`MAX_TOLD_S`.
+    """
+    expected_s = min(MAX_TOLD_S, max(MIN_RETRY_AFTER_S, expected_s))
+    return expected_s * random.uniform(*TOLD_JITTER)
+
+
 def retry_after_s(expected_s, left_s, random):
     """Return the time after which a refused client should retry.
 
--- a/cicadaplank/links/streams.py
+++ b/cicadaplank/links/streams.py
@@ -337,6 +337,8 @@
         self._dial_waiters = {}
         self._dial_timers = {}
         self._retry_after_s = {}
+        # Names of the peers at whose host no process listened at the last dial.
+        self._refused = set()
         self._port = None
 
     @property
@@ -397,6 +399,13 @@
         connections = self._connections.get(name)
         return connections[-1] if connections else None
 
+    def has_refused(self, name):
+        """Tell whether no process listened at a peer's host at the last dial.
+
+        :param name: instance name.
+        """
+        return name in self._refused
+
     def send(self, name, message):
         """Send a message to a connected peer.
 
@@ -457,6 +466,10 @@
     def _connect_failed(self, failure, name):
         failure.trap(error.ConnectError, error.NoProtocol, defer.CancelledError)
         self._retry_after_s[name] = self._reactor.seconds() + RECONNECT_DELAY_S
+        if failure.check(error.ConnectionRefusedError):
+            self._refused.add(name)
+        else:
+            self._refused.discard(name)
         self._settle_dial(name, None)
 
     def _settle_dial(self, name, connection):
@@ -474,6 +487,7 @@
         :param envelope: envelope that carries the ``Hello``.
         """
         self._connections.setdefault(connection.peer, []).append(connection)
+        self._refused.discard(connection.peer)
         self._settle_dial(connection.peer, connection)
         self.deliver(connection, envelope)
 
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -447,6 +447,69 @@
     age_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class LimitReport:
+    """An endpoint has named a limit in an answer to the sender, or names none any more.
+
+    :param endpoint: name of the endpoint.
+    :param started_ms: start of its run in Unix milliseconds, 0 when it is unknown.
+    :param is_limited: whether it names a limit.
+    :param limit_per_s: requests per second that it takes from all entry instances
+        together; 0.0 without a limit.
+    :param age_s: seconds since the endpoint said so.
+    """
+
+    endpoint: str
+    started_ms: int
+    is_limited: bool
+    limit_per_s: float
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class PermitRequest:
+    """An entry instance asks another one for permits to send calls to an endpoint.
+
+    :param endpoint: name of the endpoint.
+    :param started_ms: start of its run in Unix milliseconds, 0 when it is unknown.
+    :param limit_per_s: limit that the sender knows, requests per second.
+    :param limit_age_s: seconds since the endpoint named it.
+    :param wanted: number of permits that the sender can use.
+    :param is_waiting: whether calls wait for them; otherwise it would rather send its
+        next call to this endpoint than to another one.
+    :param returned: number of earlier permits that it has not used.
+    :param follows: whether it gets its permits from the receiver.
+    """
+
+    endpoint: str
+    started_ms: int
+    limit_per_s: float
+    limit_age_s: float
+    wanted: int
+    is_waiting: bool
+    returned: int
+    follows: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class PermitGrant:
+    """An entry instance grants another one permits to send calls to an endpoint.
+
+    :param endpoint: name of the endpoint.
+    :param started_ms: start of its run in Unix milliseconds, 0 when it is unknown.
+    :param count: number of permits; each allows one call.
+    :param interval_s: expected time in seconds between permits for the receiver.
+    :param issued_s: monotonic clock of the sender in seconds. Only its differences
+        between grants of one sender are meaningful.
+    """
+
+    endpoint: str
+    started_ms: int
+    count: int
+    interval_s: float
+    issued_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class DemandReport:
     """Demand for rate-limited rows at an entry instance.
--- a/cicadaplank/requests/announcements.py
+++ b/cicadaplank/requests/announcements.py
@@ -2,7 +2,8 @@
 
 An endpoint that leaves says so before its row does, and one that turns a call away may
 say for how long it wants no more of them. Load pattern: a rolling replacement, or a
-burst that fills endpoints one after the other.
+burst that fills endpoints one after the other. One in need names the requests a second
+that it takes from all entry instances together, as long as that holds.
 
 What an endpoint says holds for one run of it, whatever its row says, and also while the
 row is missing. It ends with the run, or with the time that was named.
@@ -22,6 +23,10 @@
 # Time for which the word of another instance counts that an endpoint leaves. Its row
 # says so within this time, unless the word is false or stale.
 MAX_HEARSAY_S = 10.0
+# A smaller limit, also none at all, counts as this one: a call now and then shows
+# whether it still holds. A larger one is more than all entry instances send.
+MIN_LIMIT_PER_S = 0.1
+MAX_LIMIT_PER_S = 10_000.0
 # Limit on the runs of endpoints of which something is kept.
 MAX_RUNS = 2048
 
@@ -34,11 +39,16 @@
     :param busy_until_s: time in seconds until which it wants no calls.
     :param hearsay_until_s: time in seconds until which it is avoided because another
         instance said that it leaves.
+    :param limit_per_s: requests per second that it takes from all entry instances
+        together, or None while it names no limit.
+    :param limit_said_s: time in seconds at which it last named a limit or none.
     """
 
     leaving_s: float | None = None
     busy_until_s: float = 0.0
     hearsay_until_s: float = 0.0
+    limit_per_s: float | None = None
+    limit_said_s: float = float("-inf")
 
     @property
     def is_leaving(self):
@@ -135,6 +145,69 @@
         self._set(run, dataclasses.replace(word, hearsay_until_s=until_s))
         return True
 
+    def record_limit(self, run, limit_per_s, now_s):
+        """Record that an endpoint has named a limit.
+
+        :param run: key of one run of an endpoint.
+        :param limit_per_s: requests per second, 0.0 or more.
+        :param now_s: current time in seconds.
+        :returns: whether it is another one than before.
+        """
+        kind = "limit"
+        if limit_per_s < MIN_LIMIT_PER_S:
+            kind, limit_per_s = "limit_too_small", MIN_LIMIT_PER_S
+        elif limit_per_s > MAX_LIMIT_PER_S:
+            kind, limit_per_s = "limit_too_large", None
+        self.counts[kind] += 1
+        return self._set_limit(run, limit_per_s, now_s)
+
+    def record_no_limit(self, run, sent_s, now_s):
+        """Record that an endpoint has named no limit in an answer.
+
+        A limit that was named after the call was sent stays.
+
+        :param run: key of one run of an endpoint.
+        :param sent_s: time in seconds at which the call was sent.
+        :param now_s: current time in seconds.
+        :returns: whether it had named one before.
+        """
+        word = self.of(run)
+        if word.limit_per_s is None or sent_s <= word.limit_said_s:
+            return False
+        self.counts["limit_ended"] += 1
+        return self._set_limit(run, None, now_s)
+
+    def merge_limit(self, run, limit_per_s, age_s, now_s):
+        """Record the word of another instance on the limit of an endpoint.
+
+        :param run: key of one run of an endpoint.
+        :param limit_per_s: requests per second, or None for no limit.
+        :param age_s: seconds since the endpoint said so.
+        :param now_s: current time in seconds.
+        :returns: whether it is another one than before. Something older than what is
+            known, or without a valid age or limit, does not count.
+        """
+        is_valid = 0 <= age_s < float("inf")
+        if limit_per_s is not None:
+            is_valid &= MIN_LIMIT_PER_S <= limit_per_s <= MAX_LIMIT_PER_S
+        if not is_valid:
+            self.counts["rejected"] += 1
+            return False
+        if now_s - age_s <= self.of(run).limit_said_s:
+            return False
+        self.counts["limit_merged"] += 1
+        return self._set_limit(run, limit_per_s, now_s - age_s)
+
+    def _set_limit(self, run, limit_per_s, said_s):
+        word = self.of(run)
+        if word.limit_per_s is None and limit_per_s is None:
+            return False
+        changed = dataclasses.replace(
+            word, limit_per_s=limit_per_s, limit_said_s=said_s
+        )
+        self._set(run, changed)
+        return word.limit_per_s != limit_per_s
+
     def _set(self, run, word):
         self._words[run] = word
         self._words.move_to_end(run)
--- a/features/entries.py
+++ b/features/entries.py
@@ -39,6 +39,10 @@
         hello = types.Hello("entry", "r", "a", 0)
         return plain_types.SimpleNamespace(hello=hello, peer=name, transport=transport)
 
+    def has_refused(self, name):
+        """Tell that no process listens at a peer's host."""
+        return True
+
     def send_all(self, names, message):
         """Keep a message as a frame."""
         self.sent.append(codec.encode(codec.Envelope("10.0.0.9", 0, message)))
