--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,6 +8,10 @@
 RETRY_SHARE, RETRY_ALLOWANCE = 0.2, 100
 # A link may hold a request back for 2.5 s.
 GONE_S = 3.0
+# A server that has named a limit gets in any window no more than this share of what the
+# limit allows, and a few further requests.
+LIMIT_WINDOW_S, LIMIT_SHARE, LIMIT_ALLOWANCE = 4.0, 1.5, 5
+CONTACT_S, TOLD_S = 3.0, 0.5
 # A part that has crashed this many servers is not sent more often than allowed later
 # than this.
 JUDGED_CRASH, POISON_S, MAX_LATE_POISON = 5, 3.0, 3
@@ -30,6 +34,7 @@
     :param ended_s: steady time of the end.
     :param key: API key.
     :param leaving: server whose answer came with the word that it leaves, or empty.
+    :param limited: server whose answer came with a limit, or empty.
     """
 
     request: str
@@ -45,6 +50,7 @@
     ended_s: float
     key: str = "key-1"
     leaving: str = ""
+    limited: str = ""
 
 
 def _answers(seen):
@@ -164,6 +170,62 @@
             yield f"words of servers: {arrival.server} got work {late_s:.1f} s later"
 
 
+@dataclasses.dataclass(frozen=True)
+class Limit:
+    """A span in which a server named a limit.
+
+    :param server: server name.
+    :param limit_per_s: requests per second from all entries together.
+    :param since_s: steady time at which it began.
+    :param until_s: steady time at which it ended.
+    """
+
+    server: str
+    limit_per_s: float
+    since_s: float
+    until_s: float
+
+
+def limits(spans, seen, ledger):
+    """Check that servers get no more than their limit from entries that they told.
+
+    An entry process counts half a second after it has passed such an answer on, and not
+    any more once it was restarted.
+
+    :param spans: list of :class:`Limit`.
+    :param seen: list of :class:`Seen`.
+    :param ledger: :class:`soak.servers.Ledger`.
+    :returns: texts of what did not hold.
+    """
+    by_request = {each.request: each for each in seen}
+    found = []
+    for span in spans:
+        told_s = {}
+        for each in seen:
+            if each.limited == span.server and each.ended_s >= span.since_s:
+                place = each.entry, each.life
+                told_s[place] = min(told_s.get(place, float("inf")), each.ended_s)
+        times_s = []
+        for arrival in ledger.arrivals:
+            each = by_request.get(arrival.request)
+            is_there = arrival.server == span.server and not arrival.is_misdirected
+            if each is None or not is_there or arrival.at_s > span.until_s:
+                continue
+            since_s = told_s.get((each.entry, each.life), float("inf")) + TOLD_S
+            if arrival.at_s > max(since_s, span.since_s + CONTACT_S):
+                times_s.append(arrival.at_s)
+        allowed = LIMIT_SHARE * LIMIT_WINDOW_S * span.limit_per_s + LIMIT_ALLOWANCE
+        for first_s in times_s:
+            count = sum(1 for t in times_s if first_s <= t <= first_s + LIMIT_WINDOW_S)
+            if count > allowed:
+                found.append(
+                    f"limits: {span.server} got {count} requests in "
+                    f"{LIMIT_WINDOW_S:.0f} s at {span.limit_per_s} a second"
+                )
+                break
+    return found
+
+
 def _budget(seen, ledger):
     arrived = collections.Counter(a.request for a in ledger.arrivals)
     repeats = sum(count - 1 for count in arrived.values())
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -43,7 +43,7 @@
 
     def _one(self):
         self._count += 1
-        self._leaving = ""
+        self._leaving = self._limited = ""
         request = f"r-{self._name}-{self._count}"
         kind = self._rng.choice(KINDS)
         entry = self._rng.randrange(len(self._fleet.entries))
@@ -70,6 +70,7 @@
                 time.monotonic(),
                 key,
                 self._leaving,
+                self._limited,
             )
         )
 
@@ -93,6 +94,8 @@
             status = response.status
             if response.getheader("Server-Leaving") == "1":
                 self._leaving = response.getheader("X-Server-Name")
+            if response.getheader("Server-Limit"):
+                self._limited = response.getheader("X-Server-Name")
             answer = response.read()
             if response.will_close:
                 self._forget(address)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -25,6 +25,9 @@
 # After the last fault ends: ejections last up to 8 s.
 SETTLE_S = 4.0
 AFTER_S = 2.0
+# Limits that servers name, and how long at least.
+LIMITS_PER_S = (1.5, 4.0, 0.5)
+LIMITED_S = 6.0
 # Time after which a crashed server is replaced.
 RESTART_S = 1.0
 
@@ -192,6 +195,7 @@
         self._keys = list(self.extra_keys)
         self._crashes_s = []
         self._left = []
+        self._limits = []
         # The newest configuration, and the newest whose paths clients ask for.
         self._newest = self.version = 2
         self._naming = threading.Lock()
@@ -252,8 +256,10 @@
         revoked = set(self.extra_keys) - set(self._keys)
         found = checks.Extras(revoked, self._left, self._crashes_s)
         violations = checks.violations(seen, after, self.ledger, self.drained, found)
+        violations += checks.limits(self._limits, (*seen, *after), self.ledger)
         words = collections.Counter(
-            leaving=sum(1 for each in (*seen, *after) if each.leaving)
+            leaving=sum(1 for each in (*seen, *after) if each.leaving),
+            limit=sum(1 for each in (*seen, *after) if each.limited),
         )
         return Outcome(violations, len(seen), words)
 
@@ -409,6 +415,24 @@
         self._add_server(len(self.servers))
         self.servers[event.target % SERVERS].is_leaving = True
 
+    def _limit(self, event):
+        """Let a server name a limit for a while, in between one that is no number."""
+        server = self.servers[event.target % SERVERS]
+        if server.limit:
+            return
+        limit_per_s = LIMITS_PER_S[event.target % len(LIMITS_PER_S)]
+        server.limit = str(limit_per_s)
+        since_s = time.monotonic()
+        time.sleep(event.for_s / 2)
+        server.limit = "many"
+        time.sleep(LIMITED_S)
+        server.limit = str(limit_per_s)
+        time.sleep(event.for_s / 2)
+        self._limits.append(
+            checks.Limit(server.name, limit_per_s, since_s, time.monotonic())
+        )
+        server.limit = ""
+
     def stop(self):
         """End every process and port."""
         for entry in self.entries:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -41,7 +41,7 @@
 
 
 # What servers say of themselves in answers only, drawn apart for the same reason.
-WORD_KINDS = ("leave_unlisted", "leave_unlisted")
+WORD_KINDS = ("leave_unlisted", "leave_unlisted", "limit", "limit")
 
 
 @dataclasses.dataclass(frozen=True)
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -74,6 +74,7 @@
         closed) or ``garbage`` (sends further bytes after each answer).
     :ivar delay_s: time that a run takes.
     :ivar is_leaving: whether it says in its answers that it leaves.
+    :ivar limit: text of the limit that it names in its answers, or empty.
     """
 
     daemon_threads = True
@@ -85,6 +86,7 @@
         self.mode = "ok"
         self.delay_s = 0.02
         self.is_leaving = False
+        self.limit = ""
         self.has_crashed = False
         # Called with this server when it crashes.
         self.crash = lambda server: None
@@ -196,6 +198,8 @@
         self.send_header("X-Server-Name", self.server.name)
         if self.server.is_leaving:
             self.send_header("Server-Leaving", "1")
+        if self.server.limit:
+            self.send_header("Server-Limit", self.server.limit)
 
     def _answer(self, status, body, headers=()):
         self.send_response(status)
