--- a/bench/limited.py
+++ b/bench/limited.py
@@ -175,6 +175,7 @@
         lines.append(b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked")
         protocol.dataReceived(b"\r\n".join(lines) + b"\r\n\r\n")
         resumed = RESUMED.search(data)
+        self._replay.resumed += bool(resumed and self.limit)
         first = int(resumed.group(1)) + 1 if resumed else 1
         for number in range(first, EVENTS + 1):
             event = b"id: %d\ndata: x\n\n" % number
@@ -240,6 +241,7 @@
     :param scenario: :class:`Scenario`.
     :param seed: seed of the random numbers.
     :ivar gateways: dict from instance name to gateway.
+    :ivar resumed: number of streams that were resumed at an endpoint with a limit.
     """
 
     def __init__(self, scenario, seed):
@@ -255,6 +257,8 @@
         # for a frozen one.
         self._cut_s = {}
         self._frozen = {}
+        self._delay_s = 0.0
+        self.resumed = 0
         self._count = 0
         self._connecting = ""
         for number in range(scenario.endpoints):
@@ -348,6 +352,17 @@
         for envelope in self._frozen.pop(name):
             self._process(name, envelope)
 
+    def issuers(self):
+        """Return the names of the instances that issue permits, sorted."""
+        limits = next(iter(self.gateways.values())).endpoints.limits
+        return sorted(limits.issuer_names())
+
+    def delay_messages(self, duration_s):
+        """Let messages between instances take half a second longer for some time."""
+        self._delay_s = 0.5
+        self.run(duration_s)
+        self._delay_s = 0.0
+
     def _is_silent(self, name, other):
         """Tell whether two instances have noticed that they do not hear each other."""
         cut_s = [self._cut_s[each] for each in (name, other) if each in self._cut_s]
@@ -371,7 +386,8 @@
         if sender in self._cut_s or name in self._cut_s:
             return
         frame = codec.encode(codec.Envelope(sender, 0, message))
-        self.reactor.callLater(self.rng.uniform(*DELAY_S), self._receive, name, frame)
+        delay_s = self._delay_s + self.rng.uniform(*DELAY_S)
+        self.reactor.callLater(delay_s, self._receive, name, frame)
 
     def _receive(self, name, frame):
         """Let an instance process a message of another one."""
--- a/cicadaplank/requests/limit_shares.py
+++ b/cicadaplank/requests/limit_shares.py
@@ -449,6 +449,10 @@
             )
         return name
 
+    def issuer_names(self):
+        """Return the names of the issuers that this instance follows, as a set."""
+        return {share.issuer for share in self._shares.values()}
+
     def receive(self, peer, run, request, now_s):
         """Record the request of another instance for permits.
 
--- a/features/entries.py
+++ b/features/entries.py
@@ -32,6 +32,7 @@
 
     def __init__(self):
         self.sent = []
+        self.refused = {"10.0.0.9"}
 
     def connection(self, name):
         """Return a connection of an entry instance."""
@@ -40,8 +41,8 @@
         return plain_types.SimpleNamespace(hello=hello, peer=name, transport=transport)
 
     def has_refused(self, name):
-        """Tell that no process listens at a peer's host."""
-        return True
+        """Tell whether no process listens at a peer's host."""
+        return name in self.refused
 
     def send_all(self, names, message):
         """Keep a message as a frame."""
--- a/features/steps/gateway_announcements.py
+++ b/features/steps/gateway_announcements.py
@@ -101,10 +101,14 @@
 
 
 def step_refused(context):
-    """Check that the newest client was refused and told when to come back."""
+    """Check that the newest client was refused and told when to come back.
+
+    :returns: the time that it was told, in seconds.
+    """
     got = context.world.client_transport.value()
     assert gateway.status_of(got) == 503, got
     assert b"Retry-After" in got, got
+    return float(got.partition(b"Retry-After: ")[2].partition(b"\r\n")[0])
 
 
 @behave.when('another endpoint at its address answers 421 with "{headers}"')
@@ -245,7 +249,12 @@
         assert place_of(world, body) is None
         world.run(float(outcome.split()[3]))
     place = place_of(world, body)
-    if outcome == "is answered 503 at once":
+    if outcome.startswith("is told to come back after"):
+        assert place is None, place
+        told_s = step_refused(context)
+        at_least_s = float(outcome.split()[-2])
+        assert at_least_s <= told_s <= 1.3 * at_least_s, told_s
+    elif outcome == "is answered 503 at once":
         assert place is None, place
         step_refused(context)
     else:
