Keep the limit that an endpoint named before its record told of its start

Callers saw: nothing; found while looking for the class of LIMIT and DRAIN. With the change taken out "An endpoint has named 1.5 a second, and then its row tells late of the run that named it" fails: ASSERT FAILED: [None].

Cause: while the store is away or a zone is cut off, an endpoint that starts again at its address answers calls that are meant for the run before. What it says was kept for that run and lost once its record arrived, so that every entry instance sent without a limit until the next answer.

Change: a limit that was named after the new run had started, by the time of day, is kept for it. A wrong clock can only keep a limit until the next answer, or lose one. "its row tells of a new run" has the start of that run at the present, in place of 5 ms after 1970, since the start now matters.

--- a/cicadaplank/gateway/endpoints.py
+++ b/cicadaplank/gateway/endpoints.py
@@ -313,7 +313,7 @@
         """Return the :class:`EndpointState` of each endpoint of a service."""
         return list(self._services.get(service, {}).values())
 
-    def update(self, listed, now_s, keep_missing=False):
+    def update(self, listed, now_s, keep_missing=False, unix_s=0.0):
         """Apply a new list of endpoints.
 
         An endpoint that was started anew is replaced by a new state. One whose record
@@ -324,6 +324,7 @@
         :param now_s: current time in seconds.
         :param keep_missing: keep missing endpoints for :data:`MISSING_GRACE_S`, since
             the store is in an outage or has just recovered from one.
+        :param unix_s: time of day in Unix seconds.
         :returns: :class:`Changes`.
         """
         removed, leaving = [], []
@@ -336,6 +337,7 @@
                 )
             if state and state.endpoint.identity != endpoint.identity:
                 removed.append(self._remove(state))
+                self._succeed(state.endpoint, endpoint, now_s, unix_s)
                 state = None
             if state is None:
                 state = self._add(EndpointState(endpoint), now_s)
@@ -354,6 +356,13 @@
                 removed.append(self._remove(state))
         return Changes(tuple(removed), tuple(leaving))
 
+    def _succeed(self, endpoint, successor, now_s, unix_s):
+        if (endpoint.host, endpoint.port) == (successor.host, successor.port):
+            age_s = unix_s - successor.started_ms / 1000.0
+            self.announcements.succeed(
+                endpoint.identity, successor.identity, age_s, now_s
+            )
+
     def _add(self, state, now_s):
         self.counts["added"] += 1
         self._states[state.endpoint.name] = state
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -219,7 +219,7 @@
             records may have expired during an outage of the store.
         """
         now_s = self.now_s()
-        changes = self.endpoints.update(listed, now_s, keep_missing)
+        changes = self.endpoints.update(listed, now_s, keep_missing, self.unix_s())
         for state in changes.removed:
             name = state.endpoint.name
             self._reporter.event("endpoint_gone", endpoint=name)
--- a/cicadaplank/requests/announcements.py
+++ b/cicadaplank/requests/announcements.py
@@ -198,6 +198,22 @@
         self.counts["limit_merged"] += 1
         return self._set_limit(run, limit_per_s, now_s - age_s)
 
+    def succeed(self, run, successor, age_s, now_s):
+        """Keep the limit that a run had named before its record told of it.
+
+        While the store is away, an endpoint that starts again at its address answers
+        calls that are meant for the run before.
+
+        :param run: key of the run that the record told of until now.
+        :param successor: key of the run that it tells of now, at the same address.
+        :param age_s: seconds since the successor started, by the time of day.
+        :param now_s: current time in seconds.
+        """
+        word = self.of(run)
+        if word.limit_per_s is not None and word.limit_said_s > now_s - age_s:
+            self.counts["limit_kept"] += 1
+            self._set_limit(successor, word.limit_per_s, word.limit_said_s)
+
     def _set_limit(self, run, limit_per_s, said_s):
         word = self.of(run)
         if word.limit_per_s is None and limit_per_s is None:
--- a/features/gateway/limits.feature
+++ b/features/gateway/limits.feature
@@ -106,6 +106,7 @@
       | its row goes and comes back                         | 1.5   | 0        |
       | its row tells no start                              | 1.5   | 0        |
       | its row tells of a new run                          | none  | 0        |
+      | its row tells late of the run that named it         | 1.5   | 0        |
       | a peer says 1.0 s later that it names 4.0           | 1.5   | 0        |
       | a peer says 0.0 s later that it names 4.0           | 4     | 0        |
       | a peer says 0.0 s later that it names none          | none  | 0        |
--- a/features/steps/gateway_announcements.py
+++ b/features/steps/gateway_announcements.py
@@ -233,7 +233,13 @@
     if change == "goes and comes back":
         world.gateway.set_endpoints({}, False)
     elif change == "tells of a new run":
-        endpoint = dataclasses.replace(endpoint, started_ms=5)
+        # It has started just now.
+        started_ms = int(1000 * world.reporter.unix_s())
+        endpoint = dataclasses.replace(endpoint, started_ms=started_ms)
+    elif change == "tells late of the run that named it":
+        # The store was away as the endpoint started.
+        started_ms = int(1000 * (world.reporter.unix_s() - 20.0))
+        endpoint = dataclasses.replace(endpoint, started_ms=started_ms)
     elif change == "tells no start":
         endpoint = dataclasses.replace(endpoint, started_ms=0)
     elif change == "names another endpoint":
