--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -224,6 +224,7 @@
             name = state.endpoint.name
             self._reporter.event("endpoint_gone", endpoint=name)
             self._broken_attempts.pop(state, None)
+            self._wished_until_s.pop(name, None)
             pool = self._pools.pop(state.endpoint.identity, None)
             if pool is not None:
                 pool.close()
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -37,6 +37,8 @@
 # Interval at which endpoints are looked at whose records are missing just after an
 # outage of the store. They are dropped when its grace period is over.
 MISSING_CHECK_INTERVAL_S = 0.1
+# Interval at which the instances are counted that share limits, while there is none.
+MEMBERS_INTERVAL_S = 1.0
 # Interval at which a stopping process checks for calls in progress.
 STOP_CHECK_INTERVAL_S = 0.1
 # Delay of the event loop from which on it is logged. Each client then waits as long.
@@ -172,6 +174,7 @@
         self._registry_reads = registry_reads.RegistryReads()
         self._tick_due_s = None
         self._largest_loop_delay_s = 0.0
+        self._members_set_s = float("-inf")
         self._late_path_logged_s = float("-inf")
         reporter = reporting.Reporter(self.events, self.metrics, reactor.seconds)
         self._reporter = reporter
@@ -576,8 +579,11 @@
         self.reactor.callLater(gateway.TIMEOUT_CHECK_INTERVAL_S, self._tick)
         now_s = self.reactor.seconds()
         self._record_lateness(now_s)
-        members, silent = self.peers.permit_members(now_s)
-        self.gateway.set_permit_members(self.instance.name, members, silent)
+        is_limited = len(self.gateway.endpoints.limits) > 0
+        if is_limited or now_s - self._members_set_s >= MEMBERS_INTERVAL_S:
+            self._members_set_s = now_s
+            members, silent = self.peers.permit_members(now_s)
+            self.gateway.set_permit_members(self.instance.name, members, silent)
         self.gateway.check_timeouts()
         self.peers.tick()
         now_s = self.reactor.seconds()
