Refuse calls at once for which a permit comes only perhaps in time

Cause: a call was queued when its permit was expected just before the end of its waiting time; a more urgent call or another instance that asks made it later.

Change: a quarter more than the expected wait has to fit; a call that waited in vain is told the time of the next permit, like one that is refused at once.

--- a/bench/limited.py
+++ b/bench/limited.py
@@ -143,13 +143,13 @@
         self.name = name
         self.limit = None
         self.broken_share = 0.0
-        self.arrivals = []
+        self.arrivals_s = []
         self._replay = replay
 
-    def received(self, entry, protocol, data):
+    def received(self, protocol, data):
         """Take a request and answer it later."""
         reactor, rng = self._replay.reactor, self._replay.rng
-        self.arrivals.append((reactor.seconds() + rng.uniform(*DELAY_S), entry))
+        self.arrivals_s.append(reactor.seconds() + rng.uniform(*DELAY_S))
         reactor.callLater(rng.uniform(*RUN_S), self._answer, protocol, data)
 
     def _answer(self, protocol, data):
@@ -260,7 +260,6 @@
         self._delay_s = 0.0
         self.resumed = 0
         self._count = 0
-        self._connecting = ""
         for number in range(scenario.endpoints):
             name = f"e-{number}"
             self.endpoints[name] = Endpoint(self, name)
@@ -405,7 +404,6 @@
             types.PermitRequest: its.receive_permit_request,
             types.PermitGrant: its.receive_permits,
         }
-        self._connecting = name
         act = receive.get(type(envelope.message))
         if act is not None:
             act(envelope.sender, envelope.message)
@@ -413,16 +411,14 @@
     # Calls.
 
     def _connect(self, host, factory):
-        dial, entry = _Dial(), self._connecting
+        dial = _Dial()
         endpoint = self.endpoints[host]
 
         def accept():
             if dial.is_stopped:
                 return
             protocol = factory.buildProtocol(None)
-            transport = _Transport(
-                lambda data: endpoint.received(entry, protocol, data)
-            )
+            transport = _Transport(lambda data: endpoint.received(protocol, data))
             protocol.makeConnection(transport)
 
         self.reactor.callLater(self.rng.uniform(*DELAY_S), accept)
@@ -440,7 +436,6 @@
         now_s = self.reactor.seconds()
         request = calls.Request(head, b"call", now_s)
         self.outcomes["calls"] += 1
-        self._connecting = name
         self.gateways[name].accept(Caller(self.outcomes), request)
         wait_s = self.rng.expovariate(self.scenario.calls_per_s)
         self.reactor.callLater(wait_s, self._call)
@@ -448,7 +443,6 @@
     def _tick(self):
         for name, each in self.gateways.items():
             if name not in self._frozen:
-                self._connecting = name
                 self._set_members(name)
                 each.check_timeouts()
 
@@ -483,13 +477,31 @@
         limited = list(self.endpoints.values())[: self.scenario.limited]
         excess, used = float("-inf"), 0
         for endpoint in limited:
-            times_s = [at_s for at_s, _ in endpoint.arrivals if start_s <= at_s < now_s]
+            times_s = [at_s for at_s in endpoint.arrivals_s if start_s <= at_s < now_s]
             used += len(times_s)
             excess = max(excess, most_in_window(times_s) - WINDOW_S * limit_per_s)
         allowed = limit_per_s * since_s * len(limited)
         return Result(excess, used / allowed, self.outcomes)
 
 
+def main():
+    """Print how much of a limit is used, and the most beyond it, at each size."""
+    sizes = ((6, 1.5), (6, 12.0), (45, 1.5), (45, 20.0), (100, 1.5), (100, 50.0))
+    for entries, limit_per_s in sizes:
+        calls_per_s = max(60.0, 10 * limit_per_s)
+        scenario = Scenario(entries, limit_per_s=limit_per_s, calls_per_s=calls_per_s)
+        replay = Replay(scenario, 1)
+        replay.run(1.0)
+        replay.name_limit(str(limit_per_s))
+        replay.run(23.0)
+        found = replay.result(20.0, limit_per_s)
+        print(
+            f"{entries:4d} entries, {limit_per_s:4.1f} a second: used "
+            f"{found.used_share:.3f}, most in {WINDOW_S:.0f} s {found.excess:+.0f}, "
+            f"{dict(found.outcomes)}"
+        )
+
+
 def most_in_window(times_s):
     """Return the largest number of times that lie within :data:`WINDOW_S`."""
     times_s = sorted(times_s)
@@ -499,3 +511,7 @@
             first += 1
         most = max(most, last - first + 1)
     return most
+
+
+if __name__ == "__main__":
+    main()
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -45,6 +45,9 @@
 MAX_BUFFERED_BYTES = 48 * 1024 * 1024
 # An endpoint's connections are divided among at least this many entry instances.
 MIN_MEMBERS = 8
+# Factor of the expected wait for a permit up to which a call may have to wait, as more
+# urgent ones may arrive meanwhile.
+PERMIT_WAIT_MARGIN = 1.25
 # Interval at which one entry instance wishes for a permit of an endpoint to which it
 # would send a call, although none waits: the answer shows whether the limit holds.
 # It is longer where more instances wish for the permits of a smaller limit.
@@ -428,13 +431,15 @@
         queue_entry = call.queue_entry()
         if self._refuse_unservable(call, queue_entry, states, now_s):
             return
-        permit_wait_s = placement.permit_wait_s(states, demand, len(queue), now_s)
-        expected_s = permit_wait_s
+        expected_s = placement.permit_wait_s(states, demand, len(queue), now_s)
         if expected_s is None:
             expected_s = queue.expected_wait_s(now_s)
-        reason = queue.admit(queue_entry, now_s, permit_wait_s)
+            reason, is_told = queue.admit(queue_entry, now_s), False
+        else:
+            longest_s, is_told = PERMIT_WAIT_MARGIN * expected_s, True
+            reason = queue.admit(queue_entry, now_s, longest_s)
         if reason:
-            call.refuse(reason, now_s, expected_s, permit_wait_s is not None)
+            call.refuse(reason, now_s, expected_s, is_told)
             return
         call.phase = calls.Phase.WAITING
         self._reporter.waiting(call, len(queue), expected_s, states, demand, now_s)
@@ -1012,9 +1017,19 @@
         self._update_permits(now_s)
         for service, queue in list(self._queues.items()):
             for queued_call in queue.pop_expired(now_s):
-                queued_call.call.refuse("waited too long", now_s, DEFAULT_RETRY_AFTER_S)
+                self._refuse_expired(queued_call.call, now_s)
             self.dispatch(service)
 
+    def _refuse_expired(self, call, now_s):
+        """Refuse a call that has waited too long in a queue."""
+        states = self.endpoints.of_service(call.service)
+        count = len(self._queues[call.service])
+        wait_s = placement.permit_wait_s(states, call.demand(), count, now_s)
+        if wait_s is None:
+            call.refuse("waited too long", now_s, DEFAULT_RETRY_AFTER_S)
+        else:
+            call.refuse("waited too long", now_s, wait_s, True)
+
     def abort_all(self, reason):
         """End every call and close the connection pools; the process is stopping.
 
--- a/cicadaplank/gateway/placement.py
+++ b/cicadaplank/gateway/placement.py
@@ -22,8 +22,6 @@
 # Added to the relative load of an endpoint that recently refused a call because it is
 # full, or of which another instance says that it leaves.
 FULL_PENALTY = 1.0
-
-
 # Random part of the relative load, which breaks ties. Each further entry instance adds
 # to it: the endpoint that is least loaded in the last reports is so to all of them, and
 # would get a call from each before the next report.
