--- a/features/soak/seeds.feature
+++ b/features/soak/seeds.feature
@@ -16,3 +16,4 @@
       | 123  |
       | 130  |
       | 7006 |
+      | 7217 |
