Take missing records for gone after a cut of this instance only

Cause: after an outage of the store, records that are missing may have expired and are kept for 2.5 s. An instance that was cut off from the store alone did the same, although the store had answered its peers all the time and no record had expired.

Proof: "The record of an endpoint goes just after the store was away from this instance only" fails before: ASSERT FAILED: not used any more.

Change: an instance knows from the reports of its peers whether the store answered some of them without a gap. When it did so for as long as records take to come back, missing ones are gone.

Result: the four rows pass, two of which keep the records as before.

--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -35,6 +35,9 @@
 # shrinks from 300 KB to a tenth of that.
 COMPRESSED_BYTES = 1024
 MAX_VALUE_BYTES = 16 * 1024 * 1024
+# Answers of the store to some peer that are at most this multiple of the longest poll
+# apart show that it was not away in between.
+SERVED_GAP_POLLS = 1.5
 # A peer counts as live while its last report is at most this old.
 REPORT_AGE_S = 3.0
 # An instance without a connection may go on and send calls. After this time it is taken
@@ -78,6 +81,8 @@
         self._local_count = 0
         # Time in seconds as of which the copies are known to have held every change.
         self._confirmed_s = float("-inf")
+        # Span in which the store answered some peer again and again.
+        self._served_since_s = self._served_until_s = float("-inf")
         # Last time at which the store had answered no instance for sync.OUTAGE_AFTER_S.
         self._store_unavailable_s = float("-inf")
 
@@ -202,6 +207,27 @@
             self._reactor.seconds() - self._store_unavailable_s < sync.RECOVERY_GRACE_S
         )
 
+    def store_has_served(self, now_s):
+        """Tell whether the store has answered peers all the time of a recovery.
+
+        An instance that was cut off from the store alone has missed no outage of it, so
+        that no records have expired.
+
+        :param now_s: current time in seconds.
+        """
+        latest_s = self._served_until_s + self._served_gap_s + self._period_s(False)
+        served_s = self._served_until_s - self._served_since_s
+        return now_s <= latest_s and served_s >= sync.RECOVERY_GRACE_S
+
+    @property
+    def _served_gap_s(self):
+        return SERVED_GAP_POLLS * self.times.poll_s
+
+    def _record_served(self, at_s):
+        if at_s > self._served_until_s + self._served_gap_s:
+            self._served_since_s = at_s
+        self._served_until_s = max(self._served_until_s, at_s)
+
     def _has_newer_records(self, report):
         return any(
             report.newest.get(table, -1) > table_sync.copy.version
@@ -302,6 +328,7 @@
             now_s = self._reactor.seconds()
             self.path_delays.record(peer, message.sent_s, now_s)
             self._reports[peer] = (message, now_s)
+            self._record_served(now_s - max(0.0, message.store_age_s))
             self._request_records(peer, message)
         elif isinstance(message, types.RecordRequest):
             self._send_records(peer, message)
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -460,9 +460,9 @@
         if unreadable:
             self._log("unreadable_records", table=self.listed.table, count=unreadable)
         now_s = self.reactor.seconds()
-        may_have_expired = (
+        may_have_expired = self.peers.records_may_have_expired() or (
             self.listed.availability.records_may_have_expired(now_s)
-            or self.peers.records_may_have_expired()
+            and not self.peers.store_has_served(now_s)
         )
         self.gateway.set_endpoints(listed, may_have_expired)
         self._notify_agents()
--- a/features/gateway/announcements.feature
+++ b/features/gateway/announcements.feature
@@ -179,3 +179,18 @@
       | change                       | more     |
       | its record stays as it is    | no other |
       | its record tells new weights | another  |
+
+  @always_4
+  Scenario Outline: The record of an endpoint goes just after <outage>
+    Given an entry process with an endpoint
+    When <outage> for 5 s and it has gone on for 1 s
+    And the record of the endpoint goes
+    Then the endpoint then <outcome>
+
+    # Records expire while the store is away, and are written again.
+    Examples:
+      | outage                                             | outcome              |
+      | the store was away from all instances              | is kept for a while  |
+      | the store was away from this instance only         | is not used any more |
+      | this instance was cut off from all others          | is kept for a while  |
+      | nothing was away                                   | is not used any more |
--- a/features/steps/gateway_recovery.py
+++ b/features/steps/gateway_recovery.py
@@ -4,10 +4,13 @@
 from twisted.internet import testing
 
 from cicadaplank.gateway import endpoints, routes
+from cicadaplank.messages import codec, types
 from features import entries
 
 STEP_S = 0.05
 END_S = 6.0
+# Age of the last answer of the store to a peer as it reports.
+PEER_AGE_S = 0.3
 
 
 def run(context, duration_s):
@@ -31,6 +34,59 @@
     entry.process.listed.availability.record_failure()
 
 
+@behave.given("an entry process with an endpoint")
+def step_with_endpoint(context):
+    step_lost(context)
+    context.entry.hear_store()
+    play(context, 4.0, is_away=False, peers_age_s=PEER_AGE_S)
+
+
+def play(context, duration_s, is_away, peers_age_s):
+    """Let time pass.
+
+    :param is_away: whether this instance gets no answer of the store.
+    :param peers_age_s: age of the last answer to a peer as it reports, None when it
+        does not report. It rises from there when it is longer than usual.
+    """
+    entry = context.entry
+    if is_away:
+        entry.process.listed.availability.record_failure()
+    for number in range(round(duration_s / STEP_S)):
+        if not is_away:
+            entry.hear_store()
+        if peers_age_s is not None and number % 4 == 0:
+            is_rising = peers_age_s > PEER_AGE_S
+            age_s = peers_age_s + is_rising * number * STEP_S
+            report = types.GatewayReport({}, {}, age_s, {}, context.reactor.seconds())
+            frame = codec.encode(codec.Envelope("10.0.0.9", 0, report))
+            entry.receive(frame)
+        context.reactor.advance(STEP_S)
+
+
+@behave.when("{outage} for {duration_s:d} s and it has gone on for {after_s:d} s")
+def step_outage(context, outage, duration_s, after_s):
+    is_away, peers_age_s = {
+        "the store was away from all instances": (True, 2 * PEER_AGE_S),
+        "the store was away from this instance only": (True, PEER_AGE_S),
+        "this instance was cut off from all others": (True, None),
+        "nothing was away": (False, PEER_AGE_S),
+    }[outage]
+    play(context, duration_s, is_away, peers_age_s)
+    play(context, after_s, is_away=False, peers_age_s=PEER_AGE_S)
+
+
+@behave.when("the record of the endpoint goes")
+def step_record_goes(context):
+    context.rows = {}
+    context.entry.process._endpoints_changed({"x"})
+
+
+@behave.then("the endpoint then is {outcome}")
+def step_outcome(context, outcome):
+    is_kept = "x" in context.entry.process.gateway.endpoints.names()
+    assert is_kept == (outcome == "kept for a while"), outcome
+
+
 @behave.when("the store returns and the endpoint's record goes {after_s:f} s later")
 def step_returns(context, after_s):
     entry = context.entry
