Tell an instance that was cut off how long the store has answered others

It regains the store up to 2 s after the cut, and keeps the endpoints whose records go for 2.5 s after that, as after an outage of the store.

Proof: "The record of an endpoint goes just after this instance was cut off from all others" fails before: ASSERT FAILED: not used any more.

Change: reports of entry instances say for how long the store is known to have answered some instance without a gap. That decides alone whether missing records may have expired, also for instances that take their records from peers.

Result: the five rows pass; two of them keep the records. The row of an instance that is cut off from all was expected to keep them before: it now has a peer that tells how long the store has answered, and another row has none.

--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -45,6 +45,31 @@
 MAX_SILENT_S = 30.0
 
 
+class ServedSpan:
+    """The latest span in which the store answered again and again.
+
+    :ivar since_s: time in seconds of its first answer.
+    :ivar until_s: time in seconds of its last answer.
+    """
+
+    def __init__(self):
+        self.since_s = float("inf")
+        self.until_s = float("-inf")
+
+    def record(self, until_s, served_s, gap_s):
+        """Record that the store answered again and again until some time.
+
+        :param until_s: time in seconds of the last answer.
+        :param served_s: seconds before it for which that is known.
+        :param gap_s: longest time in seconds between two answers of one span.
+        """
+        since_s = until_s - served_s
+        if since_s > self.until_s + gap_s:
+            self.since_s = since_s
+        self.since_s = min(self.since_s, since_s)
+        self.until_s = max(self.until_s, until_s)
+
+
 class Peers:
     """Exchanges load reports and store records with other entry instances.
 
@@ -81,8 +106,8 @@
         self._local_count = 0
         # Time in seconds as of which the copies are known to have held every change.
         self._confirmed_s = float("-inf")
-        # Span in which the store answered some peer again and again.
-        self._served_since_s = self._served_until_s = float("-inf")
+        # Spans in which the store answered peers, and peers or this instance.
+        self._served_peers, self._served = ServedSpan(), ServedSpan()
         # Last time at which the store had answered no instance for sync.OUTAGE_AFTER_S.
         self._store_unavailable_s = float("-inf")
 
@@ -215,19 +240,15 @@
 
         :param now_s: current time in seconds.
         """
-        latest_s = self._served_until_s + self._served_gap_s + self._period_s(False)
-        served_s = self._served_until_s - self._served_since_s
+        span = self._served_peers
+        latest_s = span.until_s + self._served_gap_s + self._period_s(False)
+        served_s = span.until_s - span.since_s
         return now_s <= latest_s and served_s >= sync.RECOVERY_GRACE_S
 
     @property
     def _served_gap_s(self):
         return SERVED_GAP_POLLS * self.times.poll_s
 
-    def _record_served(self, at_s):
-        if at_s > self._served_until_s + self._served_gap_s:
-            self._served_since_s = at_s
-        self._served_until_s = max(self._served_until_s, at_s)
-
     def _has_newer_records(self, report):
         return any(
             report.newest.get(table, -1) > table_sync.copy.version
@@ -237,6 +258,10 @@
     def tick(self):
         """Send the reports and open the connections that are due."""
         now_s = self._reactor.seconds()
+        for table_sync in self._syncs.values():
+            if table_sync.availability.heard_s is not None:
+                heard_s = table_sync.availability.heard_s
+                self._served.record(heard_s, 0.0, self._served_gap_s)
         if now_s - self._local_counted_s >= CONNECT_INTERVAL_S:
             self._local_counted_s = now_s
             self._local_count = sum(map(self._is_local, self._connected()))
@@ -286,6 +311,7 @@
         ages = [
             table_sync.availability.age_s(now_s) for table_sync in self._syncs.values()
         ]
+        answered_s = now_s - max(ages, default=0.0)
         newest = {
             t: table_sync.copy.newest_change for t, table_sync in self._syncs.items()
         }
@@ -295,6 +321,7 @@
             max(ages, default=0.0),
             self._weights_ages_s(now_s),
             now_s,
+            max(0.0, answered_s - self._served.since_s),
         )
         names = [name for name in self._connected() if self._is_local(name) == is_local]
         self._hub.send_all(names, message)
@@ -328,7 +355,10 @@
             now_s = self._reactor.seconds()
             self.path_delays.record(peer, message.sent_s, now_s)
             self._reports[peer] = (message, now_s)
-            self._record_served(now_s - max(0.0, message.store_age_s))
+            answered_s = now_s - max(0.0, message.store_age_s)
+            served_s = max(0.0, message.store_served_s)
+            for span in self._served_peers, self._served:
+                span.record(answered_s, served_s, self._served_gap_s)
             self._request_records(peer, message)
         elif isinstance(message, types.RecordRequest):
             self._send_records(peer, message)
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -460,10 +460,10 @@
         if unreadable:
             self._log("unreadable_records", table=self.listed.table, count=unreadable)
         now_s = self.reactor.seconds()
-        may_have_expired = self.peers.records_may_have_expired() or (
+        may_have_expired = (
             self.listed.availability.records_may_have_expired(now_s)
-            and not self.peers.store_has_served(now_s)
-        )
+            or self.peers.records_may_have_expired()
+        ) and not self.peers.store_has_served(now_s)
         self.gateway.set_endpoints(listed, may_have_expired)
         self._notify_agents()
         is_missing = bool(set(self.gateway.endpoints.names()) - set(listed))
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -567,6 +567,8 @@
         seconds since the operator named each version, as far as the sender knows.
     :param sent_s: monotonic clock of the sender in seconds at the time of sending. Only
         its differences between reports of one sender are meaningful.
+    :param store_served_s: seconds before that last answer for which the store is known
+        to have answered some instance again and again.
     """
 
     loads: dict
@@ -574,6 +576,7 @@
     store_age_s: float
     weights_ages_s: dict
     sent_s: float
+    store_served_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/features/gateway/announcements.feature
+++ b/features/gateway/announcements.feature
@@ -192,5 +192,6 @@
       | outage                                             | outcome              |
       | the store was away from all instances              | is kept for a while  |
       | the store was away from this instance only         | is not used any more |
-      | this instance was cut off from all others          | is kept for a while  |
+      | this instance was cut off from all others          | is not used any more |
+      | the store and all others were away                 | is kept for a while  |
       | nothing was away                                   | is not used any more |
--- a/features/steps/gateway_recovery.py
+++ b/features/steps/gateway_recovery.py
@@ -41,12 +41,13 @@
     play(context, 4.0, is_away=False, peers_age_s=PEER_AGE_S)
 
 
-def play(context, duration_s, is_away, peers_age_s):
+def play(context, duration_s, is_away, peers_age_s, served_s=0.0):
     """Let time pass.
 
     :param is_away: whether this instance gets no answer of the store.
     :param peers_age_s: age of the last answer to a peer as it reports, None when it
         does not report. It rises from there when it is longer than usual.
+    :param served_s: time for which the store has answered peers, as they report.
     """
     entry = context.entry
     if is_away:
@@ -57,7 +58,8 @@
         if peers_age_s is not None and number % 4 == 0:
             is_rising = peers_age_s > PEER_AGE_S
             age_s = peers_age_s + is_rising * number * STEP_S
-            report = types.GatewayReport({}, {}, age_s, {}, context.reactor.seconds())
+            sent_s = context.reactor.seconds()
+            report = types.GatewayReport({}, {}, age_s, {}, sent_s, served_s)
             frame = codec.encode(codec.Envelope("10.0.0.9", 0, report))
             entry.receive(frame)
         context.reactor.advance(STEP_S)
@@ -69,10 +71,12 @@
         "the store was away from all instances": (True, 2 * PEER_AGE_S),
         "the store was away from this instance only": (True, PEER_AGE_S),
         "this instance was cut off from all others": (True, None),
+        "the store and all others were away": (True, None),
         "nothing was away": (False, PEER_AGE_S),
     }[outage]
     play(context, duration_s, is_away, peers_age_s)
-    play(context, after_s, is_away=False, peers_age_s=PEER_AGE_S)
+    served_s = 60.0 if outage == "this instance was cut off from all others" else 0.0
+    play(context, after_s, is_away=False, peers_age_s=PEER_AGE_S, served_s=served_s)
 
 
 @behave.when("the record of the endpoint goes")
