Reject grants of permits with an endless interval or none

The expected wait of a call divides by the sum of the rates, which an endless interval from a faulty instance makes zero.

--- a/cicadaplank/requests/limit_shares.py
+++ b/cicadaplank/requests/limit_shares.py
@@ -1,8 +1,8 @@
 """Permits for calls to endpoints that have named a limit for all entry instances.
 
 Load pattern: an endpoint in need takes a few requests a second, fewer than there are
-entry instances, and every instance has calls for it. Rates for each instance would be
-used up by none of them, and would add up to bursts.
+entry instances, and every instance has calls for it. With a fixed rate for each of
+them, most of the limit would be unused, and coinciding calls would exceed it.
 
 Each instance follows one other, or itself, for each limited run of an endpoint: the
 issuer, which rendezvous hashing names among the instances that it is connected to. An
@@ -200,10 +200,6 @@
         self._followers.pop(peer, None)
         self._wanted.pop(peer, None)
 
-    def names(self):
-        """Return the names of the followers as a list."""
-        return list(self._followers)
-
     def issue(self, limit_per_s, instances, now_s):
         """Issue the permits that are available.
 
@@ -480,7 +476,8 @@
         :returns: whether calls may be sent now.
         """
         share = self._shares.get(run)
-        is_valid = 0 <= grant.count <= MAX_WANTED and grant.interval_s >= 0
+        is_valid = 0 <= grant.count <= MAX_WANTED
+        is_valid &= 0.0 < grant.interval_s < float("inf")
         if share is None or share.issuer != peer or not is_valid:
             self.counts["rejected"] += 1
             return False
--- a/features/gateway/limits.feature
+++ b/features/gateway/limits.feature
@@ -159,6 +159,8 @@
       | are negative           | b    | -1    | 0.0   | 1.0      | 0    |
       | are too many           | b    | 33    | 0.0   | 1.0      | 0    |
       | have no valid interval | b    | 2     | 0.0   | nan      | 0    |
+      | have an endless one    | b    | 2     | 0.0   | inf      | 0    |
+      | have none              | b    | 2     | 0.0   | 0.0      | 0    |
 
   Scenario Outline: The issuer of permits has <instances>
     Given an issuer of a limit of 10.0 a second with <connected> connected followers and <silent> silent ones
