Grant permits in an order that does not depend on hashes

Cause: the instances that are granted permits were taken from a set of names.

Change: they are sorted.

--- a/cicadaplank/requests/limit_shares.py
+++ b/cicadaplank/requests/limit_shares.py
@@ -495,7 +495,7 @@
         part = len(self._members) / instances
         interval_s = issuer.interval_s(ISSUED_SHARE * limit_per_s * part)
         sent = []
-        for peer in issued.keys() | asked:
+        for peer in sorted(issued.keys() | asked):
             grant = types.PermitGrant(run[0], run[-1], issued[peer], interval_s, now_s)
             if peer == self.name:
                 self.grant(peer, run, grant, now_s)
