--- a/features/gateway/limits.feature
+++ b/features/gateway/limits.feature
@@ -24,8 +24,7 @@
     Then in any 4 s no more requests arrive than the limit allows, plus 2
     And at least <share> of it is used
 
-    # The part of an instance that is cut off or frozen is kept for it: half of them are
-    # for 8 s, the issuer of an endpoint for 3 s.
+    # Instances are cut off for 8 s.
     Examples:
       | entries | limit | seed | fault                            | share |
       | 6       | 1.5   | 1    | the issuers of permits end       | 0.9   |
@@ -35,13 +34,13 @@
       | 6       | 12.0  | 5    | two issuers start again          | 0.9   |
       | 6       | 1.5   | 6    | others join                      | 0.9   |
       | 45      | 5.0   | 7    | others join                      | 0.9   |
-      | 6       | 12.0  | 8    | an issuer is cut off             | 0.8   |
-      | 45      | 5.0   | 9    | an issuer is cut off             | 0.8   |
-      | 6       | 1.5   | 10   | half of them are cut off         | 0.6   |
-      | 6       | 12.0  | 11   | half of them are cut off         | 0.6   |
-      | 6       | 12.0  | 12   | an issuer stands still for 3.2 s | 0.75  |
-      | 45      | 5.0   | 13   | an issuer stands still for 3.2 s | 0.75  |
-      | 6       | 12.0  | 14   | answers are late for 3 s         | 0.75  |
+      | 6       | 12.0  | 8    | an issuer is cut off             | 0.9   |
+      | 45      | 5.0   | 9    | an issuer is cut off             | 0.9   |
+      | 6       | 1.5   | 10   | half of them are cut off         | 0.9   |
+      | 6       | 12.0  | 11   | half of them are cut off         | 0.9   |
+      | 6       | 12.0  | 12   | an issuer stands still for 3.2 s | 0.9   |
+      | 45      | 5.0   | 13   | an issuer stands still for 3.2 s | 0.9   |
+      | 6       | 12.0  | 14   | answers are late for 3 s         | 0.9   |
 
   @always_4
   Scenario Outline: <entries> entry instances resume streams at endpoints with a limit
