Show what a process believes first on its metrics page, and log its peers

Callers: none.

Change: a page can name the metrics that come first; entries name the versions in force, the ages of their copies, and the oldest version of weights that calls may run on. They log peer_connected and peer_lost.

Test: the scenario for the first bytes fails without the order: the version comes after 10 KB of histogram lines. features/reports and process.feature: 123 passed, 0 failed.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -49,6 +49,21 @@
 LATE_PATH_INTERVAL_S = 0.5
 ENTRY = "entry"
 AGENT = "agent"
+# Metrics of what this process believes and how old that is. They come first, as
+# collectors may keep only the beginning of a page.
+BELIEF_METRICS = (
+    "configuration_version",
+    "store_age_seconds",
+    "copies_confirmed_age_seconds",
+    "peers",
+    "weights_named",
+    "weights_named_age_seconds",
+    "weights_required",
+    "table_version",
+    "table_version_age_seconds",
+    "event_loop_largest_delay_seconds",
+    "peer_path_largest_delay_seconds",
+)
 # Length of the listen backlog.
 BACKLOG = 1024
 
@@ -340,6 +355,8 @@
         metric.set_gauge("client_connections", self.listener.open_count)
         metric.set_gauge("peers", self.peers.live_count)
         metric.set_gauge("store_age_seconds", self.peers.store_age_s(now_s))
+        confirmed_age_s = self.peers.confirmed_age_s(now_s)
+        metric.set_gauge("copies_confirmed_age_seconds", confirmed_age_s)
         metric.set_gauge("configuration_version", self.gateway.configuration_version)
         for table in (self.operator, self.listed):
             metric.set_gauge("table_version", table.copy.version, table=table.table)
@@ -349,6 +366,8 @@
             metric.set_gauge("weights_named", version, model=model)
             age_s = self.gateway.weights_requirement.age_s(model, now_s)
             metric.set_gauge("weights_named_age_seconds", age_s, model=model)
+            required = self.gateway.min_version(model)
+            metric.set_gauge("weights_required", required, model=model)
         rejected = self.gateway.weights_requirement.rejected
         metric.set_gauge("weights_ages_rejected", rejected)
         metric.set_gauge("event_loop_largest_delay_seconds", self._largest_loop_delay_s)
@@ -357,7 +376,7 @@
         metric.set_gauge("peak_memory_bytes", metrics.peak_memory_bytes())
         self.gateway.update_metrics(metric)
         self.hub.update_metrics(metric)
-        body, _ = metric.render()
+        body, _ = metric.render(BELIEF_METRICS)
         return 200, "text/plain; version=0.0.4", body
 
     def _request_rejected(self, code, message):
@@ -515,6 +534,7 @@
             if notice is not None:
                 connection.send(notice)
         if isinstance(message, types.Hello) and message.role == ENTRY:
+            self._log("peer_connected", peer=connection.peer)
             self._send_crash_causes(connection)
             for report in self.gateway.limit_reports():
                 connection.send(report)
@@ -559,6 +579,8 @@
 
     def connection_lost(self, connection):
         """Drop the load report of a peer whose connection ended."""
+        if connection.hello.role == ENTRY:
+            self._log("peer_lost", peer=connection.peer)
         self.gateway.peer_lost(connection.peer)
 
     def _record_lateness(self, now_s):
--- a/cicadaplank/reports/metrics.py
+++ b/cicadaplank/reports/metrics.py
@@ -23,6 +23,8 @@
 OTHER_CLIENT = "other"
 # Ends the text, so that a text truncated at the end of a line is detected.
 EOF_MARKER = b"# EOF\n"
+# Begins the lines of one metric.
+_FAMILY_START = b"# HELP "
 
 
 def peak_memory_bytes():
@@ -172,13 +174,20 @@
             )
         collector.add(_escape_labels(labels), float(value))
 
-    def render(self):
+    def render(self, first=()):
         """Return body and headers of the answer to a scrape.
 
+        :param first: names without prefix of the metrics that come first, for readers
+            that keep only the beginning of a page. The others follow by name.
         :returns: ``(bytes, dict of headers)``.
         """
         data, headers = aioprometheus.render(self.registry, ())
-        return data + EOF_MARKER, headers
+        names = [f"{PREFIX}{name}".encode() for name in first]
+        ranks = {name: rank for rank, name in enumerate(names)}
+        families = data.split(_FAMILY_START)[1:]
+        families.sort(key=lambda text: ranks.get(text.split(b" ", 1)[0], len(ranks)))
+        body = b"".join(_FAMILY_START + family for family in families)
+        return body + EOF_MARKER, headers
 
     def _collector(self, cls, name, doc):
         collector = self._collectors.get(name)
--- a/features/reports/metrics.feature
+++ b/features/reports/metrics.feature
@@ -95,3 +95,10 @@
   Scenario: Objectives that are left out have their defaults
     When the report objectives are {"availability": {"target": 0.99}}
     Then the report objectives are 0.99, 0.95 within 0.88 s and 0.95 within 0.029 s
+
+  # Histograms had pushed the version in force out of scrapes that were cut after 4 KB.
+  Scenario: The metrics that a reader asks for first come before histograms
+    Given report metrics with a histogram of 40 labels and a gauge of the version
+    When the report text is rendered with the version first
+    Then the report text has the version in its first 500 bytes
+    And the report text is otherwise complete
--- a/features/steps/reports.py
+++ b/features/steps/reports.py
@@ -582,3 +582,32 @@
     except ValueError:
         return
     raise AssertionError(f"read as {fields}")
+
+
+@behave.given(
+    "report metrics with a histogram of {count:d} labels and a gauge of the version"
+)
+def step_histogram(context, count):
+    context.metrics = new_metrics()
+    for number in range(count):
+        context.metrics.observe("answer_seconds", 0.1, (0.05, 0.2), service=str(number))
+    context.metrics.set_gauge("configuration_version", 7)
+
+
+@behave.when("the report text is rendered with the version first")
+def step_render_first(context):
+    names = ("configuration_version", "not_measured_yet")
+    context.data = context.metrics.render(names)[0]
+
+
+@behave.then("the report text has the version in its first {size:d} bytes")
+def step_first_bytes(context, size):
+    assert b"\ncicadaplank_configuration_version{" in context.data[:size]
+
+
+@behave.then("the report text is otherwise complete")
+def step_complete(context):
+    found = expositions.parse_metrics(context.data).unwrap()
+    expected = expositions.parse_metrics(context.metrics.render()[0]).unwrap()
+    assert len(found) == len(expected)
+    assert sorted(map(str, found)) == sorted(map(str, expected))
