Let the engine check its weights once older versions are forbidden

Callers: a call could begin on old weights although the entry took them for new: the list of endpoints shows an engine's weights up to a second late, also after it was restarted or stood still.

Cause: the entry alone decided from the list, and told the engine nothing of the version that it counted on.

Change: from the time at which calls are sent to the newest version only, a call names that version, and an engine with another one refuses it as not run (421), which counts as an outdated record. No check is asked for while an engine may be ahead of what the entry knows.

--- a/cicadaplank/gateway/dialects.py
+++ b/cicadaplank/gateway/dialects.py
@@ -62,6 +62,8 @@
     :param account: client account, or empty.
     :param resume_after: identifier of the last stream event that arrived, or empty.
     :param priority: 0 for the most urgent; None to send none.
+    :param weights_version: version of the weights without which the endpoint has to
+        refuse the request; None when any version will do.
     """
 
     endpoint: str
@@ -69,6 +71,7 @@
     account: str
     resume_after: bytes
     priority: int | None
+    weights_version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -619,11 +619,26 @@
             call.account.name if call.account else "",
             resume_after,
             call.priority if call.route.is_generation else None,
+            self._weights_to_check(call),
         )
         body = call.request.body
         head = self.dialect.write_request(call.request.head, len(body), forwarding)
         return head + body
 
+    def _weights_to_check(self, call):
+        """Return the version of the weights that the endpoint has to check.
+
+        The list shows the weights of an endpoint late. Once every older version is
+        forbidden, an endpoint with other weights than listed has to refuse the call. No
+        check is asked for while an endpoint may have loaded a newer version already.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call` that is being sent.
+        :returns: version number, or None.
+        """
+        demand, version = call.demand(), call.weights_version
+        newest = self.weights_requirement.newest_version(demand.model)
+        return version if version == demand.min_version == newest else None
+
     def budget(self, service):
         """Return the :class:`budget.RetryBudget` of a service; create it if needed."""
         retry_budget = self._budgets.get(service)
--- a/cicadaplank/gateway/named_versions.py
+++ b/cicadaplank/gateway/named_versions.py
@@ -203,6 +203,13 @@
         is_assumed = newest.source is Source.ASSUMED
         return now_s - (newest.heard_s if is_assumed else newest.named_s)
 
+    def newest_version(self, model):
+        """Return the newest version that is known to be named, or None.
+
+        :param model: model name.
+        """
+        return max((named.version for named in self._all(model)), default=None)
+
     def min_version(self, model, now_s):
         """Return the oldest version that calls may run on now.
 
--- a/cicadaplank/platform/headers.py
+++ b/cicadaplank/platform/headers.py
@@ -135,6 +135,8 @@
         lines += [b"%b: %b" % header for header in call.headers]
         lines.append(b"X-Deadline-Ms: %d" % left_ms)
         lines.append(b"X-Expect-Instance: " + forwarding.endpoint.encode())
+        if forwarding.weights_version is not None:
+            lines.append(b"X-Expect-Version: %d" % forwarding.weights_version)
         if forwarding.account:
             lines.append(b"X-Tenant: " + forwarding.account.encode())
         if forwarding.resume_after:
--- a/features/gateway/weights.feature
+++ b/features/gateway/weights.feature
@@ -196,3 +196,25 @@
     And its engine accepts the connection
     Then the call is not sent to its engine
     And the call is sent to the engine with version 2
+
+  # The list of endpoints shows weights late, so that only the engine knows what it has.
+  @always_1
+  Scenario Outline: A call begins on old weights that the list says are new: <case>
+    Given a gateway whose engines x and y serve version <served> and a route that may repeat
+    When a call is sent <after> s after version 2 was named
+    Then the engine is asked to check <check>
+
+    Examples:
+      | case                                         | served | after | check              |
+      | older ones are forbidden                     | 2      | 6.9   | that it has version 2 |
+      | older ones are still allowed                 | 2      | 1.0   | no version         |
+      | the engine has an older one that is allowed  | 1      | 1.0   | no version         |
+      | the engine is ahead of the newest known name | 3      | 6.9   | no version         |
+
+  @always_1
+  Scenario: An engine that refuses a call because of its weights gets another one
+    Given a gateway whose engines x and y serve version 2 and a route that may repeat
+    When a call is sent 6.9 s after version 2 was named
+    And its engine answers that it has other weights
+    Then the call is sent to the engine with version 2
+    And the call has been sent to two engines
--- a/features/steps/gateway_weights.py
+++ b/features/steps/gateway_weights.py
@@ -356,3 +356,23 @@
     assert not context.log.of("attempt_failed")
     dials = [client[0] for client in world.reactor.tcpClients[world.dialled :]]
     assert context.first not in dials, dials
+
+
+@behave.then("the engine is asked to check {check}")
+def step_check(context, check):
+    found = re.findall(rb"X-Expect-Version: (\d+)\r\n", context.transport.value())
+    assert found == ([] if check == "no version" else [b"2"]), found
+
+
+@behave.when("its engine answers that it has other weights")
+def step_other_weights(context):
+    context.protocol.dataReceived(
+        b"HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %b\r\n"
+        b"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" % gateway_steps.ATTEMPT
+    )
+
+
+@behave.then("the call has been sent to two engines")
+def step_two_engines(context):
+    hosts = {host for host, _, _ in context.world.sent}
+    assert len(hosts) == 2, hosts
