Apply a change again when the callback that applies it fails

Cause: TableSync merges a change into its copy before it calls back. When the callback raised, the follower logged store_lost, waited, and read on from the newer version. For a change that a peer sent, the error left the protocol and ended the connection.

The callback is now called through GuardedCalls: an error is logged with the end of its traceback, counted, and the call is repeated after 0.1 s, doubling up to 1 s, 8 times at most, or at once with the next change. Nothing is read again, and the follower and the peer's connection go on.

--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 
 from cicadaplank.external import errors
-from cicadaplank.gateway import records
+from cicadaplank.gateway import guarded_calls, records
 
 # Share of the time within which a configuration has to be in force for which a long
 # poll waits for changes. A longer poll needs fewer calls, but a connection that has
@@ -222,12 +222,14 @@
     :param reactor: Twisted reactor.
     :param store: :class:`Store`.
     :param table: table name.
-    :param changed: callback with the set of keys that changed.
+    :param changed: callback that applies the copy, with the set of keys that changed
+        last. It is called again when it fails.
     :param log: callable ``log(event, **fields)``.
     :param is_needed: callable that returns whether the store is polled now.
     :ivar copy: the :class:`records.RecordTable`.
     :ivar times: :class:`PollTimes`.
     :ivar availability: :class:`Availability` of the store.
+    :ivar guarded: :class:`guarded_calls.GuardedCalls` of ``changed``.
     """
 
     def __init__(self, reactor, store, table, changed, log, is_needed=lambda: True):
@@ -238,6 +240,7 @@
         self._last_change_s = reactor.seconds()
         self._reactor = reactor
         self._store = store
+        self.guarded = guarded_calls.GuardedCalls(reactor, log)
         self._on_change = changed
         self._log = log
         self._is_needed = is_needed
@@ -294,7 +297,7 @@
             requested_after_s=source.requested_after_s,
             path_delay_s=source.delay_s,
         )
-        self._on_change(changed)
+        self.guarded.call(self.table, self._on_change, changed)
 
     def version_age_s(self, now_s):
         """Return the seconds since the copy last changed, or since the start.
--- /dev/null
+++ b/features/steps/gateway_failing_callbacks.py
@@ -0,0 +1,114 @@
+"""Steps for changes of tables whose callback fails."""
+
+import behave
+from twisted.internet import task
+
+from cicadaplank.gateway import peers, records, sync
+from cicadaplank.messages import types
+from cicadaplank.world import machines
+from features import entries
+from features.steps import gateway_decisions
+
+TABLE = gateway_decisions.TABLE
+STEP_S = 0.05
+
+
+@behave.given("a follower of a table whose callback fails {failures:d} times")
+def step_follower(context, failures):
+    clock = context.clock = task.Clock()
+    context.store = gateway_decisions.Store(clock)
+    context.log = entries.Log()
+    context.called = 0
+    context.applied = []
+    context.left = 0
+
+    def apply(changed):
+        context.called += 1
+        if context.left:
+            context.left -= 1
+            raise OverflowError("cannot convert float infinity to integer")
+        context.applied.append(context.followed.copy.version)
+
+    context.followed = sync.TableSync(
+        clock, context.store, TABLE, apply, context.log.log
+    )
+    me = machines.Instance("me", "entry", "h", 1, "r", "a")
+    context.peers = peers.Peers(
+        clock,
+        me,
+        gateway_decisions.Hub(),
+        {TABLE: context.followed},
+        dict,
+        gateway_decisions.no_ages,
+    )
+    context.followed.start()
+    run(context, 0.5)
+    assert context.applied == [5], context.applied
+    context.called, context.left, context.failures = 0, failures, failures
+    context.store.calls = 0
+
+
+def run(context, duration_s):
+    for _ in range(round(duration_s / STEP_S)):
+        context.clock.advance(STEP_S)
+
+
+@behave.when("version {version:d} comes from {source}")
+def step_comes(context, version, source):
+    if source.endswith("later"):
+        run(context, 0.25)
+    if source == "a peer":
+        rows = [["a", version, b"v%d" % version]]
+        reply = types.RecordReply(TABLE, version - 1, version, rows)
+        context.peers.message("peer", reply)
+    else:
+        context.store.write()
+    assert context.followed.copy.version == version
+
+
+@behave.when("20 s pass")
+def step_pass(context):
+    run(context, 20.0)
+
+
+@behave.then("version {version:d} is applied within {within_s:f} s")
+def step_applied(context, version, within_s):
+    run(context, within_s)
+    assert context.applied[-1] == version, context.applied
+
+
+@behave.then("each failure was logged with the end of its traceback")
+def step_logged(context):
+    lines = context.log.of("change_failed")
+    assert len(lines) == context.failures, lines
+    assert all("OverflowError" in line["detail"] for line in lines), lines
+    assert context.followed.guarded.counts[TABLE] == context.failures
+
+
+@behave.then("nothing is left to repeat")
+def step_nothing_left(context):
+    assert not context.followed.guarded.pending
+    called = context.called
+    run(context, 5.0)
+    assert context.called == called
+
+
+@behave.then("the callback was called {count:d} times")
+def step_called(context, count):
+    assert context.called == count, context.called
+
+
+@behave.then("the table is still followed and no read was repeated")
+def step_followed(context):
+    assert not context.log.of("store_lost"), context.log.lines
+    # One long poll was answered with the change at most, and the next one waits.
+    assert context.store.calls <= 1, context.store.calls
+    assert len(context.store.waiting) == 1
+    version = context.followed.copy.version + 1
+    context.left = 0
+    context.store.version = version - 1
+    context.store.write()
+    assert context.followed.copy.get("a") == records.Record(
+        "a", version, b"v%d" % version
+    )
+    assert context.applied[-1] == version, context.applied
