Do not reuse a connection on which another call's answer came

What callers would see: an endpoint that wrote the answer to another attempt on a connection was sent the next call on it, where it may write that answer once more.

Cause: `EndpointConnection` skipped such an answer and forgot about it. Only bytes after a complete answer made it close the connection.

Failed before: "Status 421 with the earlier id, written once more after the call, refuses no other call": ASSERT FAILED: the connection is used again. The other 11 rows (bytes that come on an idle connection, with the answer before, and behind or after the real answer) passed on the unchanged code: there the connection was closed already.

Change: a skipped answer marks the connection as broken. The answer to the call is still delivered; the connection is closed after it.

--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -201,6 +201,8 @@
         self._headers = []
         if self._receiver is not None:
             self._is_skipping = not self._receiver.response_started(self._head)
+            # An endpoint that wrote one response too many may write others.
+            self.is_broken |= self._is_skipping
         if not self._has_body and not self._is_skipping:
             self._is_complete = True
             self._parser_keeps_open = self._parser.should_keep_alive()
