Take no time and no limit from the answer to another attempt

What callers would see: "not run, try again" (503) from an endpoint that was free, for as long as a refusal named that had been written for an earlier call.

Cause: `Call.response_started` acted on Retry-After and Server-Limit before it looked at the identifier of the attempt. Both were true when the earlier call was answered.

Change: only the answer to the call's own attempt says what the endpoint wants. That an endpoint leaves is taken from other answers too, as "An endpoint says in another call's answer that it leaves" asks: a run that has said so does not stay.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -394,11 +394,14 @@
         :param head: :class:`cicadaplank.gateway.dialects.ResponseHead`.
         :returns: False when it answers another call and has to be skipped.
         """
-        if self.state is not None:
-            self._gateway.record_word(self, self.state, head, self._sent_s)
         if head.attempt and head.attempt != self.request.head.attempt:
             self._gateway.count("answers_of_other_calls")
+            if head.is_leaving:
+                # An endpoint that has said that it leaves does not stay.
+                leaving = dataclasses.replace(head, busy_for_s=None, limit_per_s=None)
+                self._gateway.record_word(self, self.state, leaving, self._sent_s)
             return False
+        self._gateway.record_word(self, self.state, head, self._sent_s)
         self._last_activity_s = self._gateway.now_s()
         if 200 <= head.status < 300:
             self._answer_began_s = self._last_activity_s
