Believe an answer without an identifier only as the first on its connection

The call that was in progress there was answered "not run, send it again later", or sent to a second endpoint, while the first was running it.

Cause: `Call.response_started` took every answer without an identifier for its own, also on a connection on which other calls had been answered, and behind the answer to another attempt on a new connection. A call that may not be repeated was exposed to the second case only, since it gets a new connection; calls that may be repeated and streams that may be resumed were exposed to both.

Failed before (23 of 27 new rows), for each of the statuses 503, 429, 421, 408 and 400: "Status 503 without an id, written once more after the call, refuses no other call": with one endpoint ASSERT FAILED: (503, b'not run: no endpoint can serve it now; ...'), with two ASSERT FAILED: the call was sent 2 times; "A second answer on a new connection refuses no call that runs once only": ASSERT FAILED: b'HTTP/1.1 503 ... not run: refused:attempts; send it again later'. "The first answer to a call without an id that may repeat is its own": ASSERT FAILED: it is sent on a connection that was used.

Change: an answer without an identifier belongs to the attempt only as the first answer on its connection; another one is skipped like an answer to another attempt, and the connection is closed after the call. A call that has no identifier itself gets a new connection.

Measured: features/gateway/repeated_refusals.feature 52 passed, 0 failed.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -314,7 +314,8 @@
         self._dial = self._gateway.pool(state).acquire(
             lambda connection: self._opened(connection, attempt),
             lambda reason: self._dial_failed(reason, attempt),
-            may_retry,
+            # Without an identifier, no answer but the first is known to be its own.
+            may_retry and bool(self.request.head.attempt),
         )
 
     def _opened(self, connection, attempt):
@@ -394,9 +395,9 @@
         :param head: :class:`cicadaplank.gateway.dialects.ResponseHead`.
         :returns: False when it answers another call and has to be skipped.
         """
-        if head.attempt and head.attempt != self.request.head.attempt:
+        if not self._is_own(head):
             self._gateway.count("answers_of_other_calls")
-            if head.is_leaving:
+            if head.attempt and head.is_leaving:
                 # An endpoint that has said that it leaves does not stay.
                 leaving = dataclasses.replace(head, busy_for_s=None, limit_per_s=None)
                 self._gateway.record_word(self, self.state, leaving, self._sent_s)
@@ -411,6 +412,16 @@
             self._splitter = event_streams.EventSplitter()
         return True
 
+    def _is_own(self, head):
+        """Tell whether an answer belongs to the current attempt.
+
+        One without an identifier may be an earlier answer that is written once more,
+        unless it is the first one on its connection.
+        """
+        if head.attempt:
+            return head.attempt == self.request.head.attempt
+        return self._connection.is_first_response
+
     @staticmethod
     def _is_valid_success(head):
         is_verified = head.is_signed and head.attempt and not head.is_encoded
--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -77,11 +77,20 @@
         self._is_complete = False
         self._has_body = True
         self._parser_keeps_open = False
+        self._responses = 0
         self.is_broken = False
         self.used = 0
         self.idle_since_s = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
 
+    @property
+    def is_first_response(self):
+        """Whether the response in progress is the first one on the connection.
+
+        No earlier call can have caused it.
+        """
+        return self._responses == 1
+
     def connectionMade(self):
         """Disable Nagle's algorithm, so that small writes are sent at once."""
         self.transport.setTcpNoDelay(True)
@@ -199,6 +208,7 @@
             return
         self._head = self._pool.dialect.read_response(status, self._headers)
         self._headers = []
+        self._responses += 1
         if self._receiver is not None:
             self._is_skipping = not self._receiver.response_started(self._head)
             # An endpoint that wrote one response too many may write others.
--- a/features/steps/gateway_repeated_refusals.py
+++ b/features/steps/gateway_repeated_refusals.py
@@ -205,3 +205,11 @@
         if is_open(protocol):
             protocol.dataReceived(refusal(503, kind))
     end(world, protocol, "a close")
+
+
+@behave.when("a call without an id is refused by status {status:d} {ids}")
+def step_call_without_id(context, status, ids):
+    world = context.world
+    protocol = send(world, b"")
+    assert protocol is not world.sent[0][1], "it is sent on a connection that was used"
+    protocol.dataReceived(refusal(status, ids))
