Take an answer with two different identifiers for no attempt's

What callers would see: as with a refusal without an identifier: "not run, send it again later", or a second send, while an endpoint was running the call.

Cause: `PlatformDialect.read_response` took the first of several X-Attempt-Id headers, so that an answer which names this attempt and another, or none, passed for this one's.

Failed before (7 new rows): "Status 503 with both ids, this first, written once more after the call, refuses no other call": with one endpoint ASSERT FAILED: (503, b'not run: ...'), with two ASSERT FAILED: the call was sent 2 times.

Change: different identifiers are joined, so that they are that of no attempt; the same one given twice counts as one.

Measured: features/gateway/repeated_refusals.feature 59 passed, 0 failed.

--- a/cicadaplank/platform/headers.py
+++ b/cicadaplank/platform/headers.py
@@ -173,7 +173,7 @@
         return dialects.ResponseHead(
             status=status,
             headers=passed,
-            attempt=first.get(ATTEMPT, b""),
+            attempt=_read_attempt(lowered),
             is_signed=SIGNATURE in first,
             is_not_run=NOT_EXECUTED in first,
             is_misdirected=status == 421,
@@ -242,6 +242,17 @@
     return tuple(entry.partition(":")[0].strip() for entry in entries)
 
 
+def _read_attempt(fields):
+    """Read the identifier of the attempt that a server answers, empty if none.
+
+    Different identifiers are joined, so that they are that of no attempt.
+
+    :param fields: list of ``(name, value)``, names in lower case.
+    """
+    values = [value.strip() for name, value in fields if name == ATTEMPT]
+    return b", ".join(dict.fromkeys(values))
+
+
 def _read_leaving(fields):
     """Read whether a server says that it leaves.
 
--- a/features/gateway/repeated_refusals.feature
+++ b/features/gateway/repeated_refusals.feature
@@ -15,11 +15,15 @@
       | 1     | may repeat          | 503    | without an id              | after the call      |
       | 1     | may repeat          | 503    | with an empty id           | after the call      |
       | 1     | may repeat          | 503    | with both ids, this last   | after the call      |
+      | 1     | may repeat          | 503    | with both ids, this first  | after the call      |
+      | 1     | may repeat          | 503    | with this id, then empty   | after the call      |
       | 2     | may repeat          | 503    | with the earlier id        | after the call      |
       | 2     | may repeat          | 503    | without an id              | after the call      |
+      | 2     | may repeat          | 503    | with both ids, this first  | after the call      |
       | 1     | streams and resumes | 503    | with the earlier id        | after the call      |
       | 1     | streams and resumes | 503    | without an id              | after the call      |
       | 2     | streams and resumes | 503    | without an id              | after the call      |
+      | 2     | streams and resumes | 503    | with both ids, this first  | after the call      |
 
     Examples: statuses
       | count | kind       | status | ids                 | moment         |
@@ -66,6 +70,7 @@
       | may repeat          | 421    | without an id              | a reset   |
       | may repeat          | 400    | without an id              | a close   |
       | may repeat          | 408    | without an id              | a close   |
+      | may repeat          | 503    | with both ids, this first  | a close   |
       | streams and resumes | 503    | without an id              | a close   |
       | streams and resumes | 503    | with an empty id           | silence   |
 
@@ -91,6 +96,8 @@
       | kind           | ids                                     |
       | runs once only | with the earlier id, then without an id |
       | streams once   | with the earlier id, then without an id |
+      | runs once only | with both ids, this first               |
+      | streams once   | with both ids, this first               |
 
   Scenario Outline: The first answer to a call without an id that <kind> is its own
     Given a gateway with 1 endpoints and a route that <kind>
