Do not send an attempt on a connection on which it was refused

What callers would see: a client sends an attempt again under the same identifier after a refusal; the endpoint writes the earlier refusal once more, and the client is told "not run" of a call that runs. Both refusals have the identifier of the call in progress.

Cause: calls that may be repeated and streams that may be resumed take any kept connection to the endpoint.

Failed before: "A refusal with the id of a call that may repeat and is sent once more": ASSERT FAILED: (503, b'not run: no endpoint can serve it now; send it again later', True)

Change: a connection remembers the attempts that were refused on it, at most 100, after which it is closed (counter `often_refused`); such an attempt gets another connection.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -311,11 +311,13 @@
         state.call_started()
         self._permit = state.allowance.take(now_s)
         may_retry = self.route.retry_policy is not routes.RetryPolicy.NEVER
+        identifier = self.request.head.attempt
         self._dial = self._gateway.pool(state).acquire(
             lambda connection: self._opened(connection, attempt),
             lambda reason: self._dial_failed(reason, attempt),
             # Without an identifier, no answer but the first is known to be its own.
-            may_retry and bool(self.request.head.attempt),
+            may_retry and bool(identifier),
+            identifier,
         )
 
     def _opened(self, connection, attempt):
--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -24,6 +24,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 MAX_FRAMING_SHARE = 8
 MAX_HEADERS = 256
+# A connection on which so many attempts were refused is closed.
+MAX_REFUSED_ATTEMPTS = 100
 # Bound on the bodies of late responses to earlier calls that precede a response.
 MAX_SKIPPED_BYTES = 256 * 1024
 
@@ -60,6 +62,7 @@
 
     :param pool: :class:`ConnectionPool` that owns it.
     :ivar is_broken: whether the connection must not be reused.
+    :ivar refused: identifiers of the attempts that were refused on it.
     :ivar idle_since_s: reactor time at which it became idle, in seconds.
     :ivar idle_timeout_s: idle timeout of the endpoint in seconds.
     """
@@ -79,6 +82,7 @@
         self._parser_keeps_open = False
         self._responses = 0
         self.is_broken = False
+        self.refused = set()
         self.used = 0
         self.idle_since_s = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -258,6 +262,11 @@
             return
         if head.idle_timeout_s is not None:
             self.idle_timeout_s = head.idle_timeout_s
+        if head.is_not_run or head.is_misdirected:
+            self.refused.add(head.attempt)
+            if len(self.refused) >= MAX_REFUSED_ATTEMPTS:
+                self._pool.counts["often_refused"] += 1
+                self.is_broken = True
         if head.keeps_open and self._parser_keeps_open and not self.is_broken:
             self._pool.release(self)
         else:
@@ -371,17 +380,20 @@
         """Number of connections that are open or being opened."""
         return len(self._open) + self._connecting_count
 
-    def acquire(self, opened, failed, reuse=True):
+    def acquire(self, opened, failed, reuse=True, attempt=b""):
         """Provide a connection, an idle one or a new one.
 
         :param opened: called with an :class:`EndpointConnection`.
         :param failed: called with the reason as text when none can be opened.
         :param reuse: whether an idle connection may be used. The endpoint may be
             closing it, which shows only after the request was sent.
+        :param attempt: identifier of the attempt that will be sent. It is not sent on a
+            connection on which it was refused before, since that refusal may be
+            written there once more.
         :returns: Twisted connector of the connection attempt, or None when an idle
             connection was used.
         """
-        connection = self._take_idle() if reuse else None
+        connection = self._take_idle(attempt) if reuse else None
         if connection is not None:
             self.counts["reused"] += 1
             opened(connection)
@@ -398,7 +410,7 @@
             self._connect_timeout_s,
         )
 
-    def _take_idle(self):
+    def _take_idle(self, attempt):
         now_s = self._reactor.seconds()
         while self._idle:
             connection = self._idle[-1]
@@ -406,7 +418,8 @@
             limit_s = min(
                 MAX_REUSE_IDLE_S, IDLE_TIMEOUT_SHARE * connection.idle_timeout_s
             )
-            if connection.is_broken or idle_for_s > limit_s:
+            is_refused = attempt in connection.refused
+            if connection.is_broken or is_refused or idle_for_s > limit_s:
                 self._idle.pop()
                 connection.transport.loseConnection()
                 continue
--- a/features/gateway/repeated_refusals.feature
+++ b/features/gateway/repeated_refusals.feature
@@ -74,6 +74,18 @@
       | streams and resumes | 503    | without an id              | a close   |
       | streams and resumes | 503    | with an empty id           | silence   |
 
+  @always_4
+  Scenario Outline: A refusal with the id of a call that <kind> and is sent once more
+    Given a gateway with 1 endpoints and a route that <kind>
+    And a call with this id was refused on a connection that is kept
+    When it is sent once more and its refusal is written once more on that connection
+    Then the caller has the real answer and the call was sent once
+
+    Examples: kinds
+      | kind                |
+      | may repeat          |
+      | streams and resumes |
+
   Scenario Outline: The first answer on a new connection may refuse a call <ids>
     Given a gateway with 1 endpoints and a route that <kind>
     When a call is sent on a new connection and refused by status <status> <ids>
@@ -109,3 +121,8 @@
       | kind                |
       | may repeat          |
       | streams and resumes |
+
+  Scenario: A connection remembers a limited number of refused attempts
+    Given a gateway with 1 endpoints and a route that may repeat
+    When as many calls as a connection remembers are refused on it
+    Then it is closed, and the call before was sent on it
--- a/features/steps/gateway_repeated_refusals.py
+++ b/features/steps/gateway_repeated_refusals.py
@@ -3,6 +3,7 @@
 import behave
 from twisted.internet import error
 
+from cicadaplank.gateway import connections
 from features.steps import gateway, gateway_endings
 
 EARLIER = b"earlier"
@@ -62,12 +63,16 @@
     return not protocol.transport.disconnecting
 
 
+def own_refusal(attempt):
+    """Return the bytes of the refusal of an attempt, without other words."""
+    extra = b"X-Not-Executed: 1\r\n"
+    return gateway.answer(503, b"", signed=False, extra=extra, attempt=attempt)
+
+
 def refuse(world, attempt):
     """Refuse a call on each endpoint, on connections that are kept."""
     protocol = send(world, attempt)
-    head = gateway.answer(
-        503, b"", signed=False, extra=b"X-Not-Executed: 1\r\n", attempt=attempt
-    )
+    head = own_refusal(attempt)
     protocol.dataReceived(head)
     if len(world.listed) > 1:
         world.accept_call()[0].dataReceived(head)
@@ -213,3 +218,21 @@
     protocol = send(world, b"")
     assert protocol is not world.sent[0][1], "it is sent on a connection that was used"
     protocol.dataReceived(refusal(status, ids))
+
+
+@behave.when("as many calls as a connection remembers are refused on it")
+def step_many_refused(context):
+    context.used = []
+    for number in range(connections.MAX_REFUSED_ATTEMPTS):
+        attempt = b"call-%d" % number
+        protocol = send(context.world, attempt)
+        context.used.append(protocol)
+        protocol.dataReceived(own_refusal(attempt))
+        context.world.run(BACK_OFF_S)
+
+
+@behave.then("it is closed, and the call before was sent on it")
+def step_closed_at_bound(context):
+    (protocol,) = set(context.used)
+    assert not is_open(protocol)
+    assert len(protocol.refused) == connections.MAX_REFUSED_ATTEMPTS
