Take only an answer of status 200 for an event stream

What callers would see: a stream that had broken off after event 2 ended as if it were complete, because the next endpoint answered 204.

Cause: `Call.response_started` read any signed status from 200 to 299 without another content type as an event stream. One of status 204 has no body, so that it was a whole stream without events.

Change: other statuses are answers and no streams: forwarded as they are when no stream has begun, otherwise a broken attempt.

Measured: features/gateway/streams_elsewhere.feature 54 passed, 0 failed.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -410,7 +410,8 @@
             self._answer_began_s = self._last_activity_s
         self._reply = head
         is_stream = self.route.is_stream and self.request.head.method != b"HEAD"
-        if is_stream and head.is_event_stream and self._is_valid_success(head):
+        has_events = head.status == 200 and head.is_event_stream
+        if is_stream and has_events and self._is_valid_success(head):
             self._splitter = event_streams.EventSplitter()
         return True
 
--- a/features/gateway/streams_elsewhere.feature
+++ b/features/gateway/streams_elsewhere.feature
@@ -28,6 +28,7 @@
       | a reset | 1.1      | status 429 that says "not run"     | visibly breaks  |
       | a reset | 1.1      | status 421                         | visibly breaks  |
       | a reset | 1.1      | status 302                         | visibly breaks  |
+      | a reset | 1.1      | status 204                         | visibly breaks  |
       | a reset | 1.1      | what is not HTTP                   | visibly breaks  |
       | a reset | 1.1      | nothing before a close             | visibly breaks  |
 
