Take no event without an id into the rest of a stream

Cause: `Call.response_data` let every event without an id pass, since it cannot be compared with the last one. An error's text that ends with an empty line is such an "event", when its answer has a signature, status 200 and no content type or that of a stream; so are the events of a run that begins again without ids.

Change: in the rest of a stream only comments may be without an id; anything else breaks the attempt, which closes its connection.

--- a/cicadaplank/external/event_streams.py
+++ b/cicadaplank/external/event_streams.py
@@ -23,6 +23,11 @@
     identifier: bytes
     data: bytes
 
+    @property
+    def is_comment(self):
+        """Whether it has comments and empty lines only."""
+        return all(not line or line.startswith(b":") for line in self.data.splitlines())
+
 
 class EventSplitter:
     """Incremental parser that splits the bytes of a stream into complete events.
--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -132,6 +132,8 @@
         self._body = bytearray()
         self._splitter = None
         self._stream_began = False
+        # Whether the current attempt brings the rest of a stream that has begun.
+        self._is_resumed = False
         # Whether an attempt broke off inside an event that no later one has brought.
         self._is_event_due = False
         self._is_paused = False
@@ -346,6 +348,7 @@
         self._permit = None
         self._reply = None
         self._body = bytearray()
+        self._is_resumed = self._stream_began
         self.response_end = framing.ResponseEnd()
         self.partial_event_bytes = 0
         self.phase = Phase.SENT
@@ -451,12 +454,16 @@
             self._abandon_attempt(outcomes.Ending.BROKEN, str(fault))
             return
         forwarded = []
+        fault = ""
         for event in complete:
             if self._stream_began and not event_streams.is_newer(
                 event.identifier, self.last_event
             ):
                 self._gateway.count("repeated_events")
                 continue
+            fault = self._join_fault(event)
+            if fault:
+                break
             forwarded.append(event.data)
             if event.identifier:
                 self.last_event = event.identifier
@@ -469,8 +476,22 @@
             self._forward(b"".join(forwarded))
             if self.is_sound(now_s):
                 self._gateway.record_sound(self)
+        if fault:
+            self._abandon_attempt(outcomes.Ending.BROKEN, fault)
+            return
         self._gateway.buffers.set_held(self, self._splitter.rest_bytes)
 
+    def _join_fault(self, event):
+        """Return why an event cannot follow the ones forwarded, empty if it can.
+
+        :param event: :class:`cicadaplank.external.event_streams.Event`.
+        """
+        if not self._is_resumed or event.is_comment:
+            return ""
+        if not event.identifier:
+            return "an event without an id in the rest of a stream"
+        return ""
+
     def drop_buffer(self, reason):
         """Abandon the attempt, as the incomplete answers take too much memory.
 
--- a/features/gateway/streams_elsewhere.feature
+++ b/features/gateway/streams_elsewhere.feature
@@ -40,6 +40,13 @@
       | a reset | 1.1      | a stream with an encoding          | visibly breaks  |
       | a reset | 1.1      | a JSON document                    | visibly breaks  |
       | a reset | 1.1      | a text                             | visibly breaks  |
+      | a reset | 1.1      | a text without a type              | visibly breaks  |
+      | a reset | 1.0      | a text without a type              | visibly breaks  |
+      | a reset | 1.1      | an error head as a stream          | visibly breaks  |
+      | a reset | 1.0      | an error head as a stream          | visibly breaks  |
+      | a reset | 1.1      | an error event without an id       | visibly breaks  |
+      | a reset | 1.1      | events without ids                 | visibly breaks  |
+      | a reset | 1.0      | events without ids                 | visibly breaks  |
       | a reset | 1.1      | events 3 and 4, cut in chunk 2     | visibly breaks  |
 
     Examples: rests of the stream
