Break off a stream whose rest leaves out an event

What callers would see: events 1, 2 and 4 and a complete end, when the second endpoint of a stream did not go on right after Last-Event-Id (ORDER: a piece is missing).

Cause: an event of the rest only had to have a higher id than the last one.

Change: where the ids of the stream so far number its events one by one, at least two in a row, the rest has to go on so; otherwise the attempt is broken. Ids that grow by more, such as a count of tokens, are compared as before ("Ids that ... may go on at a higher one", 3 rows, which passed before). Streams of one endpoint are not checked.

Measured: features/gateway/streams_elsewhere.feature 66 passed, 0 failed.

--- a/cicadaplank/external/event_streams.py
+++ b/cicadaplank/external/event_streams.py
@@ -85,6 +85,42 @@
     return Event(line.group(1).strip() if line else b"", data)
 
 
+class Numbering:
+    """Tells whether the identifiers of a stream number its events one by one.
+
+    Others, such as the number of tokens so far, may grow by more.
+    """
+
+    def __init__(self):
+        self._last = None
+        self._steps = 0
+        self._is_steady = True
+
+    def add(self, identifier):
+        """Record the identifier of the next event, as bytes."""
+        try:
+            number = int(identifier)
+        except ValueError:
+            self._is_steady = False
+            return
+        if self._last is not None:
+            self._steps += 1
+            self._is_steady &= number == self._last + 1
+        self._last = number
+
+    def may_follow(self, identifier):
+        """Tell whether no event is missing before the one with an identifier.
+
+        This is not known before two identifiers have followed each other.
+        """
+        if not self._steps or not self._is_steady:
+            return True
+        try:
+            return int(identifier) == self._last + 1
+        except ValueError:
+            return False
+
+
 def is_newer(identifier, previous):
     """Tell whether an event comes after the last one that was forwarded.
 
--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -134,6 +134,7 @@
         self._stream_began = False
         # Whether the current attempt brings the rest of a stream that has begun.
         self._is_resumed = False
+        self._numbering = event_streams.Numbering()
         # Whether an attempt broke off inside an event that no later one has brought.
         self._is_event_due = False
         self._is_paused = False
@@ -467,6 +468,7 @@
             forwarded.append(event.data)
             if event.identifier:
                 self.last_event = event.identifier
+                self._numbering.add(event.identifier)
         if forwarded:
             # Bytes of an unfinished event are no progress for the client.
             if self._stream_began:
@@ -490,6 +492,8 @@
             return ""
         if not event.identifier:
             return "an event without an id in the rest of a stream"
+        if not self._numbering.may_follow(event.identifier):
+            return "an event is missing in the rest of a stream"
         return ""
 
     def drop_buffer(self, reason):
--- a/features/gateway/streams_elsewhere.feature
+++ b/features/gateway/streams_elsewhere.feature
@@ -47,6 +47,8 @@
       | a reset | 1.1      | an error event without an id       | visibly breaks  |
       | a reset | 1.1      | events without ids                 | visibly breaks  |
       | a reset | 1.0      | events without ids                 | visibly breaks  |
+      | a reset | 1.1      | events from 4                      | visibly breaks  |
+      | a reset | 1.0      | events from 4                      | visibly breaks  |
       | a reset | 1.1      | events 3 and 4, cut in chunk 2     | visibly breaks  |
 
     Examples: rests of the stream
@@ -78,3 +80,15 @@
       | an error head          | 1.1      | events from 3              | is whole       |
       | silence                | 1.1      | status 500                 | visibly breaks |
       | silence                | 1.1      | events from 3              | is whole       |
+
+  @always_2
+  Scenario Outline: Ids that <step> may go on at a higher one
+    Given a gateway with 3 endpoints, 3 attempts and a route that streams and resumes
+    When a stream with ids that <step> breaks off and goes on at a higher one
+    Then the caller has all of these events and a complete end
+
+    Examples: ids
+      | step          |
+      | grow by 6     |
+      | are unsteady  |
+      | are one so far |
