Do not resume a stream whose last event had no id

What callers would see: an event twice. A stream had forwarded event 1 and one without an id and broke off; the next endpoint was asked for what follows event 1.

Cause: `Call.attempt_ended` resumed a stream as soon as any event had an id.

Failed before: "A stream with an event without an id at its end that breaks off is not joined with another run": the caller's connection was not broken off (assert transport.aborted).

Change: a stream is resumed only after an event that has an id; otherwise it is broken off.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -134,6 +134,8 @@
         self._stream_began = False
         # Whether the current attempt brings the rest of a stream that has begun.
         self._is_resumed = False
+        # Whether the last event that was forwarded has an id.
+        self._is_place_known = False
         # Whether an event of the current attempt was forwarded.
         self._has_progressed = False
         self._numbering = event_streams.Numbering()
@@ -472,7 +474,9 @@
             if event.identifier:
                 self.last_event = event.identifier
                 self._numbering.add(event.identifier)
-            self._has_progressed |= not event.is_comment
+            if not event.is_comment:
+                self._has_progressed = True
+                self._is_place_known = bool(event.identifier)
         if forwarded:
             # Bytes of an unfinished event are no progress for the client.
             if self._stream_began:
@@ -682,7 +686,7 @@
         if (
             self._stream_began
             and action is outcomes.Action.RETRY
-            and not self.last_event
+            and not self._is_place_known
         ):
             action = outcomes.Action.FAIL
         self.reason = f"{ending.value}:{decision.reason}"
--- a/features/gateway/streams_elsewhere.feature
+++ b/features/gateway/streams_elsewhere.feature
@@ -82,6 +82,18 @@
       | silence                | 1.1      | status 500                 | visibly breaks |
       | silence                | 1.1      | events from 3              | is whole       |
 
+  @always_2
+  Scenario Outline: A stream with <events> that breaks off is not joined with another run
+    Given a gateway with 3 endpoints, 3 attempts and a route that streams and resumes
+    When a stream with <events> breaks off
+    Then the caller's connection is broken off
+    And no other endpoint is sent the call
+
+    Examples: events
+      | events                              |
+      | an event without an id at its end   |
+      | no ids                              |
+
   @always_2
   Scenario Outline: Ids that <step> may go on at a higher one
     Given a gateway with 3 endpoints, 3 attempts and a route that streams and resumes
