Do not forward events that a resuming client already has

What callers would see: events 1 and 2 again, on a request with "Last-Event-Id: 2", from an endpoint that begins its run again.

Cause: only ids that this call had forwarded were compared, not the one that the client named.

Change: on routes whose streams may be resumed, the client's id is the last one until an event was forwarded.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -462,9 +462,7 @@
         forwarded = []
         fault = ""
         for event in complete:
-            if self._stream_began and not event_streams.is_newer(
-                event.identifier, self.last_event
-            ):
+            if not event_streams.is_newer(event.identifier, self._previous_event):
                 self._gateway.count("repeated_events")
                 continue
             fault = self._join_fault(event)
@@ -491,6 +489,16 @@
             return
         self._gateway.buffers.set_held(self, self._splitter.rest_bytes)
 
+    @property
+    def _previous_event(self):
+        """Identifier of the last event that the client has, empty if none."""
+        if (
+            self.last_event
+            or self.route.retry_policy is not routes.RetryPolicy.RESUMABLE
+        ):
+            return self.last_event
+        return self.request.head.resume_after
+
     def _join_fault(self, event):
         """Return why an event cannot follow the ones forwarded, empty if it can.
 
--- a/features/gateway/streams_elsewhere.feature
+++ b/features/gateway/streams_elsewhere.feature
@@ -105,3 +105,14 @@
       | grow by 6     |
       | are unsteady  |
       | are one so far |
+
+  @always_2
+  Scenario Outline: A caller that goes on after event 2 gets <answer> from event 3
+    Given a gateway with 3 endpoints, 3 attempts and a route that streams and resumes
+    When a caller asks for the events after 2 and gets <answer>
+    Then it has only the events 3 and 4 and a complete end
+
+    Examples: answers
+      | answer        |
+      | events from 1 |
+      | events from 3 |
