Follow a read of the store that is not answered by others

Cause: a table was read by one call at a time. A long poll that the store never answered was given up after 1.8 s, the next call waited up to 0.5 s, and one more loss was over the bound of 2 s. An outage put the polls of all instances in step, so that none could help another.

gateway/polling.py decides when a table is read: 0.15 s after the end of a wait without an answer another read follows, which does not wait, then one each 0.3 to 0.4 s, at most four in progress; the first answer counts and the others are harmless. The first failure is retried at once, later ones after 0.1 to 0.36 s. Waits are drawn at random, from a wide range after a change, a failure or a pause, so that readers do not stay in step. Reads without a wait are given up after 1.5 s instead of 0.8 s, so that slow answers count.

Calls of one instance to a store that is silent for 6 s: 20 at most; refuses: 30; slow: 15 (rows of the same feature). The bounds of currency.feature for quiet times are unchanged and hold.

The stand-in store of gateway_decisions ended no wait, which no store does.

--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -1,12 +1,13 @@
 """Synchronisation of copies of the store's tables with the store or with peers."""
 
 import dataclasses
+import random
 import typing
 
 from twisted.internet import defer
 
 from cicadaplank.external import errors
-from cicadaplank.gateway import guarded_calls, records
+from cicadaplank.gateway import guarded_calls, polling, records
 
 # Share of the time within which a configuration has to be in force for which a long
 # poll waits for changes. A longer poll needs fewer calls, but a connection that has
@@ -19,15 +20,9 @@
 MAX_POLL_S = 2.0
 # Time within which a configuration has to be in force when none is set.
 DEFAULT_IN_FORCE_S = 2.0
-# Delay after a call that returned changes, so that the next one returns several at
-# once, as in a release of many endpoints. Changes have to be in force after 2 s.
-BATCH_DELAY_S = 0.1
-# Delay after a failed call. It doubles up to the maximum while calls keep failing.
-BACK_OFF_S = 0.1
-MAX_BACK_OFF_S = 0.5
 # Interval at which an instance that takes records from peers checks whether it has to
 # read the store itself.
-READ_CHECK_INTERVAL_S = 0.2
+READ_CHECK_INTERVAL_S = 0.1
 # A copy counts as current when the store or an up-to-date peer has answered within this
 # time.
 MAX_CURRENT_AGE_S = 3.0
@@ -230,6 +225,8 @@
     :ivar times: :class:`PollTimes`.
     :ivar availability: :class:`Availability` of the store.
     :ivar guarded: :class:`guarded_calls.GuardedCalls` of ``changed``.
+    :ivar polls: :class:`polling.Polls`.
+    :ivar rng: source of the random times of reads.
     """
 
     def __init__(self, reactor, store, table, changed, log, is_needed=lambda: True):
@@ -244,47 +241,73 @@
         self._on_change = changed
         self._log = log
         self._is_needed = is_needed
-        self._back_off_s = BACK_OFF_S
-        self._needs_snapshot = True
+        self.polls = polling.Polls()
+        self.rng = random.Random()
+        self._timer = None
+        # Version after which the store is known to have lost its history.
+        self._lost_after = -1
 
     def start(self):
-        """Start the background task."""
-        defer.ensureDeferred(self._follow())
-
-    async def _follow(self):
-        while True:
-            if not self._is_needed():
-                self.availability.record_pause()
-                await self._sleep(READ_CHECK_INTERVAL_S)
-                continue
-            try:
-                if await self._read():
-                    await self._sleep(BATCH_DELAY_S)
-            except HistoryLostError:
-                self._log("history_lost", table=self.table, version=self.copy.version)
-                self._needs_snapshot = True
-            except Exception as fault:
-                if self.availability.record_failure():
-                    self._log("store_lost", table=self.table, reason=str(fault))
-                await self._sleep(self._back_off_s)
-                self._back_off_s = min(MAX_BACK_OFF_S, 2 * self._back_off_s)
-
-    async def _read(self):
-        base = self.copy.version
-        started_s = self._reactor.seconds()
-        if self._needs_snapshot or base < 0:
-            changes = await self._store.snapshot(self.table)
-            self._needs_snapshot = False
-            self._record_answer()
+        """Start to follow the store."""
+        self._advance()
+
+    def _advance(self):
+        """Send the read that is due, and return here when the next one is."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        now_s = self._reactor.seconds()
+        delay_s = READ_CHECK_INTERVAL_S
+        is_due = False
+        if not self._is_needed():
+            self.availability.record_pause()
+            self.polls.pause(now_s)
+        elif self.polls.is_due(now_s):
+            is_due = True
+        elif self.polls.due_s > now_s:
+            delay_s = min(delay_s, self.polls.due_s - now_s)
+        self._timer = self._reactor.callLater(delay_s, self._advance)
+        if is_due:
+            defer.ensureDeferred(self._read(now_s))
+
+    async def _read(self, started_s):
+        base = -1 if self.copy.version <= self._lost_after else self.copy.version
+        read = self.polls.send(started_s, base, self.times.poll_s, self.rng)
+        try:
+            if base < 0:
+                changes = await self._store.snapshot(self.table)
+            else:
+                changes = await self._store.changes(self.table, base, read.wait_s)
+        except HistoryLostError:
+            self._lose_history(read)
+        except Exception as fault:
+            self._fail(read, fault)
+        else:
+            self._answer(read, changes)
+        self._advance()
+
+    def _lose_history(self, read):
+        if read.base >= self.copy.version:
+            self._log("history_lost", table=self.table, version=read.base)
+            self._lost_after = max(self._lost_after, read.base)
+        self.polls.history_lost(read, self._reactor.seconds())
+
+    def _fail(self, read, fault):
+        # A read that was overtaken by an answered one says nothing of the store now.
+        is_pending = self.polls.failed(read, self._reactor.seconds(), self.rng)
+        if is_pending and self.availability.record_failure():
+            self._log("store_lost", table=self.table, reason=str(fault))
+
+    def _answer(self, read, changes):
+        now_s = self._reactor.seconds()
+        if read.base < 0:
             changed = self.copy.replace(changes.records, changes.version)
+            self._lost_after = -1
         else:
-            changes = await self._store.changes(self.table, base, self.times.poll_s)
-            self._record_answer()
-            changed = self.copy.merge(changes.records, changes.version, base)
+            changed = self.copy.merge(changes.records, changes.version, read.base)
+        self.polls.answered(read, now_s, bool(changed))
+        self._record_answer()
         if changed:
-            waited_s = self._reactor.seconds() - started_s
-            self._notify(changed, Source("store", waited_s))
-        return changed
+            self._notify(changed, Source("store", now_s - read.sent_s))
 
     def _notify(self, changed, source):
         self._last_change_s = self._reactor.seconds()
@@ -307,7 +330,6 @@
         return now_s - self._last_change_s
 
     def _record_answer(self):
-        self._back_off_s = BACK_OFF_S
         now_s = self._reactor.seconds()
         away_s = self.availability.age_s(now_s)
         if self.availability.record_answer(now_s):
@@ -318,11 +340,6 @@
                 away_s=away_s,
             )
 
-    def _sleep(self, delay_s):
-        deferred = defer.Deferred()
-        self._reactor.callLater(delay_s, deferred.callback, None)
-        return deferred
-
     def apply_from_peer(self, changes, base, source):
         """Apply records that a peer sent.
 
--- a/cicadaplank/platform/store.py
+++ b/cicadaplank/platform/store.py
@@ -79,7 +79,8 @@
         :raises PlatformError: when the call fails.
         """
         query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
-        answer = await self._get("/v1/rows-feed", query, wait_s + POLL_MARGIN_S)
+        timeout_s = max(client.TIMEOUT_S, wait_s + POLL_MARGIN_S)
+        answer = await self._get("/v1/rows-feed", query, timeout_s)
         rows = [r for r in map(_parse_record, answer["rows"]) if r is not None]
         return sync.Changes(tuple(rows), answer["ver"])
 
--- a/features/gateway/hops.feature
+++ b/features/gateway/hops.feature
@@ -38,3 +38,17 @@
       | 1      | 2.0   | the store is slow                                  |
       | 3+1+2  | 2.0   | an instance wakes from a freeze                    |
       | 1      | 2.0   | an instance wakes from a freeze                    |
+
+  Scenario Outline: Calls to a store that <trouble> for 6 s are bounded with <layout> instances
+    Given data centres with <layout> instances that follow the store
+    When the store is <trouble> for 6 s
+    Then it gets at most <calls> calls and 4 at a time of each instance
+
+    Examples:
+      | layout | trouble | calls |
+      | 1      | silent  | 20    |
+      | 3+1+2  | silent  | 120   |
+      | 1      | refuses | 30    |
+      | 3+1+2  | refuses | 180   |
+      | 1      | is slow | 15    |
+      | 3+1+2  | is slow | 75    |
--- a/features/steps/gateway_currency.py
+++ b/features/steps/gateway_currency.py
@@ -1,5 +1,7 @@
 """Steps for instances that take the store's records from peers."""
 
+import random
+
 import behave
 from twisted.internet import defer, task, testing
 
@@ -52,6 +54,7 @@
         lambda *a, **f: None,
         lambda: context.peers.reads_store(),
     )
+    context.followed.rng = random.Random(1)
     me = machines.Instance("me", "entry", "h", 1, "r", "a")
     context.peers = peers.Peers(
         clock, me, context.hub, {TABLE: context.followed}, dict, lambda now_s: {}
@@ -179,6 +182,7 @@
             lambda *a, **f: None,
             lambda: self.peers.reads_store(),
         )
+        self.followed.rng = random.Random(name)
         me = machines.Instance(name, "entry", "h", 1, "r", "a")
         self.hub = ReaderHub(names)
         tables = {TABLE: self.followed}
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -320,6 +320,7 @@
         self.trouble = "works"
         self.failures = 3
         self.calls = 0
+        self.bases = []
         self.waiting = []
 
     def taken(self):
@@ -344,8 +345,9 @@
         return self.taken()
 
     async def changes(self, table, after, wait_s):
-        """Return changes, or wait for them."""
+        """Return changes, or wait for them as long as the call asks for."""
         self.calls += 1
+        self.bases.append(after)
         if self.trouble == "history":
             self.trouble = "works"
             raise sync.HistoryLostError("gone")
@@ -356,8 +358,14 @@
             return self.taken()
         call = defer.Deferred()
         self.waiting.append(call)
+        self.clock.callLater(wait_s, self._wait_over, call)
         return await call
 
+    def _wait_over(self, call):
+        if call in self.waiting and self.trouble == "works":
+            self.waiting.remove(call)
+            call.callback(sync.Changes((), self.version))
+
 
 def no_ages(now_s):
     """Return no ages of named weights."""
@@ -395,6 +403,7 @@
         context.clock, context.store, TABLE, lambda keys: None, lambda *a, **f: None
     )
     context.followed.start()
+    context.followed.rng = random.Random(1)
     me = machines.Instance("me", "entry", "h", 1, "r", "a")
     context.hub = Hub()
     context.peers = peers.Peers(
--- a/features/steps/gateway_hops.py
+++ b/features/steps/gateway_hops.py
@@ -497,3 +497,22 @@
         if passed_s > limit_s:
             late.append(f"seed {seed}: {passed_s:.2f} s, last {behind or 'all'}")
     assert not late, "; ".join(late)
+
+
+@behave.when("the store is {trouble} for {duration_s:d} s")
+def step_away(context, trouble, duration_s):
+    world = context.world = World(context.layout, 1)
+    world.run(SETTLED_S)
+    world.store.go(trouble)
+    world.store.calls = 0
+    context.most_in_progress = 0
+    for _ in range(round(duration_s / TICK_S)):
+        world.run(TICK_S)
+        in_progress = max(each.followed.polls.in_progress for each in world.entries)
+        context.most_in_progress = max(context.most_in_progress, in_progress)
+
+
+@behave.then("it gets at most {calls:d} calls and {reads:d} at a time of each instance")
+def step_away_calls(context, calls, reads):
+    assert context.world.store.calls <= calls, context.world.store.calls
+    assert context.most_in_progress <= reads, context.most_in_progress
