Count the age of what is known of the store from when it was asked

Callers would see an instance deny or serve by an old configuration although it takes itself for current: after a freeze it reads answers and reports that waited in its sockets, and takes them for news of now.

An answer now tells the state as of the sending of its request, plus the wait when it brings no changes; a report is older by the delay of its path. So store_age_s, copies_confirmed_age_seconds, is_current and the choice of readers count from there.

--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -354,8 +354,10 @@
         if isinstance(message, types.GatewayReport):
             now_s = self._reactor.seconds()
             self.path_delays.record(peer, message.sent_s, now_s)
-            self._reports[peer] = (message, now_s)
-            answered_s = now_s - max(0.0, message.store_age_s)
+            # A report that waited in a queue is as old as its wait.
+            reported_s = now_s - self.path_delays.delay_s(peer, now_s)
+            self._reports[peer] = (message, reported_s)
+            answered_s = reported_s - max(0.0, message.store_age_s)
             served_s = max(0.0, message.store_served_s)
             for span in self._served_peers, self._served:
                 span.record(answered_s, served_s, self._served_gap_s)
--- a/cicadaplank/gateway/polling.py
+++ b/cicadaplank/gateway/polling.py
@@ -52,16 +52,16 @@
     wait_s: float
     base: int
 
-    def as_of_s(self, now_s, is_changed):
+    def as_of_s(self, now_s, has_changes):
         """Return the time as of which its answer tells the state of the store.
 
         The answer may have waited in the socket of this process, so that the time at
         which it is read proves nothing.
 
         :param now_s: current time in seconds.
-        :param is_changed: whether the answer has changes.
+        :param has_changes: whether it has changes and may have ended its wait early.
         """
-        return self.sent_s if is_changed else min(now_s, self.sent_s + self.wait_s)
+        return self.sent_s if has_changes else min(now_s, self.sent_s + self.wait_s)
 
 
 class Polls:
@@ -129,25 +129,25 @@
         left_s = max(least_s, most_s - (now_s - self._confirmed_s))
         return rng.uniform(least_s, min(most_s, left_s))
 
-    def answered(self, read, now_s, is_changed):
+    def answered(self, read, now_s, has_changes):
         """Record an answer.
 
         :param read: :class:`Read`.
         :param now_s: current time in seconds.
-        :param is_changed: whether it has changes.
+        :param has_changes: whether it has changes and may have ended its wait early.
         :returns: time in seconds as of which it tells the state of the store.
         """
-        as_of_s = read.as_of_s(now_s, is_changed)
+        as_of_s = read.as_of_s(now_s, has_changes)
         self._confirmed_s = max(self._confirmed_s, as_of_s)
         if read.number not in self._reads:
             return as_of_s
         # What earlier reads could tell is known now.
         self._reads = {n: r for n, r in self._reads.items() if n > read.number}
-        self._is_spread |= is_changed or self._failures > 0
+        self._is_spread |= has_changes or self._failures > 0
         self._failures = 0
         if read.number == self._count:
             self._waits_next = True
-            delay_s = BATCH_DELAY_S if is_changed else 0.0
+            delay_s = BATCH_DELAY_S if has_changes else 0.0
             self.due_s = max(now_s + delay_s, read.sent_s + MIN_INTERVAL_S)
         elif self._count in self._reads:
             # The store is slow; the answer to the newest read takes as long.
--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -153,7 +153,8 @@
     """Tracks when the store answered and whether it is unavailable.
 
     :param now_s: current time in seconds.
-    :ivar heard_s: time in seconds of the last answer, or None before the first.
+    :ivar heard_s: time in seconds as of which answers tell the state of the store, or
+        None before the first.
     """
 
     def __init__(self, now_s):
@@ -163,10 +164,12 @@
         self._failed = False
         self._is_paused = False
 
-    def record_answer(self, now_s):
+    def record_answer(self, now_s, as_of_s=None):
         """Record an answer of the store.
 
         :param now_s: current time in seconds.
+        :param as_of_s: time in seconds as of which it tells the state of the store, if
+            that is not now.
         :returns: True when the store had been unavailable: the last call failed, or no
             answer came for :data:`OUTAGE_AFTER_S` although the store was polled.
         """
@@ -176,7 +179,8 @@
         self._is_paused = False
         if was_away and self.heard_s is not None:
             self._recovered_s = now_s
-        self.heard_s = now_s
+        as_of_s = now_s if as_of_s is None else as_of_s
+        self.heard_s = as_of_s if self.heard_s is None else max(self.heard_s, as_of_s)
         self._failed = False
         return was_away
 
@@ -204,7 +208,7 @@
         return self._failed or now_s - self._recovered_s < RECOVERY_GRACE_S
 
     def age_s(self, now_s):
-        """Return the seconds since the last answer, or since the start before any.
+        """Return the age of the state that answers tell, or the time since the start.
 
         :param now_s: current time in seconds.
         """
@@ -304,8 +308,9 @@
             self._lost_after = -1
         else:
             changed = self.copy.merge(changes.records, changes.version, read.base)
-        self.polls.answered(read, now_s, bool(changed))
-        self._record_answer()
+        # An answer with records ended the wait early, also if peers sent them before.
+        as_of_s = self.polls.answered(read, now_s, bool(changes.records))
+        self._record_answer(as_of_s)
         if changed:
             self._notify(changed, Source("store", now_s - read.sent_s))
 
@@ -329,10 +334,10 @@
         """
         return now_s - self._last_change_s
 
-    def _record_answer(self):
+    def _record_answer(self, as_of_s):
         now_s = self._reactor.seconds()
         away_s = self.availability.age_s(now_s)
-        if self.availability.record_answer(now_s):
+        if self.availability.record_answer(now_s, as_of_s):
             self._log(
                 "store_regained",
                 table=self.table,
--- a/features/gateway/hops.feature
+++ b/features/gateway/hops.feature
@@ -52,3 +52,14 @@
       | 3+1+2  | refuses | 180   |
       | 1      | is slow | 15    |
       | 3+1+2  | is slow | 75    |
+
+  @always_7
+  Scenario Outline: News of the store that waited on its way is as old as it is when <news>
+    Given data centres with 1+1 instances that follow the store
+    When news are late: <news>
+    Then an instance knows the store as it was <age> s ago at best
+
+    Examples:
+      | news                                                             | age |
+      | an answer of the store waits in the socket of a frozen instance  | 3.9 |
+      | reports of peers are late by 1.5 s                               | 1.4 |
--- a/features/steps/gateway_hops.py
+++ b/features/steps/gateway_hops.py
@@ -278,9 +278,10 @@
         elif self.is_running:
             function(*args)
 
-    def thaw(self):
+    def thaw(self, now_s):
         """Go on after a freeze: first comes what waits in the sockets."""
         self.is_frozen = False
+        self.clock.rightNow = now_s
         inbox, self._inbox = self._inbox, []
         for function, args in inbox:
             function(*args)
@@ -305,6 +306,7 @@
         self.connections = {}
         self.entries = []
         self.loses_records = False
+        self.late_s = 0.0
         for number, count in enumerate(layout.split("+")):
             for index in range(int(count)):
                 data_centre = "abcdef"[number]
@@ -327,7 +329,7 @@
         receiver = self.entry(name)
         is_near = sender.data_centre == receiver.data_centre
         self.clock.callLater(
-            NEAR_S if is_near else FAR_S,
+            (NEAR_S if is_near else FAR_S) + self.late_s,
             receiver.deliver,
             receiver.peers.message,
             sender.name,
@@ -456,7 +458,7 @@
     world.run(FROZEN_S - 0.1)
     world.store.write()
     world.run(0.1)
-    woken.thaw()
+    woken.thaw(world.clock.seconds())
 
 
 TROUBLES = {
@@ -516,3 +518,31 @@
 def step_away_calls(context, calls, reads):
     assert context.world.store.calls <= calls, context.world.store.calls
     assert context.most_in_progress <= reads, context.most_in_progress
+
+
+@behave.when("news are late: {news}")
+def step_news(context, news):
+    world = context.world = World(context.layout, 1)
+    world.run(SETTLED_S)
+    first = world.entries[0]
+    if news == "reports of peers are late by 1.5 s":
+        first.client.failed_dials = 1000
+        world.late_s = 1.5
+        world.run(FROZEN_S)
+        return
+    assert news.startswith("an answer of the store waits in the socket"), news
+    for entry in world.entries:
+        entry.is_frozen = True
+    world.run(FROZEN_S)
+    for entry in world.entries:
+        entry.thaw(world.clock.seconds())
+
+
+@behave.then("an instance knows the store as it was {age_s:f} s ago at best")
+def step_known_age(context, age_s):
+    first = context.world.entries[0]
+    now_s = first.clock.seconds()
+    found_s = first.peers.confirmed_age_s(now_s)
+    assert found_s >= age_s, f"{found_s:.2f} s"
+    own_s = first.followed.availability.age_s(now_s)
+    assert own_s >= age_s, f"{own_s:.2f} s by its own answers"
