Ask another peer for records when one does not reply, and tell of news at once

Cause: a table was requested from one peer, and from any other only after 0.5 s. Also a reader told of a change with its next report, 0.2 s later or more with many peers.

Another peer is asked after 0.2 s, the same one after 0.5 s as before, and an instance that has read a change from the store reports at its next tick.

After: the row passes (0.6 s); currency, decisions, records and failing_callbacks.feature pass too.

--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -21,8 +21,10 @@
 LIVE_PEERS_PER_PERIOD = 8
 # Interval at which missing connections to other instances are opened.
 CONNECT_INTERVAL_S = 1.0
-# Time to wait for a reply before the records of a table are requested again.
-RECORD_REQUEST_TIMEOUT_S = 0.5
+# Time to wait for a reply before the records of a table are requested from another
+# peer, and from the same one.
+OTHER_REQUEST_AFTER_S = 0.2
+SAME_REQUEST_AFTER_S = 0.5
 # A connection on which nothing was received for this time is closed.
 SILENCE_TIMEOUT_S = 2.5
 # Number of instances of a data centre that read the store; the others get the records
@@ -95,10 +97,13 @@
         self._last_received_s = {}
         self._instances = {}
         self._reports = {}
-        self._requested_s = {}
+        # Times in seconds of the requests without a reply, by table and peer.
+        self._requested_s = {table: {} for table in syncs}
         self.path_delays = path_delays.PathDelays()
         # Time of the last report to local (True) and remote (False) instances.
         self._reported_s = {True: float("-inf"), False: float("-inf")}
+        # Changes read from the store that a report has told of.
+        self._changes_told = 0
         self._connect_attempted_s = float("-inf")
         # Time in seconds since which an instance is not connected.
         self._missing_since_s = {}
@@ -265,8 +270,11 @@
         if now_s - self._local_counted_s >= CONNECT_INTERVAL_S:
             self._local_counted_s = now_s
             self._local_count = sum(map(self._is_local, self._connected()))
+        # News from the store does not wait for the next report.
+        changes_read = sum(each.changes_read for each in self._syncs.values())
+        has_news, self._changes_told = changes_read > self._changes_told, changes_read
         for is_local in (True, False):
-            period_s = self._period_s(is_local)
+            period_s = 0.0 if has_news else self._period_s(is_local)
             if now_s - self._reported_s[is_local] >= period_s:
                 self._reported_s[is_local] = now_s
                 self._report(now_s, is_local)
@@ -376,12 +384,18 @@
             version = table_sync.copy.version
             if report.newest.get(table, -1) <= version:
                 continue
+            requested_s = self._requested_s[table]
             if (
-                now_s - self._requested_s.get(table, float("-inf"))
-                < RECORD_REQUEST_TIMEOUT_S
+                requested_s
+                and now_s - max(requested_s.values()) < OTHER_REQUEST_AFTER_S
             ):
                 continue
-            self._requested_s[table] = now_s
+            same_s = requested_s.get(peer, float("-inf"))
+            if now_s - same_s < SAME_REQUEST_AFTER_S:
+                continue
+            for name in [n for n in requested_s if self._hub.connection(n) is None]:
+                del requested_s[name]
+            requested_s[peer] = now_s
             self.counts["records_asked"] += 1
             self._hub.send(peer, types.RecordRequest(table, version))
 
@@ -409,8 +423,9 @@
         if len(rows) != len(message.rows):
             self.counts["malformed_records"] += 1
             return
-        requested_s = self._requested_s.pop(message.table, None)
         now_s = self._reactor.seconds()
+        requested_s = self._requested_s[message.table].get(peer)
+        self._requested_s[message.table].clear()
         source = sync.Source(
             peer,
             requested_after_s=0.0 if requested_s is None else now_s - requested_s,
--- a/features/gateway/hops.feature
+++ b/features/gateway/hops.feature
@@ -34,6 +34,7 @@
       | 12     | 2.0   | the readers of a data centre die                   |
       | 3+1+2  | 2.0   | no records of peers arrive                         |
       | 12     | 2.0   | no records of peers arrive                         |
+      | 12     | 0.6   | the first reply of peers to each is lost           |
       | 3+1+2  | 2.0   | the store is slow                                  |
       | 1      | 2.0   | the store is slow                                  |
       | 3+1+2  | 2.0   | an instance wakes from a freeze                    |
--- a/features/steps/gateway_hops.py
+++ b/features/steps/gateway_hops.py
@@ -307,6 +307,7 @@
         self.entries = []
         self.loses_records = False
         self.late_s = 0.0
+        self.lost_replies = set()
         for number, count in enumerate(layout.split("+")):
             for index in range(int(count)):
                 data_centre = "abcdef"[number]
@@ -326,6 +327,9 @@
         """Deliver a message after the time of its path."""
         if self.loses_records and isinstance(message, types.RecordReply):
             return
+        if name in self.lost_replies and isinstance(message, types.RecordReply):
+            self.lost_replies.remove(name)
+            return
         receiver = self.entry(name)
         is_near = sender.data_centre == receiver.data_centre
         self.clock.callLater(
@@ -444,6 +448,12 @@
     world.store.write()
 
 
+def trouble_first_reply_lost(world):
+    """Lose the first record that is sent to each instance."""
+    world.lost_replies = {entry.name for entry in world.entries}
+    world.store.write()
+
+
 def trouble_slow(world):
     """Write a change while answers are late."""
     world.store.go("is slow")
@@ -473,6 +483,7 @@
     "the held polls are lost": trouble_held_lost,
     "the readers of a data centre die": trouble_readers_die,
     "no records of peers arrive": trouble_records_lost,
+    "the first reply of peers to each is lost": trouble_first_reply_lost,
     "the store is slow": trouble_slow,
     "an instance wakes from a freeze": trouble_woke,
 }
