Give the stand-in of a lost connection the hello that it always has

The stand-in of 'Reports of instances that have gone take no memory' lacked it and gave an AttributeError. What the scenario checks is unchanged. features/gateway/calls.feature passes.

--- a/features/steps/gateway_stop.py
+++ b/features/steps/gateway_stop.py
@@ -76,7 +76,9 @@
     for number in range(1000):
         name = f"10.0.{number // 250}.{number % 250}"
         context.process.gateway.set_peer_loads(name, {"e": 1})
-        context.process.connection_lost(types.SimpleNamespace(peer=name))
+        hello = types.SimpleNamespace(role="entry")
+        connection = types.SimpleNamespace(peer=name, hello=hello)
+        context.process.connection_lost(connection)
 
 
 @behave.then("it keeps no report of them")
