Check whose refusal an engine or service wrote before believing it

Cause: `http.Client` and the clients of engines and services turned the statuses 429 and 503, and for engines any from 400 to 499, into `Unavailable` or `Refused`, which both mean "not run", before they looked at the attempt that the response names.

Change: a response of any status that names another attempt, also beside this one, fails as `Crossed`, which may have run, and its connection is closed. A response without the header is believed as before.

--- a/cicadaplank/external/http.py
+++ b/cicadaplank/external/http.py
@@ -14,6 +14,7 @@
 from cicadaplank.world import buffers
 
 SENDER_HEADER = "X-Cicadaplank-Sender"
+ATTEMPT_HEADER = "X-Cicadaplank-Attempt"
 TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 16
@@ -126,7 +127,8 @@
         :param timeout_s: time-out in seconds, None for that of the client.
         :returns: Deferred that fires with a :class:`Response` of any status but 429 and
             503. It fails with :class:`errors.Unavailable` when there was no connection
-            or the status is 429 or 503, else with :class:`errors.AnswerLost`.
+            or the status is 429 or 503, with :class:`errors.Crossed` when the response
+            names another attempt, else with :class:`errors.AnswerLost`.
         """
         sent = defer.Deferred.fromCoroutine(
             self._send(method, path, body, dict(headers or {}))
@@ -159,9 +161,11 @@
     async def _open(self, method, path, body, headers):
         if self._sender:
             headers[SENDER_HEADER] = self._sender
-        return await self._http.request(
+        response = await self._http.request(
             method, self.address + path, data=body, headers=headers, unbuffered=True
         )
+        _check_attempt(headers.get(ATTEMPT_HEADER), response)
+        return response
 
     async def _send(self, method, path, body, headers):
         response = await self._open(method, path, body, headers)
@@ -172,6 +176,19 @@
         return answer
 
 
+def _check_attempt(expected, response):
+    """Give up a response of any status that names another attempt.
+
+    :param expected: identifier of the attempt, None for a request without one.
+    :param response: treq's response.
+    :raises Crossed: when it names another attempt.
+    """
+    found = response.headers.getRawHeaders(ATTEMPT_HEADER) or []
+    if expected is not None and any(name != expected for name in found):
+        read_body(response, MAX_ERROR_BYTES).addErrback(lambda failure: None).cancel()
+        raise errors.Crossed(expected, ", ".join(found))
+
+
 class _GuardedPool(web_client.HTTPConnectionPool):
     """Connection pool that guards each of its connections."""
 
--- a/cicadaplank/external/services.py
+++ b/cicadaplank/external/services.py
@@ -10,7 +10,7 @@
 
 from cicadaplank.external import errors, http
 
-ATTEMPT_HEADER = "X-Cicadaplank-Attempt"
+ATTEMPT_HEADER = http.ATTEMPT_HEADER
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 MAX_TIMEOUT_S = 60.0
 
