Test refusals, garbage and answers in any order on a kept connection

Guards against "not run" for a call whose connection carries an endpoint's earlier answers: 150 derandomised examples for each of two kinds of calls.

--- a/features/gateway/repeated_refusals.feature
+++ b/features/gateway/repeated_refusals.feature
@@ -126,3 +126,12 @@
     Given a gateway with 1 endpoints and a route that may repeat
     When as many calls as a connection remembers are refused on it
     Then it is closed, and the call before was sent on it
+
+  @always_2 @always_4
+  Scenario Outline: What else is written on a kept connection refuses no call that <kind>
+    Then a call that <kind> is not refused by refusals, garbage and answers in any order
+
+    Examples: kinds
+      | kind                |
+      | may repeat          |
+      | streams and resumes |
--- a/features/steps/gateway_repeated_refusals.py
+++ b/features/steps/gateway_repeated_refusals.py
@@ -1,6 +1,8 @@
 """Steps for earlier refusals that an endpoint writes once more."""
 
 import behave
+import hypothesis
+from hypothesis import strategies
 from twisted.internet import error
 
 from cicadaplank.gateway import connections
@@ -236,3 +238,64 @@
     (protocol,) = set(context.used)
     assert not is_open(protocol)
     assert len(protocol.refused) == connections.MAX_REFUSED_ATTEMPTS
+
+
+PIECES = {
+    **{
+        f"{status} {ids}": refusal(status, ids)
+        for status in (503, 429, 421, 408, 400)
+        for ids in IDS
+        if ids != "with this id"
+    },
+    "another call's answer": gateway.answer(attempt=EARLIER),
+    "an interim answer": b"HTTP/1.1 102 Processing\r\nX-Not-Executed: 1\r\n\r\n",
+    "garbage": b"\x00 garbage\r\n",
+    "an empty line": b"\r\n",
+    "half a refusal": refusal(503, "without an id")[:40],
+}
+# Pieces behind which the answer to the call is still found.
+SKIPPED = [name for name in PIECES if "garbage" not in name and "half" not in name]
+SETTINGS = hypothesis.settings(
+    derandomize=True, max_examples=150, database=None, deadline=None
+)
+
+
+def play_pieces(kind, names, size):
+    """Return what a caller gets when pieces come before the answer, and a close after.
+
+    :param names: keys of :data:`PIECES`.
+    :param size: number of bytes that arrive at a time.
+    """
+    world = gateway.World(1, kind)
+    refuse(world, EARLIER)
+    protocol = send(world)
+    data = b"".join(PIECES[name] for name in names) + real_answer(world)
+    for start in range(0, len(data), size):
+        if is_open(protocol):
+            protocol.dataReceived(data[start : start + size])
+    if not protocol.transport.aborted:
+        gateway.lose(protocol, error.ConnectionDone())
+    world.run(BACK_OFF_S)
+    return gateway_endings.parse_answer(world.client_transport.value())
+
+
+@behave.then(
+    "a call that {kind} is not refused by refusals, garbage and answers in any order"
+)
+def step_any_order(context, kind):
+    body = STREAM if "streams" in kind else gateway.BODY
+
+    @SETTINGS
+    @hypothesis.given(
+        strategies.lists(strategies.sampled_from(sorted(PIECES)), max_size=4),
+        strategies.sampled_from([1, 7, 50, 10_000]),
+    )
+    def check(names, size):
+        status, got, is_whole = play_pieces(kind, names, size)
+        if set(names) <= set(SKIPPED):
+            assert (status, got, is_whole) == (200, body, True), (status, got)
+        else:
+            assert status in (200, 502, 504), (status, got)
+            assert status != 200 or (got, is_whole) == (body, True), got
+
+    check()
