Send every call that names an attempt on a new connection

What callers would see: "not run" for a call that reads from a service, on whose kept connection an earlier refusal was written once more without an identifier.

Cause: `http.Client` still took kept connections for calls of services whose method is GET.

Failed before: "A service read on whose connection status 503 without an id is written once more": ASSERT FAILED: <class 'cicadaplank.external.errors.Unavailable'>.

Change: only reads without an attempt's identifier take kept connections.

Measured: features/external 248 passed, 0 failed.

--- a/cicadaplank/external/http.py
+++ b/cicadaplank/external/http.py
@@ -166,7 +166,8 @@
             headers[SENDER_HEADER] = self._sender
         # An earlier response that is written once more on a kept connection would tell
         # that a change was not made.
-        http_client = self._reads if method == "GET" else self._changes
+        is_read = method == "GET" and ATTEMPT_HEADER not in headers
+        http_client = self._reads if is_read else self._changes
         response = await http_client.request(
             method, self.address + path, data=body, headers=headers, unbuffered=True
         )
--- a/features/external/repeated_refusals.feature
+++ b/features/external/repeated_refusals.feature
@@ -18,6 +18,11 @@
       | stream       | 503    | without an id             |
       | load weights | 503    | without an id             |
 
+    Examples: reads of services
+      | call         | status | ids                       |
+      | service read | 503    | with the earlier id       |
+      | service read | 503    | without an id             |
+
     Examples: statuses
       | call         | status | ids                 |
       | service call | 429    | without an id       |
--- a/features/steps/external_repeated_refusals.py
+++ b/features/steps/external_repeated_refusals.py
@@ -3,7 +3,7 @@
 import behave
 from twisted.internet import protocol, reactor
 
-from cicadaplank.external import errors, http
+from cicadaplank.external import errors, http, services
 from features import reactors
 from features.steps import external_endings
 from features.steps import platform_clients as clients
@@ -27,6 +27,18 @@
     return b"\r\n".join(lines) + b"\r\nContent-Length: 14\r\n\r\n" + b'{"error": "e"}'
 
 
+def read_service(client, timeout_s):
+    return client.call(
+        services.ServiceCall(
+            clients.ATTEMPT, "GET", "/calls/list", b"", timeout_s=timeout_s
+        )
+    )
+
+
+# Calls whose answers and refusals are those of another kind of call.
+READS = {"service read": ("service call", read_service)}
+
+
 class RepeatingConnection(protocol.Protocol):
     """Refuses the server's first request and answers each later one.
 
@@ -81,12 +93,15 @@
 
 
 async def play(context, call):
+    call, read = READS.get(call, (call, None))
     body, _ = external_endings.BODIES[call]
     context.server.answer = external_endings.framed(body, "a length")
     client = http.Client(reactor, context.address, timeout_s=LIMIT_S)
     kind, send, _ = clients.CALLS[call]
+    send = read or send
     first = {"X-Cicadaplank-Attempt": EARLIER.decode()}
-    await outcome_of(client.send("POST", "/earlier", b"{}", first))
+    method = "GET" if read else "POST"
+    await outcome_of(client.send(method, "/earlier", None, first))
     made = clients.STANDINS[kind][1](client)
     context.result = await outcome_of(send(made, LIMIT_S))
     await client.close()
