Stop serving when newer records do not arrive or after a freeze

Callers would be served by an old configuration for as long as its instance cannot get the newer one that its peers tell it of, and in the first moments after a freeze.

gateway/staleness.py decides. An instance stops when its copies have not been confirmed for 0.85 of the bound and a connected peer has told of newer records for 0.2 of it; and when it was frozen for more than half of the bound, until its copies are confirmed as of a time after its waking, half of the bound at most. It then answers 503 "not run" with Retry-After 0.3 and is not ready; calls that are at an endpoint go on. When no peer tells of newer records it goes on serving, however old its copies are. It logs serving_stopped and serving_resumed and counts refused_as_stale.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -232,8 +232,14 @@
         self.admitted, self.service = admitted, service
         return True
 
+    @property
+    def may_be_refused(self):
+        """Whether the call has certainly not run and its client got no answer yet."""
+        is_not_run = self.history.verdict is verdicts.Verdict.NOT_RUN
+        return is_not_run and not self._stream_began
+
     def _deny(self, denied, now_s):
-        if self.history.verdict is not verdicts.Verdict.NOT_RUN or self._stream_began:
+        if not self.may_be_refused:
             self.fail(502, f"not sent again: {denied.reason}", now_s)
             return
         self.reason = denied.reason
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -20,6 +20,7 @@
     outcomes,
     placement,
     routes,
+    staleness,
     waiting,
 )
 from cicadaplank.messages import types
@@ -102,6 +103,8 @@
         self._budget_members = 1
         # Returns whether the configuration is known to be the newest.
         self.is_current = lambda: False
+        # Returns why this instance has stopped serving, an empty string if it has not.
+        self.stop_reason = lambda: ""
         self.broadcast = lambda message, exclude: None
         self.send_to_peer = lambda peer, message: None
         self._reactor = reactor
@@ -158,6 +161,10 @@
         :param configuration: :class:`cicadaplank.gateway.routes.Configuration`.
         """
         self.route_index = routes.RouteIndex(configuration)
+        self.check_calls()
+
+    def check_calls(self):
+        """Check each call that is not at an endpoint against what may be served now."""
         now_s = self.now_s()
         for call in list(self._calls):
             call.configuration_changed(now_s)
@@ -322,6 +329,12 @@
         if self.route_index is None:
             self._reject(client, request, 503, "no configuration is known yet")
             return None
+        stop_reason = self.stop_reason()
+        if stop_reason:
+            self._reporter.count("refused_as_stale")
+            after_s = staleness.RETRY_AFTER_S
+            self._reject(client, request, 503, stop_reason, after_s)
+            return None
         admitted = admittance.check(self.route_index, request.head)
         if isinstance(admitted, admittance.Denied):
             denied = self._if_current(admitted)
@@ -373,6 +386,10 @@
             :class:`admittance.Denied`, or :class:`admittance.Admitted` and the service
             that the call goes to from now on.
         """
+        stop_reason = self.stop_reason()
+        if stop_reason and call.may_be_refused:
+            self._reporter.count("refused_as_stale")
+            return admittance.Denied(503, stop_reason)
         if call.admitted.version == self.configuration_version:
             return None
         admitted = admittance.check(self.route_index, call.request.head)
--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -198,6 +198,19 @@
         self._confirmed_s = max(self._confirmed_s, now_s - self.store_age_s(now_s))
         return now_s - self._confirmed_s
 
+    def knows_newer(self, now_s):
+        """Tell whether a connected peer has reported records that the copies lack.
+
+        :param now_s: current time in seconds.
+        """
+        oldest_s = now_s - REPORT_AGE_S
+        return any(
+            at_s >= oldest_s
+            and self._has_newer_records(report)
+            and self._hub.connection(name) is not None
+            for name, (report, at_s) in self._reports.items()
+        )
+
     def reads_store(self):
         """Tell whether this instance has to read the store itself.
 
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -20,6 +20,7 @@
     registry_reads,
     reloading,
     reporting,
+    staleness,
     status,
     sync,
 )
@@ -243,8 +244,10 @@
             self.gateway.loads,
             self.gateway.weights_requirement.ages_s,
         )
+        self._stale_guard = staleness.StaleGuard(settings.in_force_s, reactor.seconds())
         self._apply_settings(settings)
         self.gateway.is_current = self.is_current
+        self.gateway.stop_reason = self._stop_reason
         self.gateway.broadcast = self.peers.broadcast
         self.gateway.send_to_peer = self.hub.send
 
@@ -297,6 +300,7 @@
         times = sync.poll_times(settings.in_force_s)
         for follower in (self.operator, self.listed, self.peers):
             follower.times = times
+        self._stale_guard.in_force_s = settings.in_force_s
         for host in settings.seeds:
             self.peers.add_seed(host, settings.peer.port, "entry")
 
@@ -338,11 +342,12 @@
 
     @property
     def is_ready(self):
-        """Whether both tables are known and no shutdown has begun."""
+        """Whether both tables are known, are not too old, and no shutdown has begun."""
         has_tables = (
             self.gateway.route_index is not None and self.listed.copy.version >= 0
         )
-        return has_tables and self._stop_started_s is None
+        is_stopping = self._stop_started_s is not None
+        return has_tables and not is_stopping and not self._stop_reason()
 
     def _ready_page(self):
         code = 200 if self.is_ready else 503
@@ -392,6 +397,25 @@
         """
         return self.peers.store_age_s(self.reactor.seconds()) < sync.MAX_CURRENT_AGE_S
 
+    def _stop_reason(self):
+        """Return why this instance has stopped serving, or an empty string."""
+        if self._stale_guard.was_frozen(self.reactor.seconds()):
+            # Requests of clients may be read before the timers run.
+            self._update_stale_guard()
+        return self._stale_guard.reason
+
+    def _update_stale_guard(self):
+        now_s = self.reactor.seconds()
+        guard = self._stale_guard
+        age_s = self.peers.confirmed_age_s(now_s)
+        if not guard.update(now_s, age_s, self.peers.knows_newer(now_s)):
+            return
+        if guard.reason:
+            self._log("serving_stopped", reason=guard.reason, confirmed_age_s=age_s)
+            self.gateway.check_calls()
+        else:
+            self._log("serving_resumed", confirmed_age_s=age_s)
+
     def _reads_store(self):
         return self.peers.reads_store()
 
@@ -608,6 +632,7 @@
             self.gateway.set_permit_members(self.instance.name, members, silent)
         self.gateway.check_timeouts()
         self.peers.tick()
+        self._update_stale_guard()
         now_s = self.reactor.seconds()
         self._operator_confirmed_s = max(
             self._operator_confirmed_s, now_s - self.peers.store_age_s(now_s)
--- a/features/steps/gateway_hops.py
+++ b/features/steps/gateway_hops.py
@@ -4,13 +4,14 @@
 clocks advance in steps; messages take some time in between.
 """
 
+import itertools
 import random
 
 import behave
 from twisted.internet import defer, task, testing
 
 from cicadaplank.external import errors
-from cicadaplank.gateway import peers, sync
+from cicadaplank.gateway import peers, staleness, sync
 from cicadaplank.messages import types
 from cicadaplank.platform import store as platform_store
 from cicadaplank.world import machines
@@ -61,18 +62,18 @@
         self.oldest = 0
         self.trouble = ""
         self.calls = 0
-        self.snapshots = 0
+        self.arrivals_s = []
         self.held = []
 
     def arrive(self, path, call):
         """Process a call."""
         self.calls += 1
+        self.arrivals_s.append(self.clock.seconds())
         if self.trouble == "silent":
             return
         if self.trouble == "refuses":
             self._reply(call, 503, {})
         elif path == "/v1/rows-get":
-            self.snapshots += 1
             self._reply(call, 200, self._rows())
         elif call.query["after"] < self.oldest:
             self._reply(call, 410, {})
@@ -239,7 +240,8 @@
         self.clock = task.Clock()
         self.is_running = True
         self.is_frozen = False
-        self.in_force_s = None
+        self.guard = staleness.StaleGuard(sync.DEFAULT_IN_FORCE_S, 0.0)
+        self.has_stopped = False
         self._inbox = []
         self.client = StoreClient(self, world.store)
         store = platform_store.Store(self.client)
@@ -270,6 +272,13 @@
     def _tick(self):
         self.clock.callLater(TICK_S, self._tick)
         self.peers.tick()
+        now_s = self.clock.seconds()
+        age_s, is_behind = (
+            self.peers.confirmed_age_s(now_s),
+            self.peers.knows_newer(now_s),
+        )
+        self.guard.update(now_s, age_s, is_behind)
+        self.has_stopped |= bool(self.guard.reason)
 
     def deliver(self, function, *args):
         """Process data that arrives, once the instance runs."""
@@ -308,6 +317,9 @@
         self.loses_records = False
         self.late_s = 0.0
         self.lost_replies = set()
+        self.no_records_to = ""
+        # Data centre that is cut off from the others.
+        self.cut = ""
         for number, count in enumerate(layout.split("+")):
             for index in range(int(count)):
                 data_centre = "abcdef"[number]
@@ -325,12 +337,15 @@
 
     def send(self, sender, name, message):
         """Deliver a message after the time of its path."""
-        if self.loses_records and isinstance(message, types.RecordReply):
+        is_reply = isinstance(message, types.RecordReply)
+        if is_reply and (self.loses_records or name == self.no_records_to):
             return
-        if name in self.lost_replies and isinstance(message, types.RecordReply):
+        if name in self.lost_replies and is_reply:
             self.lost_replies.remove(name)
             return
         receiver = self.entry(name)
+        if (sender.data_centre == self.cut) != (receiver.data_centre == self.cut):
+            return
         is_near = sender.data_centre == receiver.data_centre
         self.clock.callLater(
             (NEAR_S if is_near else FAR_S) + self.late_s,
@@ -557,3 +572,23 @@
     assert found_s >= age_s, f"{found_s:.2f} s"
     own_s = first.followed.availability.age_s(now_s)
     assert own_s >= age_s, f"{own_s:.2f} s by its own answers"
+
+
+@behave.when("the store comes back after an outage")
+def step_comes_back(context):
+    context.gaps_s = []
+    for seed in SEEDS:
+        world = World(context.layout, seed)
+        world.run(SETTLED_S)
+        outage(world)
+        world.run(1.5)
+        world.store.arrivals_s.clear()
+        world.run(4.0)
+        times_s = world.store.arrivals_s
+        gaps_s = [after - before for before, after in itertools.pairwise(times_s)]
+        context.gaps_s.append(max(gaps_s))
+
+
+@behave.then("the reads of all instances are at most {most_s:f} s apart")
+def step_gaps(context, most_s):
+    assert max(context.gaps_s) <= most_s, context.gaps_s
