Keep readers known in data centres with many instances

Nobody would see it but the store: in a data centre with 100 instances all of them read it again and again.

Cause: the interval of reports grows with the number of peers, to 1.25 s with 100, but a peer counted as a reader for 1 s after its report, and the age of its last answer grew by the interval.

A report now counts for two intervals, and an instance that reads the store tells those of its data centre within 0.2 s after each answer, about one report a second.

--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -31,8 +31,10 @@
 # from them. Otherwise a large configuration would cross a link between regions once for
 # each instance. The second one takes over at once when the first is cut off.
 STORE_READERS = 2
-# A peer counts as a reader while its last report is at most this old.
+# A peer counts as a reader while its last report is at most this old, or this multiple
+# of the interval of reports.
 READER_REPORT_AGE_S = 1.0
+READER_REPORT_PERIODS = 2.0
 # Values from this size on are compressed for peers. A configuration of 1,100 routes
 # shrinks from 300 KB to a tenth of that.
 COMPRESSED_BYTES = 1024
@@ -102,8 +104,9 @@
         self.path_delays = path_delays.PathDelays()
         # Time of the last report to local (True) and remote (False) instances.
         self._reported_s = {True: float("-inf"), False: float("-inf")}
-        # Changes read from the store that a report has told of.
-        self._changes_told = 0
+        # Changes read from the store that a report has told of, and answers that one to
+        # local instances has.
+        self._changes_told, self._answers_told = 0, 0
         self._connect_attempted_s = float("-inf")
         # Time in seconds since which an instance is not connected.
         self._missing_since_s = {}
@@ -232,10 +235,12 @@
         return oldest_s > self.times.max_unconfirmed_s
 
     def _local_reports(self, now_s):
+        periods_s = READER_REPORT_PERIODS * self._period_s(True)
+        max_age_s = max(READER_REPORT_AGE_S, periods_s)
         return {
             name: (report, at_s)
             for name, (report, at_s) in self._reports.items()
-            if now_s - at_s <= READER_REPORT_AGE_S
+            if now_s - at_s <= max_age_s
             and self._hub.connection(name) is not None
             and self._is_local(name)
         }
@@ -286,10 +291,16 @@
         # News from the store does not wait for the next report.
         changes_read = sum(each.changes_read for each in self._syncs.values())
         has_news, self._changes_told = changes_read > self._changes_told, changes_read
+        answers_read = sum(each.answers_read for each in self._syncs.values())
         for is_local in (True, False):
             period_s = 0.0 if has_news else self._period_s(is_local)
+            if is_local and answers_read > self._answers_told:
+                # Instances that take records from this one rely on its answers.
+                period_s = min(period_s, REPORT_S)
             if now_s - self._reported_s[is_local] >= period_s:
                 self._reported_s[is_local] = now_s
+                if is_local:
+                    self._answers_told = answers_read
                 self._report(now_s, is_local)
                 if self.store_age_s(now_s) > sync.OUTAGE_AFTER_S:
                     self._store_unavailable_s = now_s
--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -229,6 +229,7 @@
     :ivar times: :class:`PollTimes`.
     :ivar availability: :class:`Availability` of the store.
     :ivar guarded: :class:`guarded_calls.GuardedCalls` of ``changed``.
+    :ivar answers_read: number of answers of the store.
     :ivar changes_read: number of answers of the store that changed the copy.
     :ivar polls: :class:`polling.Polls`.
     :ivar rng: source of the random times of reads.
@@ -246,6 +247,7 @@
         self._on_change = changed
         self._log = log
         self._is_needed = is_needed
+        self.answers_read = 0
         self.changes_read = 0
         self.polls = polling.Polls()
         self.rng = random.Random()
@@ -313,6 +315,7 @@
         # An answer with records ended the wait early, also if peers sent them before.
         as_of_s = self.polls.answered(read, now_s, bool(changes.records))
         self._record_answer(as_of_s)
+        self.answers_read += 1
         if changed:
             self.changes_read += 1
             self._notify(changed, Source("store", now_s - read.sent_s))
--- a/features/gateway/currency.feature
+++ b/features/gateway/currency.feature
@@ -44,6 +44,7 @@
       | 20    | 4.0      | 20       | 24    |
       | 60    | 4.0      | 20       | 24    |
       | 20    | 2.0      | 20       | 44    |
+      | 100   | 2.0      | 20       | 44    |
 
   Scenario: Instances that take records from peers leave the store alone while these come
     Given an instance that takes records from 9 peers of its data centre
