--- a/features/entries.py
+++ b/features/entries.py
@@ -50,9 +50,15 @@
 
 
 class Entry:
-    """An entry process without sockets."""
+    """An entry process without sockets.
 
-    def __init__(self, reactor, name):
+    :param reactor: clock.
+    :param name: IP address.
+    :param store: :class:`cicadaplank.gateway.sync.Store`, or None when the scenario
+        plays the reads.
+    """
+
+    def __init__(self, reactor, name, store=None):
         address = process.Address(name, 1)
         settings = process.Settings(
             name=name,
@@ -68,7 +74,7 @@
             grace_s=8,
         )
         self.row = {}
-        decoder = plain_types.SimpleNamespace(
+        self.decoder = plain_types.SimpleNamespace(
             operator_table="op",
             endpoint_table="servers",
             configuration=lambda copy: None,
@@ -77,7 +83,13 @@
         )
         self.log = Log()
         self.process = process.EntryProcess(
-            reactor, settings, None, decoder, None, headers.PlatformDialect(), None
+            reactor,
+            settings,
+            store,
+            self.decoder,
+            None,
+            headers.PlatformDialect(),
+            None,
         )
         self.process.events.log = self.log.log
         self.hub = self.process.peers._hub = Hub()
