Count a naming from the last time at which it is known not to have happened

The entry instance had stood still over the naming.

Cause: an instance took the time at which it read the operator's record, or a report of a peer, for the time at which that was said. After standing still it read reports and answers that had waited in its sockets for seconds. Each instance bound calls by the earliest reading, an upper bound of the time of naming, where only a lower bound is safe.

Change: for each version an instance keeps an interval. It begins when a copy of the record was last known to hold the version before: when the poll was sent, or when its wait was over for a poll that ended without a change. It ends when the version was read. Calls are bound by the beginning, which needs no message. Reports and notices carry both ages; the greatest beginning and the least end win, each version was named after the ones before it, and versions that were replaced unseen are reported too.

A report counts from when it was made. The delay beyond the smallest one (path_delays) does not suffice: it leaves out the smallest itself, and instances that exchange their bounds add it up with each exchange.

A failed application of the record does not move the bound: the time is kept until the named versions were recorded. Agents keep the same interval: a notice that waited made its engine's turn late, until the next one.

Scenarios in weights.feature: a read stood for a naming at the same moment. "reads 2 at 121 after 119.5" now says when the last answer without it was made.

Reports of older builds, [[version, age_s]], are used for the end of the interval; older builds reject the new ones and end a connection on ReportEcho, so that entry instances and agents have to be upgraded together.

--- a/cicadaplank/gateway/named_versions.py
+++ b/cicadaplank/gateway/named_versions.py
@@ -1,13 +1,15 @@
 """Versions of weights that the operator named, and the time at which each was named.
 
 Calls must not begin on an older version later than a fixed time after a newer one was
-named. Processes hear of a version at different times, so entry instances report to each
-other how long ago each version was named, and each keeps the earliest time.
+named. No process knows the time of naming: it lies between the time as of which a copy
+of the operator's record is known to have held the version before, and the time at which
+some process read the new one. Entry instances report both to each other, and each keeps
+the narrowest interval. Calls are bound by its beginning, which is safe without any
+message.
 """
 
 import dataclasses
 import enum
-import math
 
 # Share of the time until old weights are forbidden after which calls are sent to the
 # new weights only. The rest covers calls that wait at an engine, also at one that goes
@@ -23,17 +25,20 @@
 MAX_MODELS = 64
 # Limit of the gaps between read versions that are kept for each model.
 MAX_GAPS = 16
-# A time of naming that is corrected by less than this is not logged again.
+# An interval that is narrowed by less than this is not logged again.
 LOGGED_CORRECTION_S = 0.1
+# Bounds of the values of a report.
+MAX_VERSION = 2**53
+MAX_AGE_S = 1e9
 
 
 class Source(enum.Enum):
     """How this process knows when a version was named.
 
     ``STORE``: it read the operator's record before and after the change. ``PEER``: an
-    entry instance reported it. ``ASSUMED``: it only knows that the version may have
-    been named as early as that, because it found the version in its first read of the
-    record, or read a newer one without having seen this one.
+    entry instance reported it or narrowed the interval. ``ASSUMED``: it only knows that
+    the version may have been named as early as that, because it found the version in
+    its first read of the record, or read a newer one without having seen this one.
     """
 
     STORE = "store"
@@ -46,16 +51,38 @@
     """A version of a model's weights that the operator named as the one to serve.
 
     :param version: version number.
-    :param named_s: time in seconds at which it was named, as far as is known.
-    :param heard_s: time in seconds at which this process learned of it.
-    :param source: :class:`Source` of ``named_s``.
+    :param earliest_s: time in seconds before which it was not named.
+    :param latest_s: time in seconds by which it was named.
+    :param source: :class:`Source` of the times.
     """
 
     version: int
-    named_s: float
-    heard_s: float
+    earliest_s: float
+    latest_s: float
     source: Source
 
+    def narrowed(self, found):
+        """Return the version with the times that both statements allow.
+
+        The later time wins where the statements contradict each other.
+
+        :param found: :class:`NamedVersion` of the same version.
+        """
+        latest_s = min(self.latest_s, found.latest_s)
+        earliest_s = min(max(self.earliest_s, found.earliest_s), latest_s)
+        if (earliest_s, latest_s) == (self.earliest_s, self.latest_s):
+            return self
+        return dataclasses.replace(found, earliest_s=earliest_s, latest_s=latest_s)
+
+    def ages_s(self, now_s):
+        """Return the version as the entry of a report.
+
+        :param now_s: current time in seconds.
+        :returns: list of the version, and of the least and the greatest number of
+            seconds since it was named.
+        """
+        return [self.version, now_s - self.latest_s, now_s - self.earliest_s]
+
 
 @dataclasses.dataclass(frozen=True)
 class Gap:
@@ -70,12 +97,14 @@
         before the first read it is long enough ago to forbid older versions at once.
     :param heard_s: time in seconds of the read after the gap, before which all of them
         were named.
+    :param is_observed: whether the record was read before the gap.
     """
 
     first: int
     last: int
     earliest_s: float
     heard_s: float
+    is_observed: bool
 
 
 @dataclasses.dataclass(frozen=True)
@@ -120,9 +149,9 @@
         :param model: model name.
         :param version: version number; newer ones are higher.
         :param now_s: current time in seconds.
-        :param confirmed_s: time in seconds at which the record was last known to hold
-            the version that was read before. None for the first read of this process:
-            the versions may have been named long ago.
+        :param confirmed_s: time in seconds as of which the record is known to have held
+            no newer version than the one that was read before. None when that is not
+            known, as at the first read: the versions may have been named long ago.
         :returns: tuple of each :class:`NamedVersion` that became known or is assumed.
         """
         versions = self._models.setdefault(model, _ModelVersions())
@@ -132,22 +161,28 @@
         versions.newest_read = version
         learned = ()
         if confirmed_s is None:
-            gap = Gap(previous + 1, version, now_s - self._allowed_s, now_s)
+            gap = Gap(previous + 1, version, now_s - self._allowed_s, now_s, False)
         else:
-            gap = Gap(previous + 1, version - 1, confirmed_s, now_s)
-            learned = versions.learn(NamedVersion(version, now_s, now_s, Source.STORE))
+            gap = Gap(previous + 1, version - 1, confirmed_s, now_s, True)
+            named = NamedVersion(version, confirmed_s, now_s, Source.STORE)
+            learned = versions.learn(named)
         assumed = versions.add_gap(gap)
         versions.drop_superseded(now_s - self._allowed_s)
         return assumed + learned
 
-    def record_reported_ages(self, ages_s, now_s):
+    def record_reported_ages(self, ages_s, now_s, delay_s=None, confirmed_s=None):
         """Record the ages that an entry instance reported.
 
-        A report may be late on its way, which makes a version look younger. Reports
-        are repeated, so the earliest time is kept.
+        A version was named by the time of its least age, however late the report is.
+        It was not named before that of its greatest age when the report was made, so
+        that the delay of the report is added to this age.
 
-        :param ages_s: dict from model name to a list of ``[version, age_s]``.
+        :param ages_s: dict from model name to a list of ``[version, age_s,
+            max_age_s]``; reports of older builds lack ``max_age_s``.
         :param now_s: current time in seconds.
+        :param delay_s: greatest number of seconds for which the report may have been
+            under way, None when that is not known.
+        :param confirmed_s: as in :meth:`record_named_version`.
         :returns: dict from model name to a tuple of each :class:`NamedVersion` that
             became known or was corrected.
         """
@@ -158,9 +193,19 @@
                 continue
             versions = self._models.setdefault(model, _ModelVersions())
             learned = ()
-            for version, age_s in entries:
-                named = NamedVersion(version, now_s - age_s, now_s, Source.PEER)
-                learned += versions.learn(named)
+            for version, age_s, *max_age_s in entries:
+                bounds_s = []
+                if max_age_s and delay_s is not None:
+                    bounds_s.append(now_s - delay_s - max_age_s[0])
+                if confirmed_s is not None and version > versions.newest_read:
+                    bounds_s.append(confirmed_s)
+                if not bounds_s and version not in versions.known:
+                    bounds_s.append(now_s - self._allowed_s)
+                latest_s = now_s - age_s
+                earliest_s = min(max(bounds_s, default=float("-inf")), latest_s)
+                learned += versions.learn(
+                    NamedVersion(version, earliest_s, latest_s, Source.PEER)
+                )
                 versions.drop_superseded(now_s - self._allowed_s)
             found[model] = learned
         return found
@@ -173,35 +218,29 @@
     def ages_s(self, now_s):
         """Return the ages to report: those of versions that still limit calls.
 
-        Ages that this process only assumes are left out.
+        Ages of versions that were there at the first read are left out.
 
         :param now_s: current time in seconds.
-        :returns: dict from model name to a list of ``[version, age_s]``.
+        :returns: dict from model name to a list of :meth:`NamedVersion.ages_s`.
         """
         found = {}
         for model, versions in self._models.items():
             versions.drop_superseded(now_s - self._allowed_s)
-            if versions.known:
-                found[model] = [
-                    [version, now_s - named.named_s]
-                    for version, named in sorted(versions.known.items())
-                ]
+            if reported := versions.reported():
+                found[model] = [named.ages_s(now_s) for named in reported]
         return found
 
     def age_s(self, model, now_s):
-        """Return the seconds since the newest version was named, as far as is known.
+        """Return the seconds for which the newest version is known to be named.
 
         :param model: model name.
         :param now_s: current time in seconds.
-        :returns: seconds, since this process learned of the version when the time of
-            naming is only assumed; 0.0 when no version was named.
+        :returns: seconds; 0.0 when no version was named.
         """
         versions = self._all(model)
         if not versions:
             return 0.0
-        newest = max(versions, key=lambda named: named.version)
-        is_assumed = newest.source is Source.ASSUMED
-        return now_s - (newest.heard_s if is_assumed else newest.named_s)
+        return now_s - versions[-1].latest_s
 
     def newest_version(self, model):
         """Return the newest version that is known to be named, or None.
@@ -220,7 +259,7 @@
         required = [
             named.version
             for named in self._all(model)
-            if named.named_s + self._grace_s <= now_s
+            if named.earliest_s + self._grace_s <= now_s
         ]
         return max(required, default=0)
 
@@ -239,11 +278,11 @@
         due = [
             named
             for named in self._all(model)
-            if named.version > version and named.named_s + wait_s <= now_s
+            if named.version > version and named.earliest_s + wait_s <= now_s
         ]
         if not due:
             return None
-        forbidden_s = min(named.named_s for named in due) + self._allowed_s
+        forbidden_s = min(named.earliest_s for named in due) + self._allowed_s
         return Bound(max(named.version for named in due), forbidden_s - now_s)
 
     def _all(self, model):
@@ -267,10 +306,19 @@
     def all(self):
         """Return the known versions, and the newest unknown one of each gap.
 
-        It limits calls more than the older ones of its gap.
+        It limits calls more than the older ones of its gap. Each version was named
+        after the known ones before it.
         """
-        assumed = map(self._assumed, self._gaps)
-        return [*self.known.values(), *filter(None, assumed)]
+        assumed = filter(None, map(self._assumed, self._gaps))
+        found, earliest_s = [], float("-inf")
+        for named in sorted([*self.known.values(), *assumed], key=_version):
+            if named.earliest_s < earliest_s:
+                start_s = min(earliest_s, named.latest_s)
+                named = dataclasses.replace(named, earliest_s=start_s)
+            if named.version in self.known:
+                earliest_s = named.earliest_s
+            found.append(named)
+        return found
 
     def _assumed(self, gap):
         version = gap.last
@@ -280,6 +328,13 @@
             return None
         return NamedVersion(version, gap.earliest_s, gap.heard_s, Source.ASSUMED)
 
+    def reported(self):
+        """Return the versions to report to other instances, in ascending order."""
+        observed = (gap for gap in self._gaps if gap.is_observed)
+        assumed = filter(None, map(self._assumed, observed))
+        found = {named.version: named for named in assumed} | self.known
+        return [named for _, named in sorted(found.items())]
+
     def add_gap(self, gap):
         """Add a gap.
 
@@ -294,7 +349,7 @@
         return (assumed,)
 
     def learn(self, found):
-        """Record the time of a naming if it is earlier than the known one.
+        """Record when a version was named, and narrow the known interval.
 
         :param found: :class:`NamedVersion`.
         :returns: tuple of the :class:`NamedVersion` that became known or was corrected
@@ -302,21 +357,25 @@
         """
         known = self.known.get(found.version)
         if known is None:
-            # A later time than that of a read which showed the version is that of a
-            # peer that had been cut off.
-            if any(
-                gap.first <= found.version <= gap.last and found.named_s > gap.heard_s
-                for gap in self._gaps
-            ):
-                return ()
+            for gap in self._gaps:
+                if gap.first <= found.version <= gap.last:
+                    if found.earliest_s > gap.heard_s:
+                        # This process had read the version or a newer one by then.
+                        return ()
+                    seen = dataclasses.replace(
+                        found, earliest_s=gap.earliest_s, latest_s=gap.heard_s
+                    )
+                    found = found.narrowed(seen)
             self.known[found.version] = found
             return (found,)
-        if found.named_s >= known.named_s:
+        found = known.narrowed(found)
+        if found is known:
             return ()
-        found = dataclasses.replace(found, heard_s=known.heard_s)
         self.known[found.version] = found
-        is_logged = known.named_s - found.named_s >= LOGGED_CORRECTION_S
-        return (found,) if is_logged else ()
+        correction_s = max(
+            abs(found.earliest_s - known.earliest_s), known.latest_s - found.latest_s
+        )
+        return (found,) if correction_s >= LOGGED_CORRECTION_S else ()
 
     def drop_superseded(self, forbidden_s):
         """Drop versions that a newer one forbids, and the oldest beyond the limit.
@@ -325,7 +384,7 @@
             older ones.
         """
         floor = max(
-            (n.version for n in self.known.values() if n.named_s <= forbidden_s),
+            (n.version for n in self.known.values() if n.earliest_s <= forbidden_s),
             default=0,
         )
         for version in sorted(self.known):
@@ -334,19 +393,43 @@
         self._gaps = [gap for gap in self._gaps if gap.last >= floor]
 
 
+def _version(named):
+    return named.version
+
+
+def from_ages(entries, now_s):
+    """Read the entries of a notice, whose delay is not known.
+
+    :param entries: list of ``[version, age_s, max_age_s]``.
+    :param now_s: current time in seconds.
+    :returns: dict from version to :class:`NamedVersion`, empty when an entry is
+        malformed.
+    """
+    if not is_valid_ages(entries):
+        return {}
+    return {
+        version: NamedVersion(
+            version, now_s - ages_s[-1], now_s - ages_s[0], Source.PEER
+        )
+        for version, *ages_s in entries
+    }
+
+
 def is_valid_ages(entries):
-    """Tell whether a value of a message is a list of ``[version, age_s]``."""
+    """Tell whether a value of a message is a list of ``[version, age_s, max_age_s]``.
+
+    The entries of older builds lack ``max_age_s``.
+    """
     return isinstance(entries, list) and all(map(_is_age, entries))
 
 
 def _is_age(entry):
-    """Tell whether an entry of a report is ``[version, age_s]``."""
-    if not isinstance(entry, list) or len(entry) != 2:
+    if not isinstance(entry, list) or len(entry) not in (2, 3):
         return False
-    version, age_s = entry
+    version, *ages_s = entry
     return (
         type(version) is int
-        and type(age_s) in (int, float)
-        and math.isfinite(age_s)
-        and age_s >= 0
+        and 0 <= version <= MAX_VERSION
+        and all(type(age_s) in (int, float) for age_s in ages_s)
+        and 0 <= ages_s[0] <= ages_s[-1] <= MAX_AGE_S
     )
--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -9,7 +9,7 @@
 import collections
 import zlib
 
-from cicadaplank.gateway import path_delays, records, sync
+from cicadaplank.gateway import path_delays, records, report_ages, sync
 from cicadaplank.messages import types
 from cicadaplank.world import machines
 
@@ -102,6 +102,7 @@
         # Times in seconds of the requests without a reply, by table and peer.
         self._requested_s = {table: {} for table in syncs}
         self.path_delays = path_delays.PathDelays()
+        self.report_ages = report_ages.ReportAges()
         # Time of the last report to local (True) and remote (False) instances.
         self._reported_s = {True: float("-inf"), False: float("-inf")}
         # Changes read from the store that a report has told of, and answers that one to
@@ -375,12 +376,19 @@
         names = [name for name in self._connected() if name != exclude]
         self._hub.send_all(names, message)
 
+    def peer_connected(self, peer):
+        """Measure the clock of a peer anew, which may have restarted.
+
+        :param peer: name of the peer.
+        """
+        self.report_ages.forget(peer)
+
     def message(self, peer, message):
         """Process a message of a peer.
 
         :param peer: name of the peer.
         :param message: message.
-        :returns: True for a report, a request for records or a reply to one.
+        :returns: True for a report, its echo, a request for records or a reply to one.
         """
         self._last_received_s[peer] = self._reactor.seconds()
         if isinstance(message, types.GatewayReport):
@@ -389,11 +397,17 @@
             # A report that waited in a queue is as old as its wait.
             reported_s = now_s - self.path_delays.delay_s(peer, now_s)
             self._reports[peer] = (message, reported_s)
+            if self.report_ages.is_echo_due(peer, now_s):
+                self._hub.send(peer, types.ReportEcho(message.sent_s, now_s))
             answered_s = reported_s - max(0.0, message.store_age_s)
             served_s = max(0.0, message.store_served_s)
             for span in self._served_peers, self._served:
                 span.record(answered_s, served_s, self._served_gap_s)
             self._request_records(peer, message)
+        elif isinstance(message, types.ReportEcho):
+            self.report_ages.record_echo(
+                peer, message.sent_s, message.received_s, self._reactor.seconds()
+            )
         elif isinstance(message, types.RecordRequest):
             self._send_records(peer, message)
         elif isinstance(message, types.RecordReply):
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -180,9 +180,10 @@
         self.watch = reloading.SettingsWatch(
             reactor, settings, reload, self._settings_changed, self.events.log
         )
-        self._is_first_read = True
-        # Time at which the copy of the operator's table was last known to be current.
-        self._operator_confirmed_s = reactor.seconds()
+        # Whether a read of the operator's record was not applied to the named versions,
+        # and the time as of which the versions before it are confirmed.
+        self._is_naming_pending = False
+        self._named_confirmed_s = None
         self._stop_started_s = None
         self._front = None
         self._agents_notified_s = float("-inf")
@@ -375,6 +376,8 @@
             metric.set_gauge("weights_required", required, model=model)
         rejected = self.gateway.weights_requirement.rejected
         metric.set_gauge("weights_ages_rejected", rejected)
+        rejected = self.peers.report_ages.rejected
+        metric.set_gauge("report_echoes_rejected", rejected)
         metric.set_gauge("event_loop_largest_delay_seconds", self._largest_loop_delay_s)
         delay_s, _ = self.peers.path_delays.largest_s(now_s)
         metric.set_gauge("peer_path_largest_delay_seconds", delay_s)
@@ -420,6 +423,8 @@
         return self.peers.reads_store()
 
     def _operator_changed(self, changed):
+        self._named_confirmed_s = self._naming_confirmed_s()
+        self._is_naming_pending = True
         copy = self.operator.copy
         try:
             configuration = self._decoder.configuration(copy)
@@ -428,20 +433,39 @@
             configuration = None
         if configuration is not None:
             self._apply_configuration(configuration)
+        self._record_named_versions()
+        self._notify_agents()
+
+    def _naming_confirmed_s(self):
+        """Return the time as of which no version was named beyond the known ones.
+
+        Later confirmations of the copy hold for a change that was not applied yet, too.
+
+        :returns: time in seconds, or None when the store has not answered.
+        """
+        if self._is_naming_pending:
+            return self._named_confirmed_s
+        return self.operator.confirmed_s
+
+    def _record_named_versions(self):
         now_s = self.reactor.seconds()
-        confirmed_s = None if self._is_first_read else self._operator_confirmed_s
-        self._is_first_read = False
-        for model, version in self._decoder.named_weights(copy).items():
+        named = self._decoder.named_weights(self.operator.copy)
+        for model, version in named.items():
             found = self.gateway.weights_requirement.record_named_version(
-                model, version, now_s, confirmed_s
+                model, version, now_s, self._named_confirmed_s
             )
             self._log_named(model, found, now_s)
-        self._notify_agents()
+        self._is_naming_pending = False
 
-    def _record_weights_ages(self, ages_s):
+    def _record_weights_ages(self, peer, report):
         now_s = self.reactor.seconds()
-        requirement = self.gateway.weights_requirement
-        for model, found in requirement.record_reported_ages(ages_s, now_s).items():
+        learned = self.gateway.weights_requirement.record_reported_ages(
+            report.weights_ages_s,
+            now_s,
+            self.peers.report_ages.max_age_s(peer, report.sent_s, now_s),
+            self._naming_confirmed_s(),
+        )
+        for model, found in learned.items():
             self._log_named(model, found, now_s)
 
     def _log_named(self, model, found, now_s):
@@ -450,7 +474,8 @@
                 "weights_named",
                 model=model,
                 version=named.version,
-                age_s=now_s - named.named_s,
+                age_s=now_s - named.latest_s,
+                max_age_s=now_s - named.earliest_s,
                 source=named.source.value,
             )
 
@@ -559,6 +584,7 @@
                 connection.send(notice)
         if isinstance(message, types.Hello) and message.role == ENTRY:
             self._log("peer_connected", peer=connection.peer)
+            self.peers.peer_connected(connection.peer)
             self._send_crash_causes(connection)
             for report in self.gateway.limit_reports():
                 connection.send(report)
@@ -566,7 +592,7 @@
             if isinstance(message, types.GatewayReport):
                 period_s = self.peers.report_period_s(connection.peer)
                 self.gateway.set_peer_loads(connection.peer, message.loads, period_s)
-                self._record_weights_ages(message.weights_ages_s)
+                self._record_weights_ages(connection.peer, message)
         elif isinstance(message, types.CrashReport):
             self.gateway.merge_crash(message)
         elif isinstance(message, types.SoundPartsReport):
@@ -634,9 +660,6 @@
         self.peers.tick()
         self._update_stale_guard()
         now_s = self.reactor.seconds()
-        self._operator_confirmed_s = max(
-            self._operator_confirmed_s, now_s - self.peers.store_age_s(now_s)
-        )
         # Registered instances that this one cannot reach still send retries, so they
         # count for the division of the retry budget.
         self.gateway.set_member_count(
--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -233,6 +233,9 @@
     :ivar changes_read: number of answers of the store that changed the copy.
     :ivar polls: :class:`polling.Polls`.
     :ivar rng: source of the random times of reads.
+    :ivar confirmed_s: time in seconds as of which the store is known to have held no
+        newer change than the copy, or None before the first answer. It is set after a
+        change is reported, which happened later than the time known before.
     """
 
     def __init__(self, reactor, store, table, changed, log, is_needed=lambda: True):
@@ -240,6 +243,7 @@
         self.copy = records.RecordTable()
         self.times = poll_times()
         self.availability = Availability(reactor.seconds())
+        self.confirmed_s = None
         self._last_change_s = reactor.seconds()
         self._reactor = reactor
         self._store = store
@@ -319,6 +323,8 @@
         if changed:
             self.changes_read += 1
             self._notify(changed, Source("store", now_s - read.sent_s))
+        known_s = as_of_s if self.confirmed_s is None else self.confirmed_s
+        self.confirmed_s = max(as_of_s, known_s)
 
     def _notify(self, changed, source):
         self._last_change_s = self._reactor.seconds()
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -563,8 +563,9 @@
     :param newest: maps table name to the version of the newest change that the sender
         has.
     :param store_age_s: seconds since the store last answered the sender.
-    :param weights_ages_s: maps model name to a list of ``[version, age_s]`` with the
-        seconds since the operator named each version, as far as the sender knows.
+    :param weights_ages_s: maps model name to a list of ``[version, age_s, max_age_s]``
+        with the least and the greatest number of seconds since the operator named each
+        version, as far as the sender knows. Older builds send no ``max_age_s``.
     :param sent_s: monotonic clock of the sender in seconds at the time of sending. Only
         its differences between reports of one sender are meaningful.
     :param store_served_s: seconds before that last answer for which the store is known
@@ -579,6 +580,19 @@
     store_served_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class ReportEcho:
+    """Tells the sender of a :class:`GatewayReport` when it was received.
+
+    :param sent_s: ``sent_s`` of the report.
+    :param received_s: monotonic clock of the sender of the echo in seconds when it
+        received the report.
+    """
+
+    sent_s: float
+    received_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class RecordRequest:
     """Asks a peer for the changed records of a table.
--- a/cicadaplank/replicas/loading.py
+++ b/cicadaplank/replicas/loading.py
@@ -151,14 +151,14 @@
     def wanted(self, target):
         """Set the target if its version is newer than that of the present one.
 
-        For the same version, the earlier time of naming is kept.
+        For the same version, the time of naming is replaced.
 
         :param target: :class:`Target`.
         :returns: whether the target changed.
         """
         previous = self.target
         if previous is not None and target.version <= previous.version:
-            if target == previous and target.named_s < previous.named_s:
+            if target == previous:
                 self.target = target
             return False
         self.target = target
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -211,7 +211,7 @@
             reactor,
             store,
             decoder.operator_table,
-            self._table_changed,
+            self._operator_changed,
             self._log,
             self._entries_are_silent,
         )
@@ -370,7 +370,10 @@
         if connection is None:
             self._entry_links.failed(name, self.now_s)
 
-    def _table_changed(self, changed):
+    def _operator_changed(self, changed):
+        self._table_changed(changed, self.operator.confirmed_s)
+
+    def _table_changed(self, changed, confirmed_s=None):
         """Use the store's tables while entry instances are silent."""
         try:
             notice = notices.build(self._decoder, self.operator.copy, self.listed.copy)
@@ -378,9 +381,15 @@
             self.events.log("configuration_rejected", "error", reason=str(error))
             return
         if notice is not None and self._entries_are_silent():
-            self._apply_notice(notice)
+            self._apply_notice(notice, confirmed_s)
+
+    def _apply_notice(self, notice, confirmed_s=None):
+        """Use a notice.
 
-    def _apply_notice(self, notice):
+        :param notice: :class:`types.WeightsNotice`.
+        :param confirmed_s: time in seconds before which no version was named that this
+            agent does not know, or None when that is not known.
+        """
         if notice.configuration >= self._configuration_version:
             self._configuration_version = notice.configuration
             self._models = notice.models
@@ -393,10 +402,11 @@
             self._set_hosts(notice.hosts.get(self.settings.service, {}))
         for model, version in notice.named.items():
             entries = notice.weights_ages_s.get(model, [])
-            ages_s = dict(entries) if named_versions.is_valid_ages(entries) else {}
-            self._version_named(model, version, ages_s.get(version, 0.0))
-            for known_version, age_s in ages_s.items():
-                self._age_known(model, known_version, age_s)
+            known = named_versions.from_ages(entries, self.now_s)
+            named = known.get(version) or self._read_now(version, confirmed_s)
+            self._version_named(model, named)
+            for named in known.values():
+                self._times_known(model, named)
         if self._newest_copy is None:
             self._check_engine()
 
@@ -422,12 +432,24 @@
             copy.search.agents_changed(data_centres)
             self._continue_search(copy)
 
-    def _version_named(self, model, version, age_s):
-        newest = self._newest_copy
+    def _read_now(self, version, confirmed_s=None):
+        earliest_s = float("-inf") if confirmed_s is None else confirmed_s
+        return named_versions.NamedVersion(
+            version, earliest_s, self.now_s, named_versions.Source.STORE
+        )
+
+    def _version_named(self, model, named):
+        newest, version = self._newest_copy, named.version
         if newest is not None and version <= newest.target.version:
             return
-        copy = _Copy(loading.Target(model, version, self.now_s - age_s))
-        self._log("weights_wanted", model=model, version=version, age_s=age_s)
+        copy = _Copy(_target(model, named), named)
+        self._log(
+            "weights_wanted",
+            model=model,
+            version=version,
+            age_s=self.now_s - named.latest_s,
+            max_age_s=self.now_s - copy.target.named_s,
+        )
         next_copy = self._next_copy
         self._newest_copy = copy
         if next_copy is None or not loading.should_finish_target(
@@ -439,14 +461,15 @@
         self._fetch_manifest(copy)
         self._check_engine()
 
-    def _age_known(self, model, version, age_s):
-        """Count the time of a wanted version from its naming if that was earlier."""
-        target = loading.Target(model, version, self.now_s - age_s)
+    def _times_known(self, model, named):
+        """Narrow the time at which a wanted version was named."""
         for copy in (self._next_copy, self._newest_copy):
-            if copy.target == target and target.named_s < copy.target.named_s:
-                copy.target = target
-        if self.loading.target == target:
-            self.loading.wanted(target)
+            if (copy.target.model, copy.target.version) != (model, named.version):
+                continue
+            copy.named = copy.named.narrowed(named)
+            copy.target = _target(model, copy.named)
+            if self.loading.target == copy.target:
+                self.loading.wanted(copy.target)
 
     def _progress(self, copy):
         if copy.manifest is None:
@@ -858,7 +881,7 @@
         self._is_requesting_newest = False
         self._newest_backoff.reset()
         if self._newest_copy is None:
-            self._version_named(model, int(manifest.version), 0.0)
+            self._version_named(model, self._read_now(int(manifest.version)))
 
     def _newest_failed(self, failure):
         failure.trap(errors.PlatformError)
@@ -983,10 +1006,18 @@
     return defer.ensureDeferred(coroutine)
 
 
+def _target(model, named):
+    """Return the target of a version, due from the earliest time of its naming."""
+    is_known = named.earliest_s > float("-inf")
+    named_s = named.earliest_s if is_known else named.latest_s
+    return loading.Target(model, named.version, named_s)
+
+
 class _Copy:
     """State of this agent's copy of one version of weights.
 
     :param target: :class:`cicadaplank.replicas.loading.Target`.
+    :param named: :class:`cicadaplank.gateway.named_versions.NamedVersion`.
     :ivar manifest: :class:`cicadaplank.weights.manifests.Manifest` of the transfer, or
         None before the transfer can start.
     :ivar received: newest manifest that the origin or a peer sent, or None.
@@ -1002,8 +1033,9 @@
     :ivar corrupt: number of corrupt pieces that the origin sent for this manifest.
     """
 
-    def __init__(self, target):
+    def __init__(self, target, named):
         self.target = target
+        self.named = named
         self.manifest = None
         self.received = None
         self.source = ""
--- a/features/entries.py
+++ b/features/entries.py
@@ -7,6 +7,7 @@
 from cicadaplank.platform import headers
 
 MODEL = "m"
+PEER = "10.0.0.9"
 BOUNDS = gateway.Bounds(0.2, 100, 10, 8.0)
 
 
@@ -28,11 +29,11 @@
 class Hub:
     """Keeps what is sent to one peer."""
 
-    peers = ("10.0.0.9",)
+    peers = (PEER,)
 
     def __init__(self):
         self.sent = []
-        self.refused = {"10.0.0.9"}
+        self.refused = {PEER}
 
     def connection(self, name):
         """Return a connection of an entry instance."""
@@ -44,9 +45,12 @@
         """Tell whether no process listens at a peer's host."""
         return name in self.refused
 
+    def send(self, name, message):
+        """Send a message that no scenario reads."""
+
     def send_all(self, names, message):
         """Keep a message as a frame."""
-        self.sent.append(codec.encode(codec.Envelope("10.0.0.9", 0, message)))
+        self.sent.append(codec.encode(codec.Envelope(PEER, 0, message)))
 
 
 class Entry:
@@ -95,8 +99,17 @@
         self.hub = self.process.peers._hub = Hub()
         self.process._tick()
 
-    def read(self, version):
-        """Read the operator's record with a version of the weights."""
+    def read(self, version, confirmed_s=None):
+        """Read the operator's record with a version of the weights.
+
+        :param version: version number.
+        :param confirmed_s: time as of which the store held no newer version than the
+            one before, by default now.
+        """
+        if self.row:
+            now_s = self.process.reactor.seconds()
+            known_s = now_s if confirmed_s is None else confirmed_s
+            self.process.operator.confirmed_s = known_s
         self.row = {MODEL: version}
         self.process._operator_changed({"op/version/m"})
 
@@ -106,6 +119,12 @@
         for table in (self.process.operator, self.process.listed):
             table.availability.record_answer(now_s)
 
+    def hear_echo(self):
+        """Get an echo of a report that was sent just now, by a clock that agrees."""
+        now_s = self.process.reactor.seconds()
+        echo = types.ReportEcho(now_s, now_s)
+        self.receive(codec.encode(codec.Envelope(PEER, 0, echo)))
+
     def report(self):
         """Return a report to peers as a frame."""
         self.process.peers._report(self.process.reactor.seconds(), True)
@@ -113,7 +132,7 @@
 
     def receive(self, frame):
         """Process a report of a peer."""
-        connection = self.hub.connection("10.0.0.9")
+        connection = self.hub.connection(PEER)
         self.process.message_received(connection, codec.decode(frame))
 
     def unix_s(self):
@@ -131,5 +150,5 @@
         self.process.gateway.set_configuration(configuration)
         self.process.listed.copy.version = 1
         message = self.process._build_notice()
-        frame = codec.encode(codec.Envelope("10.0.0.9", 0, message))
+        frame = codec.encode(codec.Envelope(PEER, 0, message))
         return codec.decode(frame).message
--- a/features/gateway/weights.feature
+++ b/features/gateway/weights.feature
@@ -5,12 +5,12 @@
   Scenario Outline: The log tells how a process knows of a version that <way>
     Given an entry process that starts at 100 s
     When it reads versions <reads> of the weights at <times> s
-    Then it logs version <version> with an age of <age> s from the source <source>
+    Then it logs version <version> with an age of <age> to <max_age> s from the source <source>
 
     Examples:
-      | way                        | reads | times    | version | age | source  |
-      | was there at its start     | 2     | 101      | 2       | 8.0 | assumed |
-      | was named while it ran     | 1, 2  | 101, 105 | 2       | 0.0 | store   |
+      | way                        | reads | times    | version | age | max_age | source  |
+      | was there at its start     | 2     | 101      | 2       | 0.0 | 8.0     | assumed |
+      | was named while it ran     | 1, 2  | 101, 105 | 2       | 0.0 | 0.0     | store   |
 
   @always_1
   Scenario Outline: An entry instance requires new weights in time although <case>
@@ -19,13 +19,15 @@
     Then at <before> s instance far still sends calls to version 1
     And at <after> s instance far sends calls to version 2 or newer only
 
-    # Calls are sent to a new version only from 6.8 s after its naming on.
+    # Calls are sent to a new version only from 6.8 s after its naming on. A read "after"
+    # a time is one whose last answer without the version was made then.
     Examples:
       | case                                    | events                                                                                                                     | before | after |
-      | it hears of them a second late          | near reads 1 at 101; far reads 1 at 101; near reads 2 at 120; far reads 2 at 121; near tells far at 121.2                  | 126.7  | 126.9 |
-      | it reads them after its peer's report   | near reads 1 at 101; far reads 1 at 101; near reads 2 at 120; near tells far at 120.5; far reads 2 at 121                  | 126.7  | 126.9 |
+      | it hears of them a second late          | near reads 1 at 101; far reads 1 at 101; near reads 2 at 120; far reads 2 at 121 after 119.5; near tells far at 121.2                  | 126.7  | 126.9 |
+      | it reads them after its peer's report   | near reads 1 at 101; far reads 1 at 101; near reads 2 at 120; near tells far at 120.5; far reads 2 at 121 after 119.5                  | 126.7  | 126.9 |
       | the first report is a second on its way | near reads 1 at 101; far reads 1 at 101; near reads 2 at 120; near tells far at 120.1 for 121.1; near tells far at 121.2   | 126.7  | 126.9 |
-      | they were replaced before it read them  | near reads 1 at 101; far reads 1 at 101; near reads 2 at 120; near reads 3 at 122; far reads 3 at 123; near tells far at 123.2 | 126.7  | 126.9 |
+      | they were replaced before it read them  | near reads 1 at 101; far reads 1 at 101; near reads 2 at 120; near reads 3 at 122; far reads 3 at 123 after 119.5; near tells far at 123.2 | 126.7  | 126.9 |
+      | it fails to apply them at first         | near reads 1 at 101; far reads 1 at 101; far fails to apply 2 at 120; far reads 2 at 122                                   | 126.7  | 126.9 |
       | it never read them                      | near reads 1 at 101; far reads 1 at 101; near reads 2 at 120; near tells far at 121.2                                      | 126.7  | 126.9 |
 
   @always_1
@@ -62,17 +64,29 @@
     And at <after> s instance far sends calls to version 2 or newer only
     And at 131.0 s instance far sends calls to version 3 or newer only
 
-    # Without a peer that knows better, version 2 may be as old as the last answer of the
-    # store that did not have it.
     Examples:
-      | case                    | events                                                                                             | before | after |
-      | no peer knows of it     | far hears the store at 119.9; far reads 3 at 123                                                   | 126.6  | 126.8 |
-      | a peer knows of it      | far hears the store at 119.9; near reads 2 at 121; far reads 3 at 123; near tells far at 123.1     | 127.7  | 127.9 |
+      | case                        | events                                                                                              | before | after |
+      | a peer knows of both        | near reads 2 at 121; near reads 3 at 122; far reads 3 at 123 after 119.9; near tells far at 123.1   | 127.7  | 127.9 |
 
-  Scenario: Versions that were replaced during a long outage of the store are due at once
+  @always_1
+  Scenario Outline: Versions that were named between two reads of an entry instance: <case>
     Given entry instances that start at 100 s
-    When "far reads 1 at 101; far hears the store at 105; far reads 3 at 123"
-    Then at 123.0 s instance far sends calls to version 2 or newer only
+    When "far reads 1 at 101; near reads 1 at 101; <events>"
+    Then at <before> s instance far still sends calls to version 1
+    And at <after> s instance far sends calls to version 3 or newer only
+
+    # Without a peer that knows better, both versions may be as old as the last answer of
+    # the store that did not have them.
+    Examples:
+      | case                    | events                                                                          | before | after |
+      | no peer knows of them   | far reads 3 at 123 after 119.9                                                  | 126.6  | 126.8 |
+      | a peer knows of version 2 | near reads 2 at 121; far reads 3 at 123 after 119.9; near tells far at 123.1  | 127.7  | 127.9 |
+      | a peer was between them | near reads 3 at 122.5 after 121; far reads 3 at 123 after 119.9; near tells far at 123.1 | 127.7 | 127.9 |
+
+  Scenario: Versions that were named during a long outage of the store are due at once
+    Given entry instances that start at 100 s
+    When "far reads 1 at 101; far reads 3 at 123 after 105"
+    Then at 123.0 s instance far sends calls to version 3 or newer only
 
   Scenario: Reloaded settings leave the allowed time of weights as it was
     Given entry instances that start at 100 s
@@ -102,6 +116,20 @@
       | {"m": [["2", 9.0]]}   |
       | {"m": [[2, -1.0]]}    |
       | {"m": [[2, NaN]]}     |
+      | {"m": [[2, 1.0, NaN]]} |
+      | {"m": [[2, 1.0, Infinity]]} |
+      | {"m": [[2, 1.0, 1e10]]} |
+      | {"m": [[2, 1.0, "9"]]} |
+      | {"m": [[2, 1.0, 9.0, 9.0]]} |
+      | {"m": [[-2, 1.0, 9.0]]} |
+      | {"m": [[9007199254740993, 1.0, 9.0]]} |
+
+  Scenario: The report of an older build, without the greatest ages, is used as far as it goes
+    Given entry instances that start at 100 s
+    When "far reads 1 at 101"
+    And a peer reports the ages {"m": [[2, 0.5]]} to far
+    Then at 101.0 s instance far sends calls to version 2 or newer only
+    And far has counted no rejected report
 
   Scenario: Ages of many models take no more memory than their limit
     Given entry instances that start at 100 s
--- a/features/replicas/loading.feature
+++ b/features/replicas/loading.feature
@@ -93,9 +93,16 @@
       | a notice with the age                  | with the age at 121                              | 125.12 |
       | an entry instance has just restarted   | without age at 121, with the age at 121.5        | 125.12 |
       | a later notice looks younger           | with the age at 121, without age at 121.5        | 125.12 |
+      | a notice that waited in a socket       | with the age made at 120.5 at 123, with the age at 123.5 | 125.12 |
+      | a notice that looks older is later     | with the age at 121, with the age made at 121.2 at 125 | 125.12 |
       | no entry instance knows the age        | without age at 121                               | 126.12 |
       | a notice that is malformed             | with a malformed age at 121                      | 126.12 |
 
+  Scenario: An agent that reads the store late loads a version after it is forbidden
+    Given an agent that starts
+    When the agent reads version 2 in the store at 124.0 s, last without it at 120.0 s
+    Then the turn of its engine to load version 2 comes at 125.12 s
+
   # One agent asked 43 times in 0.35 s while the origin broke its connections.
   Scenario: An agent floods an origin that fails with requests for the newest version
     Given an agent that knows of no version, and an origin that fails at once
--- /dev/null
+++ b/features/steps/gateway_ages.py
@@ -0,0 +1,80 @@
+"""Steps for the ages of messages from processes with other clocks."""
+
+import re
+
+import behave
+
+from cicadaplank.gateway import report_ages
+
+PEER = "peer"
+ECHO = re.compile(r"([\d.]+) s under way at ([\d.]+)")
+
+
+@behave.given("a peer whose clock is {behind_s:d} s behind")
+def step_peer(context, behind_s):
+    context.ages = report_ages.ReportAges()
+    context.behind_s = behind_s
+
+
+@behave.when("it echoes reports that were {echoes}")
+def step_echoes(context, echoes):
+    for delay_s, time_s in ECHO.findall(echoes):
+        sent_s = float(time_s)
+        received_s = sent_s + float(delay_s) - context.behind_s
+        now_s = sent_s + float(delay_s)
+        context.ages.record_echo(PEER, sent_s, received_s, now_s)
+
+
+@behave.when("it connects anew")
+def step_anew(context):
+    context.ages.forget(PEER)
+
+
+@behave.when("it connects anew and its first echo is {what}")
+def step_odd_echo(context, what):
+    context.ages.forget(PEER)
+    sent_s, received_s = {
+        "not a number": (11.0, float("nan")),
+        "infinite": (11.0, float("-inf")),
+        "of a report not sent yet": (30.0, 11.0 - context.behind_s),
+    }[what]
+    context.ages.record_echo(PEER, sent_s, received_s, 11.0)
+    assert context.ages.rejected == 1
+
+
+@behave.when("its clock jumps ahead by {jump_s:d} s")
+def step_jump(context, jump_s):
+    context.behind_s -= jump_s
+
+
+@behave.when("a report of it at {time_s:d} s is read {waited_s:f} s later")
+def step_report(context, time_s, waited_s):
+    sent_s = time_s - context.behind_s
+    context.age_s = context.ages.max_age_s(PEER, sent_s, time_s + waited_s)
+
+
+@behave.then("the report counts as between {least_s:f} and {most_s:f} s old")
+def step_age(context, least_s, most_s):
+    assert least_s <= context.age_s <= most_s, context.age_s
+
+
+@behave.then("the age of the report is not known")
+def step_unknown(context):
+    assert context.age_s is None, context.age_s
+
+
+@behave.when("{count:d} others echo reports and send some")
+def step_many(context, count):
+    for number in range(count):
+        context.ages.record_echo(f"p{number}", 1.0, 1.0, 2.0)
+        context.ages.is_echo_due(f"p{number}", 2.0)
+
+
+@behave.then(
+    "the clocks of {kept:d} senders are kept, and {rejected:d} rejections are counted"
+)
+def step_kept(context, kept, rejected):
+    ages = context.ages
+    known = [n for n in range(3 * kept) if ages.max_age_s(f"p{n}", 2.0, 3.0)]
+    assert len(known) == kept, len(known)
+    assert ages.rejected == rejected, ages.rejected
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -542,10 +542,14 @@
         made.hello = types.Hello("entry", "r", zone, 0)
         return made
 
+    def send(self, name, message):
+        """Count a message to a peer."""
+        self.sent[name] += 1
+
     def send_all(self, names, message):
         """Count a message to several peers."""
         for name in names:
-            self.sent[name] += 1
+            self.send(name, message)
 
 
 @behave.given(
--- a/features/steps/gateway_weights.py
+++ b/features/steps/gateway_weights.py
@@ -46,13 +46,15 @@
 
 
 @behave.then(
-    "it logs version {version:d} with an age of {age_s:f} s from the source {source}"
+    "it logs version {version:d} with an age of {age_s:f} to {max_age_s:f} s "
+    "from the source {source}"
 )
-def step_logged(context, version, age_s, source):
+def step_logged(context, version, age_s, max_age_s, source):
     expected = {
         "model": entries.MODEL,
         "version": version,
         "age_s": age_s,
+        "max_age_s": max_age_s,
         "source": source,
     }
     assert expected in context.entry.log.of("weights_named"), context.entry.log.lines
@@ -69,18 +71,34 @@
 
 
 STARTS = re.compile(r"(\w+) starts at ([\d.]+)")
-HEARS = re.compile(r"(\w+) hears the store at ([\d.]+)")
-READS = re.compile(r"(\w+) reads (\d+) at ([\d.]+)")
+READS = re.compile(r"(\w+) reads (\d+) at ([\d.]+)(?: after ([\d.]+))?")
+FAILS = re.compile(r"(\w+) fails to apply (\d+) at ([\d.]+)")
 ALLOWS = re.compile(r"(\w+) is told to allow ([\d.]+) s at ([\d.]+)")
 TELLS = re.compile(r"(\w+) tells (\w+) at ([\d.]+)(?: for ([\d.]+))?")
 
 
+def fail_to_apply(entry, version):
+    """Let an entry process read a version, and fail while it applies the copy."""
+    decode, entry.decoder.named_weights = entry.decoder.named_weights, None
+    try:
+        entry.read(version)
+    except TypeError:
+        entry.decoder.named_weights = decode
+        return
+    raise AssertionError("the copy was applied")
+
+
 @behave.when('"{events}"')
 def step_events(context, events):
     for event in events.split("; "):
-        starts, hears = STARTS.fullmatch(event), HEARS.fullmatch(event)
+        starts = STARTS.fullmatch(event)
         reads, tells = READS.fullmatch(event), TELLS.fullmatch(event)
-        allows = ALLOWS.fullmatch(event)
+        allows, fails = ALLOWS.fullmatch(event), FAILS.fullmatch(event)
+        if fails:
+            name, version, time_s = fails.groups()
+            advance_to(context, float(time_s))
+            fail_to_apply(context.entries[name], int(version))
+            continue
         if allows:
             name, weights_s, time_s = allows.groups()
             advance_to(context, float(time_s))
@@ -92,20 +110,17 @@
             advance_to(context, float(time_s))
             context.entries[name] = entries.Entry(context.reactor, "10.0.0.3")
             continue
-        if hears:
-            name, time_s = hears.groups()
-            advance_to(context, float(time_s))
-            context.entries[name].hear_store()
-            continue
         if reads:
-            name, version, time_s = reads.groups()
+            name, version, time_s, after_s = reads.groups()
             advance_to(context, float(time_s))
-            context.entries[name].read(int(version))
+            confirmed_s = None if after_s is None else float(after_s)
+            context.entries[name].read(int(version), confirmed_s)
             continue
         assert tells, event
         sender, receiver, time_s, arrives_s = tells.groups()
         advance_to(context, float(time_s))
         frame = context.entries[sender].report()
+        context.entries[receiver].hear_echo()
         advance_to(context, float(arrives_s or time_s))
         context.entries[receiver].receive(frame)
 
@@ -117,14 +132,16 @@
 
 def report(entry, ages_s):
     """Let an entry process a report with ages of named weights."""
-    message = types.GatewayReport({}, {}, 0.0, ages_s, 0.0)
+    now_s = entry.process.reactor.seconds()
+    message = types.GatewayReport({}, {}, 0.0, ages_s, now_s)
+    entry.hear_echo()
     entry.receive(codec.encode(codec.Envelope("10.0.0.9", 0, message)))
 
 
 @behave.when("a peer reports 100 versions of each of 100 models to far")
 def step_many_ages(context):
     for number in range(100):
-        ages = [[version, 1.0] for version in range(1, 101)]
+        ages = [[version, 1.0, 1.0] for version in range(1, 101)]
         report(context.entries["far"], {f"m{number}": ages})
 
 
@@ -137,6 +154,11 @@
     assert requirement.rejected == 100 - models, requirement.rejected
 
 
+@behave.then("far has counted no rejected report")
+def step_not_rejected(context):
+    assert context.entries["far"].process.gateway.weights_requirement.rejected == 0
+
+
 @behave.then("far has counted a rejected report")
 def step_rejected(context):
     assert context.entries["far"].process.gateway.weights_requirement.rejected == 1
--- a/features/steps/manifests.py
+++ b/features/steps/manifests.py
@@ -386,7 +386,7 @@
 def step_piece_requested(context):
     context.agent = replicas.agent("")
     target = replicas.TARGET
-    context.copy = process._Copy(target)
+    context.copy = process._Copy(target, replicas.NAMED)
     context.piece = b"piece" * 10
     context.copy.manifest = manifests.from_digests(
         target.model, "2", 50, [manifests.chunk_digest(context.piece)]
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -2,6 +2,7 @@
 
 import collections
 import random
+import re
 import types as plain_types
 
 import behave
@@ -9,6 +10,7 @@
 
 from bench import swarm
 from cicadaplank.external import errors
+from cicadaplank.gateway import named_versions, routes
 from cicadaplank.links import pacing
 from cicadaplank.messages import types
 from cicadaplank.replicas import loading, process
@@ -26,8 +28,10 @@
 
 MODEL = "m"
 TARGET = loading.Target(MODEL, 2, 0.0)
+NAMED = named_versions.NamedVersion(2, 0.0, 0.0, named_versions.Source.STORE)
 NAMES = tuple(f"engine-{number}" for number in range(12))
 ME = NAMES[0]
+NOTICE = re.compile(r"(.*?) age(?: made at ([\d.]+))? at ([\d.]+)")
 
 
 def engine(version=1, busy=False, started_ms=1):
@@ -229,7 +233,7 @@
     made.store.reserve(context.manifest)
     for data in context.data:
         made.store.put(manifests.chunk_digest(data), data)
-    copy = process._Copy(TARGET)
+    copy = process._Copy(TARGET, NAMED)
     copy.manifest, copy.is_complete = context.manifest, True
     made._next_copy = made._newest_copy = copy
     made.loading.wanted(TARGET)
@@ -294,10 +298,11 @@
 def step_notices(context, notices_at):
     made = context.agent
     for described in notices_at.split(", "):
-        age, _, time_s = described.partition(" age at ")
+        age, made_s, time_s = NOTICE.fullmatch(described).groups()
+        context.reactor.advance(float(made_s or time_s) - context.reactor.seconds())
+        notice = context.entry.notice()
         made.reactor.advance(float(time_s) - made.reactor.seconds())
         context.reactor.advance(float(time_s) - context.reactor.seconds())
-        notice = context.entry.notice()
         if age == "without":
             started = entries.Entry(context.reactor, "10.0.0.9")
             started.read(notice.named[MODEL])
@@ -308,6 +313,26 @@
         made.loading.staged(made.loading.target, True)
 
 
+@behave.when(
+    "the agent reads version 2 in the store at {time_s:f} s, last without it at "
+    "{confirmed_s:f} s"
+)
+def step_reads_itself(context, time_s, confirmed_s):
+    made = context.agent
+    made._decoder = plain_types.SimpleNamespace(
+        configuration=lambda copy: routes.Configuration(
+            1, (), {}, routes.ClientLimits(), None
+        ),
+        named_weights=lambda copy: {MODEL: 2},
+        models=lambda copy: [MODEL],
+        endpoints=lambda copy, configuration: ({}, 0),
+    )
+    made.operator.confirmed_s = confirmed_s
+    made.reactor.advance(time_s)
+    made._operator_changed({"op/version/m"})
+    made.loading.staged(made.loading.target, True)
+
+
 @behave.then("the turn of its engine to load version 2 comes at {turn_s:f} s")
 def step_turn(context, turn_s):
     machine = context.agent.loading
