Measure the path from a peer anew when it connects

What operators would see: after a peer restarted on a machine with another clock its reports look up to 60 s late for a minute or two in peer_path_late, in the metrics and in records_received.

Cause: the smallest difference of the clocks was kept by name of the sender, and only a jump of more than 60 s began a new one. A report with a time that is not a number made the delay one, too.

Proof: without the change "it connects anew with a clock 30 s behind" fails with ASSERT FAILED: 30.0, and "a time that is not a number" with an AssertionError; features/gateway/ages.feature: 15 passed with it.

--- a/cicadaplank/gateway/path_delays.py
+++ b/cicadaplank/gateway/path_delays.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 # Time over which the smallest delay is sought. A clock that drifts by 100 ppm deviates
 # by 6 ms in it.
@@ -44,13 +45,17 @@
     def record(self, sender, sent_s, now_s):
         """Record a message.
 
-        A sender that was restarted has another clock, and its path is measured anew.
+        A sender that was restarted has another clock, and its path is measured anew, as
+        is that of one whose clock is not a number.
 
         :param sender: name of the sender.
         :param sent_s: clock of the sender in seconds when it sent the message.
         :param now_s: current time in seconds.
         """
         difference_s = now_s - sent_s
+        if not math.isfinite(difference_s):
+            self.forget(sender)
+            return
         path = self._paths.get(sender)
         if path is None or abs(difference_s - path.smallest_s) > BASELINE_S:
             if path is None and len(self._paths) >= MAX_SENDERS:
@@ -65,6 +70,13 @@
         path.delay_s = difference_s - min(path.smallest_s, path.previous_s)
         path.received_s = now_s
 
+    def forget(self, sender):
+        """Forget the path from a sender, as its next message comes another way.
+
+        :param sender: name of the sender.
+        """
+        self._paths.pop(sender, None)
+
     def delay_s(self, sender, now_s):
         """Return the delay of the newest message of a sender.
 
--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -377,10 +377,11 @@
         self._hub.send_all(names, message)
 
     def peer_connected(self, peer):
-        """Measure the clock of a peer anew, which may have restarted.
+        """Measure the clock and the path of a peer anew, which may have restarted.
 
         :param peer: name of the peer.
         """
+        self.path_delays.forget(peer)
         self.report_ages.forget(peer)
 
     def message(self, peer, message):
--- a/features/gateway/ages.feature
+++ b/features/gateway/ages.feature
@@ -35,3 +35,14 @@
     Given a peer whose clock is 500 s behind
     When 3000 others echo reports and send some
     Then the clocks of 2000 senders are kept, and 2000 rejections are counted
+
+  Scenario Outline: A path looks late or early because of the clock that a peer had before <case>
+    Given the measured path from a peer of an entry process
+    When <case>
+    Then the next report on the path counts as 0.0 s late
+
+    Examples:
+      | case                                     |
+      | it connects anew with a clock 30 s ahead |
+      | it connects anew with a clock 30 s behind |
+      | it sends a report at a time that is not a number |
--- a/features/steps/gateway_ages.py
+++ b/features/steps/gateway_ages.py
@@ -3,8 +3,11 @@
 import re
 
 import behave
+from twisted.internet import testing
 
 from cicadaplank.gateway import report_ages
+from cicadaplank.messages import codec, types
+from features import entries
 
 PEER = "peer"
 ECHO = re.compile(r"([\d.]+) s under way at ([\d.]+)")
@@ -78,3 +81,36 @@
     known = [n for n in range(3 * kept) if ages.max_age_s(f"p{n}", 2.0, 3.0)]
     assert len(known) == kept, len(known)
     assert ages.rejected == rejected, ages.rejected
+
+
+@behave.given("the measured path from a peer of an entry process")
+def step_path(context):
+    reactor = testing.MemoryReactorClock()
+    context.entry = entries.Entry(reactor, "10.0.0.1")
+    context.delays = context.entry.process.peers.path_delays
+    for second in range(10):
+        context.delays.record(entries.PEER, float(second), second + 100.0)
+
+
+@behave.when("it connects anew with a clock {jump_s:d} s {way}")
+def step_clock(context, jump_s, way):
+    hello = types.Hello("entry", "r", "a", 0)
+    frame = codec.encode(codec.Envelope(entries.PEER, 0, hello))
+    context.entry.receive(frame)
+    context.clock_s = jump_s if way == "ahead" else -jump_s
+
+
+@behave.when("it sends a report at a time that is not a number")
+def step_nan(context):
+    context.delays.record(entries.PEER, float("nan"), 110.0)
+    context.clock_s = 0.0
+
+
+@behave.then("the next report on the path counts as {late_s:f} s late")
+def step_late(context, late_s):
+    assert context.delays.delay_s(entries.PEER, 110.0) == 0.0
+    for second in (11, 12):
+        sent_s, now_s = second + context.clock_s, second + 100.0
+        context.delays.record(entries.PEER, sent_s, now_s)
+        found_s = context.delays.delay_s(entries.PEER, now_s)
+        assert abs(found_s - late_s) < 1e-6, found_s
