Count the time for which a machine is suspended

What callers would see: after a machine was suspended, as when it is moved, its processes go on with ages, deadlines and leases as if no time had passed; calls could begin on weights that were replaced long before (VERSION).

Cause: the reactors used time.monotonic, whose CLOCK_MONOTONIC stands still during suspension on Linux.

Change: both roles use CLOCK_BOOTTIME where the system has it, else the monotonic clock as before.

Proof: with time.monotonic the scenario has no clock to ask (AttributeError: steady_clock); features/platform/adapter.feature: 54 passed with the change. No machine was suspended for it: the scenario uses stand-in clocks.

--- a/cicadaplank/platform/__main__.py
+++ b/cicadaplank/platform/__main__.py
@@ -1,5 +1,6 @@
 """Command line that starts a role: ``python3 -m cicadaplank.platform entry``."""
 
+import functools
 import os
 import signal
 import sys
@@ -34,11 +35,23 @@
         sys.exit(EXIT_USAGE)
 
 
-def _monotonic_reactor():
-    """Return the reactor with a monotonic clock, unaffected by wall-clock jumps."""
+def steady_clock(source=time):
+    """Return a clock that neither jumps nor stops while the machine is suspended.
+
+    :param source: module with the clocks of the system.
+    :returns: callable that returns seconds. Without such a clock it is the monotonic
+        one, which may stop during suspension.
+    """
+    if not hasattr(source, "CLOCK_BOOTTIME"):
+        return source.monotonic
+    return functools.partial(source.clock_gettime, source.CLOCK_BOOTTIME)
+
+
+def _steady_reactor():
+    """Return the reactor with a clock that is unaffected by wall-clock jumps."""
     from twisted.internet import reactor
 
-    reactor.seconds = time.monotonic
+    reactor.seconds = steady_clock()
     return reactor
 
 
@@ -68,7 +81,7 @@
         :param path: settings file; by default the one in CICADAPLANK_SETTINGS.
         """
         path, document, checked, address = _read_settings(path, "entry")
-        reactor = _monotonic_reactor()
+        reactor = _steady_reactor()
         from cicadaplank.gateway import process
         from cicadaplank.platform import headers, settings
 
@@ -87,7 +100,7 @@
         :param path: settings file; by default the one in CICADAPLANK_SETTINGS.
         """
         path, document, checked, address = _read_settings(path, "agent")
-        reactor = _monotonic_reactor()
+        reactor = _steady_reactor()
         from cicadaplank.platform import client, servers, settings
         from cicadaplank.replicas import process
 
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -124,3 +124,12 @@
 
   Scenario: No module outside the adapter knows the platform's names
     Then no source file outside the adapter holds a name of the platform's wire
+
+  Scenario Outline: The clock of a process stops while its machine is suspended, on a system with <clocks>
+    Given a machine with <clocks> that was suspended for 5.0 s
+    Then the clock of a process has counted <counted> s
+
+    Examples:
+      | clocks                          | counted |
+      | a clock that counts suspension  | 5.0     |
+      | a monotonic clock only          | 0.0     |
--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import types
 
 import behave
 from twisted.internet import defer, error, testing
@@ -15,6 +16,7 @@
 
 from cicadaplank.external import errors
 from cicadaplank.gateway import records, sync
+from cicadaplank.platform import __main__ as commands
 from cicadaplank.platform import client, rows, settings, store
 from features.steps import gateway as gateway_steps
 
@@ -405,3 +407,16 @@
 @behave.then("a signal for changed settings does not end it")
 def step_signal_ignored(context):
     assert context.handling == "SIG_IGN", context.handling
+
+
+@behave.given("a machine with {clocks} that was suspended for {suspended_s:f} s")
+def step_suspended(context, clocks, suspended_s):
+    context.clocks = types.SimpleNamespace(monotonic=lambda: 0.0)
+    if clocks == "a clock that counts suspension":
+        context.clocks.CLOCK_BOOTTIME = 7
+        context.clocks.clock_gettime = {7: suspended_s}.get
+
+
+@behave.then("the clock of a process has counted {counted_s:f} s")
+def step_counted(context, counted_s):
+    assert commands.steady_clock(context.clocks)() == counted_s
