Apply the parts of a change each by itself

Callers would see a named version or an endpoint ignored because another part of the same change could not be applied: a configuration that raised anything but ValueError lost the named versions and the notices to agents after it.

Cause: EntryProcess._operator_changed, its _endpoints_changed and the agent's _apply_notice were one sequence of steps.

The followers already call back through GuardedCalls there.

Each part is now called through GuardedCalls and repeated by itself. The first read of the operator's table counts as such until its named versions are recorded, and a repeat keeps the time at which the copy was last confirmed before the change. The metrics page shows failed_changes by part.

--- a/cicadaplank/gateway/guarded_calls.py
+++ b/cicadaplank/gateway/guarded_calls.py
@@ -35,6 +35,14 @@
         """Names of the failed calls that will be repeated."""
         return set(self._timers)
 
+    def update_metrics(self, metrics):
+        """Set the gauges of the failures.
+
+        :param metrics: :class:`cicadaplank.reports.metrics.Metrics`.
+        """
+        for name, count in self.counts.items():
+            metrics.set_gauge("failed_changes", count, part=name)
+
     def call(self, name, function, *args):
         """Call a function; a repeat of an earlier call of the name is dropped.
 
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -15,6 +15,7 @@
 from cicadaplank.gateway import (
     clients,
     gateway,
+    guarded_calls,
     notices,
     peers,
     registry_reads,
@@ -180,6 +181,7 @@
         self.watch = reloading.SettingsWatch(
             reactor, settings, reload, self._settings_changed, self.events.log
         )
+        self._guarded = guarded_calls.GuardedCalls(reactor, self._log)
         # Whether a read of the operator's record was not applied to the named versions,
         # and the time as of which the versions before it are confirmed.
         self._is_naming_pending = False
@@ -384,6 +386,8 @@
         metric.set_gauge("peak_memory_bytes", metrics.peak_memory_bytes())
         self.gateway.update_metrics(metric)
         self.hub.update_metrics(metric)
+        for guarded in (self._guarded, self.operator.guarded, self.listed.guarded):
+            guarded.update_metrics(metric)
         body, _ = metric.render(BELIEF_METRICS)
         return 200, "text/plain; version=0.0.4", body
 
@@ -423,18 +427,22 @@
         return self.peers.reads_store()
 
     def _operator_changed(self, changed):
+        """Apply the parts of a change of the operator's table, each by itself."""
         self._named_confirmed_s = self._naming_confirmed_s()
         self._is_naming_pending = True
-        copy = self.operator.copy
+        call = self._guarded.call
+        call("configuration", self._take_configuration)
+        call("named_versions", self._record_named_versions)
+        call("agents", self._notify_agents)
+
+    def _take_configuration(self):
         try:
-            configuration = self._decoder.configuration(copy)
+            configuration = self._decoder.configuration(self.operator.copy)
         except ValueError as error:
             self.events.log("configuration_rejected", "error", reason=str(error))
-            configuration = None
+            return
         if configuration is not None:
             self._apply_configuration(configuration)
-        self._record_named_versions()
-        self._notify_agents()
 
     def _naming_confirmed_s(self):
         """Return the time as of which no version was named beyond the known ones.
@@ -510,18 +518,26 @@
     def _apply_configuration(self, configuration):
         if configuration.version <= self.gateway.configuration_version:
             return
-        self.gateway.set_configuration(configuration)
-        self.events.log(
-            "configuration_in_force",
-            version=configuration.version,
-            routes=len(configuration.routes),
-            store_age_s=self.peers.store_age_s(self.reactor.seconds()),
-        )
-        self._endpoints_changed(set())
+        try:
+            self.gateway.set_configuration(configuration)
+            self.events.log(
+                "configuration_in_force",
+                version=configuration.version,
+                routes=len(configuration.routes),
+                store_age_s=self.peers.store_age_s(self.reactor.seconds()),
+            )
+        finally:
+            self._endpoints_changed(set())
 
     def _endpoints_changed(self, changed):
+        """Apply the parts of a change of the endpoints, each by itself."""
         if self.gateway.route_index is None:
             return
+        call = self._guarded.call
+        call("endpoints", self._take_endpoints)
+        call("agents", self._notify_agents)
+
+    def _take_endpoints(self):
         listed, unreadable = self._decoder.endpoints(
             self.listed.copy, self.gateway.route_index.configuration
         )
@@ -533,7 +549,6 @@
             or self.peers.records_may_have_expired()
         ) and not self.peers.store_has_served(now_s)
         self.gateway.set_endpoints(listed, may_have_expired)
-        self._notify_agents()
         is_missing = bool(set(self.gateway.endpoints.names()) - set(listed))
         if may_have_expired and is_missing and not self._checks_missing:
             self._checks_missing = True
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -16,6 +16,7 @@
 
 from cicadaplank.external import errors
 from cicadaplank.gateway import (
+    guarded_calls,
     named_versions,
     notices,
     registry_reads,
@@ -155,6 +156,7 @@
         store = sync.MeteredStore(store, self.metrics.count)
         self.loading = loading.LoadScheduler(settings.host, settings.weights_s)
         self._decoder = decoder
+        self._guarded = guarded_calls.GuardedCalls(reactor, self._log)
         self._members = members
         self._engine = engine
         self._origin_at = origin_at
@@ -316,6 +318,8 @@
         served = max(state.versions.values(), default=0) if state else 0
         metric.set_gauge("weights_served", served)
         self.hub.update_metrics(metric)
+        for guarded in (self._guarded, self.operator.guarded, self.listed.guarded):
+            guarded.update_metrics(metric)
         for name, count in (*self.counts.items(), *self.transfers.counts.items()):
             metric.set_gauge(f"transfers_{name}", count)
         body, _ = metric.render()
@@ -384,12 +388,18 @@
             self._apply_notice(notice, confirmed_s)
 
     def _apply_notice(self, notice, confirmed_s=None):
-        """Use a notice.
+        """Apply the parts of a notice, each by itself.
 
         :param notice: :class:`types.WeightsNotice`.
         :param confirmed_s: time in seconds before which no version was named that this
             agent does not know, or None when that is not known.
         """
+        call = self._guarded.call
+        call("configuration", self._apply_configuration, notice)
+        call("endpoints", self._apply_hosts, notice)
+        call("named_versions", self._apply_named_versions, notice, confirmed_s)
+
+    def _apply_configuration(self, notice):
         if notice.configuration >= self._configuration_version:
             self._configuration_version = notice.configuration
             self._models = notice.models
@@ -397,9 +407,13 @@
             self.loading.may_abort_calls = notice.resumable.get(
                 self.settings.service, False
             )
+
+    def _apply_hosts(self, notice):
         if notice.listed >= self._list_version:
             self._list_version = notice.listed
             self._set_hosts(notice.hosts.get(self.settings.service, {}))
+
+    def _apply_named_versions(self, notice, confirmed_s):
         for model, version in notice.named.items():
             entries = notice.weights_ages_s.get(model, [])
             known = named_versions.from_ages(entries, self.now_s)
--- a/features/gateway/failing_callbacks.feature
+++ b/features/gateway/failing_callbacks.feature
@@ -31,3 +31,16 @@
     And 20 s pass
     Then the callback was called 9 times
     And the table is still followed and no read was repeated
+
+  @always_7
+  Scenario Outline: An error in one part of a change loses no other part: <part>
+    Given an entry process with a configuration, a named version and an endpoint
+    When each of them changes while the decoding of the <part> fails
+    Then the others are in force at once
+    And the <part> is in force within 1.0 s of the end of the failure
+
+    Examples:
+      | part          |
+      | configuration |
+      | named version |
+      | endpoints     |
--- a/features/steps/gateway_failing_callbacks.py
+++ b/features/steps/gateway_failing_callbacks.py
@@ -3,9 +3,9 @@
 import random
 
 import behave
-from twisted.internet import task
+from twisted.internet import task, testing
 
-from cicadaplank.gateway import peers, polling, records, sync
+from cicadaplank.gateway import endpoints, peers, polling, records, routes, sync
 from cicadaplank.messages import types
 from cicadaplank.world import machines
 from features import entries
@@ -122,3 +122,91 @@
         "a", version, b"v%d" % version
     )
     assert context.applied[-1] == version, context.applied
+
+
+METHODS = {
+    "configuration": "configuration",
+    "named version": "named_weights",
+    "endpoints": "endpoints",
+}
+
+
+def decode(decoder, version):
+    """Let a decoder find one version of everything."""
+    service = routes.Service("s", 10, True, "")
+    configuration = routes.Configuration(
+        version, (), {"s": service}, routes.ClientLimits(), None
+    )
+    endpoint = endpoints.Endpoint(
+        f"x-{version}", "s", "10.0.1.1", 80, "a", 1, False, {}
+    )
+    decoder.configuration = lambda copy: configuration
+    decoder.named_weights = lambda copy: {entries.MODEL: version}
+    decoder.endpoints = lambda copy, known: ({endpoint.name: endpoint}, 0)
+
+
+def in_force(entry):
+    """Return the version of each part of a change that is in force."""
+    process = entry.process
+    (name,) = process.gateway.endpoints.names()
+    return {
+        "configuration": process.gateway.configuration_version,
+        "named version": max(
+            named.version
+            for named in process.gateway.weights_requirement._all(entries.MODEL)
+        ),
+        "endpoints": int(name.removeprefix("x-")),
+    }
+
+
+def change(context):
+    """Report a change of both tables, as followers do."""
+    for table_sync in (context.entry.process.operator, context.entry.process.listed):
+        version = table_sync.copy.version + 1
+        record = records.Record("a", version, b"%d" % version)
+        source = sync.Source("store", 0.0)
+        table_sync.apply_from_peer(sync.Changes((record,), version), -1, source)
+
+
+@behave.given("an entry process with a configuration, a named version and an endpoint")
+def step_entry(context):
+    context.clock = testing.MemoryReactorClock()
+    context.entry = entries.Entry(context.clock, "10.0.0.1")
+    context.decoder = context.entry.process._decoder
+    decode(context.decoder, 1)
+    change(context)
+    assert set(in_force(context.entry).values()) == {1}
+
+
+@behave.when("each of them changes while the decoding of the {part} fails")
+def step_part_fails(context, part):
+    def fail(*args):
+        raise OverflowError("cannot convert float infinity to integer")
+
+    decode(context.decoder, 2)
+    context.method = METHODS[part]
+    context.mended = getattr(context.decoder, context.method)
+    setattr(context.decoder, context.method, fail)
+    context.failing = part
+    try:
+        change(context)
+    except OverflowError:
+        # Without a guard the error ends the change.
+        pass
+
+
+@behave.then("the others are in force at once")
+def step_others(context):
+    found = in_force(context.entry)
+    others = {part: n for part, n in found.items() if part != context.failing}
+    assert set(others.values()) == {2}, found
+    assert found[context.failing] == 1, found
+
+
+@behave.then("the {part} is in force within {within_s:f} s of the end of the failure")
+def step_part_in_force(context, part, within_s):
+    run(context, 0.3)
+    setattr(context.decoder, context.method, context.mended)
+    run(context, within_s)
+    assert in_force(context.entry)[part] == 2, in_force(context.entry)
+    assert context.entry.process._guarded.counts, "no failure was counted"
