Decode the rows of servers with types and ranges

Cause: RowDecoder converted what json.loads returned field by field. An OverflowError left it and lost every row of the table (slots 1e999), and values were let in that cannot be dialled or sent on (ports out of range, integers beyond 64 bits, lone surrogates, NaN).

Before the change, odd_rows.feature on (endpoints that an entry uses; i-0 is odd, i-1 and i-2 are good): slots is 1e999: ASSERT FAILED: {'i-1'} address is "10.128.0.9:99999": ASSERT FAILED: {'i-2', 'i-0', 'i-1'} becomes odd, slots is 1e999: ASSERT FAILED: {'i-2', 'i-1'} All 47 cases of a new row and two of the three of a row that becomes odd failed there. Those that were refused already, as a missing port, failed for the log line only.

A row that does not fit names no endpoint, is logged once per change with key and reason (unreadable_record), and counts in the gauge unreadable_records. Rows are decoded again only when their record has changed. After: 247 passed, 0 failed in the features of the platform and the replicas, records and failing_callbacks.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -24,6 +24,7 @@
     staleness,
     status,
     sync,
+    unreadable,
 )
 from cicadaplank.links import streams
 from cicadaplank.messages import types
@@ -142,6 +143,12 @@
         :param configuration: :class:`cicadaplank.gateway.routes.Configuration`.
         """
 
+    def unreadable(self, name):
+        """Return the records that could not be decoded, a dict from key to reason.
+
+        :param name: name of the table.
+        """
+
 
 class InstanceRegistry(typing.Protocol):
     """Registry of instances in the store. Its methods are coroutines."""
@@ -197,6 +204,7 @@
         self._late_path_logged_s = float("-inf")
         reporter = reporting.Reporter(self.events, self.metrics, reactor.seconds)
         self._reporter = reporter
+        self._unreadable = unreadable.UnreadableRecords(decoder, self._log)
         store = sync.MeteredStore(store, reporter.count)
         self.gateway = gateway.Gateway(
             reactor,
@@ -386,6 +394,7 @@
         metric.set_gauge("peak_memory_bytes", metrics.peak_memory_bytes())
         self.gateway.update_metrics(metric)
         self.hub.update_metrics(metric)
+        self._unreadable.update_metrics(metric)
         for guarded in (self._guarded, self.operator.guarded, self.listed.guarded):
             guarded.update_metrics(metric)
         body, _ = metric.render(BELIEF_METRICS)
@@ -434,6 +443,7 @@
         call("configuration", self._take_configuration)
         call("named_versions", self._record_named_versions)
         call("agents", self._notify_agents)
+        call("unreadable_operator", self._unreadable.report, self.operator)
 
     def _take_configuration(self):
         try:
@@ -536,13 +546,12 @@
         call = self._guarded.call
         call("endpoints", self._take_endpoints)
         call("agents", self._notify_agents)
+        call("unreadable_endpoints", self._unreadable.report, self.listed)
 
     def _take_endpoints(self):
-        listed, unreadable = self._decoder.endpoints(
+        listed, _ = self._decoder.endpoints(
             self.listed.copy, self.gateway.route_index.configuration
         )
-        if unreadable:
-            self._log("unreadable_records", table=self.listed.table, count=unreadable)
         now_s = self.reactor.seconds()
         may_have_expired = (
             self.listed.availability.records_may_have_expired(now_s)
--- a/cicadaplank/platform/rows.py
+++ b/cicadaplank/platform/rows.py
@@ -1,24 +1,36 @@
-"""Parser of the rows that the operator and the model servers write to the store."""
+"""Decoder of the rows that the operator and the model servers write to the store.
 
+A row that cannot be decoded costs only what it names: the other rows are used.
+"""
+
+import collections
 import json
 
 from cicadaplank.gateway import endpoints, routes
+from cicadaplank.platform import documents
 
 CONFIGURATION_KEY = "config"
 VERSION_PREFIX = "version/"
-READY = "ready"
 DRAINING = "draining"
+# Limit on the decoded rows that are kept; rows beyond it are decoded at each read.
+MAX_CACHED_ROWS = 10_000
 
 
 class RowDecoder:
     """Implementation of :class:`cicadaplank.gateway.process.RecordDecoder`.
 
     The ``table`` parameters are copies of one of the store's tables.
+
+    :ivar counts: number of rows ``decoded``, ``unreadable`` and ``uncached``.
     """
 
     operator_table = "op"
     endpoint_table = "servers"
 
+    def __init__(self):
+        self.counts = collections.Counter()
+        self._endpoints = _Cache(_decode_endpoint, self.counts)
+
     def configuration(self, table):
         """Return the configuration in the operator's table, or None when it has none.
 
@@ -62,19 +74,72 @@
 
         :param configuration: :class:`cicadaplank.gateway.routes.Configuration`.
         :returns: dict from row key to endpoint, and the number of rows that are
-            malformed or in an unknown state.
+            malformed, out of range or in an unknown state.
         """
-        found, unreadable = {}, 0
-        for key, record in table.values().items():
-            try:
-                endpoint = _parse_endpoint(key, _parse_object(record.value))
-            except (KeyError, TypeError, ValueError, AttributeError):
-                endpoint = None
-            if endpoint is None:
-                unreadable += 1
-            elif endpoint.service in configuration.services:
-                found[key] = endpoint
-        return found, unreadable
+        decoded = self._endpoints.update(table.values())
+        found = {
+            key: endpoint
+            for key, endpoint in decoded.items()
+            if endpoint.service in configuration.services
+        }
+        return found, len(self._endpoints.unreadable)
+
+    def unreadable(self, name):
+        """Return the rows of a table that could not be decoded at its last read.
+
+        :param name: name of the table.
+        :returns: dict from key to reason.
+        """
+        return self._endpoints.unreadable if name == self.endpoint_table else {}
+
+
+class _Cache:
+    """Decoded rows of a table by key, kept as long as their record is the same.
+
+    :param decode: callable that takes key and value of a row, and raises ``ValueError``
+        when it cannot be decoded.
+    :param counts: counter.
+    :ivar unreadable: dict from key to reason for the rows that cannot be decoded.
+    """
+
+    def __init__(self, decode, counts):
+        self.unreadable = {}
+        self._decode = decode
+        self._counts = counts
+        self._known = {}
+
+    def update(self, records):
+        """Return a dict from key to decoded value of the rows that can be decoded.
+
+        :param records: dict from key to :class:`cicadaplank.gateway.records.Record`.
+        """
+        known, found, unreadable = {}, {}, {}
+        for key, record in records.items():
+            kept = self._known.get(key)
+            if kept is None or kept[0] != record:
+                kept = (record, *self._decoded(key, record))
+            _, value, reason = kept
+            if len(known) < MAX_CACHED_ROWS:
+                known[key] = kept
+            else:
+                self._counts["uncached"] += 1
+            if reason is None:
+                found[key] = value
+            else:
+                unreadable[key] = reason
+        self._known, self.unreadable = known, unreadable
+        return found
+
+    def _decoded(self, key, record):
+        self._counts["decoded"] += 1
+        try:
+            return self._decode(key, record.value), None
+        except ValueError as fault:
+            self._counts["unreadable"] += 1
+            return None, str(fault)
+
+
+_SERVER = documents.Decoder(documents.Server)
 
 
 def _parse_object(value):
@@ -150,51 +215,28 @@
     return routes.ClientLimits(**numbers)
 
 
-def _parse_endpoint(key, value):
-    """Return a server's row as an endpoint, or None when it cannot be used.
-
-    That is a row that is no object, in an unknown state, or whose service or zone is
-    not a text.
-
-    :raises KeyError, TypeError, ValueError, AttributeError: when it is malformed.
-    """
-    if value is None or value["state"] not in (READY, DRAINING):
-        return None
-    host, _, port = value["address"].rpartition(":")
-    if not isinstance(value["service"], str) or not isinstance(value["zone"], str):
-        return None
+def _decode_endpoint(key, value):
+    name = documents.check_key(key)
+    parsed = _SERVER.decode(value)
+    host, port = documents.parse_address(parsed.address)
     return endpoints.Endpoint(
-        name=key,
-        service=value["service"],
+        name=name,
+        service=parsed.service,
         host=host,
-        port=int(port),
-        data_centre=value["zone"],
-        slots=int(value.get("slots") or 1),
-        is_draining=value["state"] == DRAINING,
-        weights=served_versions(value),
-        started_ms=_parse_start_ms(value.get("born", 0)),
-        warm_up_s=float(value.get("warmup_left_ms") or 0) / 1000.0,
+        port=port,
+        data_centre=parsed.zone,
+        slots=int(parsed.slots or 1),
+        is_draining=parsed.state == DRAINING,
+        weights=served_versions(parsed.models),
+        started_ms=parsed.born,
+        warm_up_s=(parsed.warmup_left_ms or 0.0) / 1000.0,
     )
 
 
-def _parse_start_ms(value):
-    """Return the start of a server's run in Unix milliseconds, 0 when it is not told.
-
-    :raises TypeError: when it is not a whole number; another writer wrote the row.
-    """
-    if type(value) is not int:
-        raise TypeError(f"born is {value!r}, expected a whole number")
-    return value
-
-
-def served_versions(value):
+def served_versions(models):
     """Return the versions of the weights that a server has completely loaded.
 
-    :param value: a server's row or its report, as a dict.
+    :param models: list of :class:`documents.Model`, or None.
     :returns: dict from model name to version.
     """
-    return {
-        str(model["name"]): int(model["version"])
-        for model in value.get("models") or ()
-        if model.get("version")
-    }
+    return {model.name: model.version for model in models or () if model.version}
--- a/cicadaplank/platform/servers.py
+++ b/cicadaplank/platform/servers.py
@@ -1,7 +1,7 @@
 """HTTP clients of the agent's model server and of the origin of weights."""
 
 from cicadaplank.external import errors
-from cicadaplank.platform import rows
+from cicadaplank.platform import documents, rows
 from cicadaplank.replicas import loading
 from cicadaplank.weights import manifests
 
@@ -53,7 +53,8 @@
         )
         value = _body_or_raise(answer, "report")
         try:
-            versions = rows.served_versions(value)
+            models = documents.convert(value, documents.Report).models
+            versions = rows.served_versions(models)
             return loading.EngineState(
                 versions=versions,
                 is_busy=bool(value.get("busy")),
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -23,6 +23,7 @@
     reloading,
     status,
     sync,
+    unreadable,
 )
 from cicadaplank.links import pacing, streams
 from cicadaplank.messages import types
@@ -157,6 +158,7 @@
         self.loading = loading.LoadScheduler(settings.host, settings.weights_s)
         self._decoder = decoder
         self._guarded = guarded_calls.GuardedCalls(reactor, self._log)
+        self._unreadable = unreadable.UnreadableRecords(decoder, self._log)
         self._members = members
         self._engine = engine
         self._origin_at = origin_at
@@ -318,6 +320,7 @@
         served = max(state.versions.values(), default=0) if state else 0
         metric.set_gauge("weights_served", served)
         self.hub.update_metrics(metric)
+        self._unreadable.update_metrics(metric)
         for guarded in (self._guarded, self.operator.guarded, self.listed.guarded):
             guarded.update_metrics(metric)
         for name, count in (*self.counts.items(), *self.transfers.counts.items()):
@@ -379,6 +382,12 @@
 
     def _table_changed(self, changed, confirmed_s=None):
         """Use the store's tables while entry instances are silent."""
+        self._guarded.call("tables", self._take_tables)
+        for table_sync in (self.operator, self.listed):
+            name = f"unreadable_{table_sync.table}"
+            self._guarded.call(name, self._unreadable.report, table_sync)
+
+    def _take_tables(self):
         try:
             notice = notices.build(self._decoder, self.operator.copy, self.listed.copy)
         except ValueError as error:
--- a/features/entries.py
+++ b/features/entries.py
@@ -84,6 +84,7 @@
             configuration=lambda copy: None,
             named_weights=lambda copy: dict(self.row),
             models=lambda copy: [MODEL],
+            unreadable=lambda name: {},
         )
         self.log = Log()
         self.process = process.EntryProcess(
--- /dev/null
+++ b/features/platform/odd_rows.feature
@@ -0,0 +1,76 @@
+Feature: Odd rows of another writer
+  A row that is malformed or out of range costs only what it names. The other rows are
+  taken over, the tables are followed on, and what was taken over can be passed on.
+
+  Scenario Outline: An odd row of a server costs only itself: <field> is <value>
+    Given an entry and an agent that follow a store with good rows
+    When a row of a server with <field> as <value> and then a good one are written
+    Then only the good one is used beside that from before
+    And the odd row is logged once and counted
+
+    Examples: numbers
+      | field            | value               |
+      | slots            | 1e999               |
+      | slots            | 400 digits          |
+      | slots            | 5000 digits         |
+      | slots            | -4                  |
+      | slots            | NaN                 |
+      | slots            | true                |
+      | slots            | "16"                |
+      | warmup_left_ms   | 400 digits          |
+      | warmup_left_ms   | 1e999               |
+      | warmup_left_ms   | NaN                 |
+      | warmup_left_ms   | -Infinity           |
+      | warmup_left_ms   | -5                  |
+      | born             | 400 digits          |
+      | born             | 18446744073709551616 |
+      | born             | -1                  |
+      | models.0.version | 1e999               |
+      | models.0.version | 400 digits          |
+      | models.0.version | -3                  |
+      | models.0.version | true                |
+
+    Examples: addresses
+      | field   | value                                 |
+      | address | "10.128.0.9:99999"                    |
+      | address | "10.128.0.9:-1"                       |
+      | address | "10.128.0.9:0"                        |
+      | address | "10.128.0.9:8_0"                      |
+      | address | "10.128.0.9: 80"                      |
+      | address | an address with a port of 30 digits   |
+      | address | an address with Arabic-Indic digits   |
+      | address | ":80"                                 |
+      | address | "10.128.0.9"                          |
+      | address | "10.128.0.256:80"                     |
+      | address | "0.0.0.0:80"                          |
+      | address | "255.255.255.255:80"                  |
+      | address | "host.example:80"                     |
+      | address | an address with a host of 400 letters |
+      | address | an address with NUL                   |
+      | address | an address with a lone surrogate      |
+
+    Examples: texts and shapes
+      | field         | value                 |
+      | service       | a lone surrogate      |
+      | service       | a text with NUL       |
+      | zone          | a text of 400 letters |
+      | zone          | ""                    |
+      | zone          | a lone surrogate      |
+      | models.0.name | a lone surrogate      |
+      | models.0.name | 7                     |
+      | models        | nested 100000 deep    |
+      | models        | {}                    |
+      | models.0      | objects 100000 deep   |
+      | mood          | nested 100000 deep    |
+      | mood          | a lone surrogate      |
+
+  Scenario Outline: A server whose row becomes odd is not used any more: <field> is <value>
+    Given an entry and an agent that follow a store with good rows
+    When the good row of a server becomes one with <field> as <value>
+    Then that server is not used, and the other one is
+
+    Examples:
+      | field   | value              |
+      | slots   | 1e999              |
+      | address | "10.128.0.9:99999" |
+      | models  | nested 100000 deep |
