Count an entry of the soak as told of a limit only by a number

A server of the soak names "many" for six seconds of each span, which says nothing (docs/platform.md, "What endpoints say of themselves"). Its client nevertheless took such an answer for one that told the entry the limit. When every entry restarts in these seconds, nobody knows the limit any more, and the check expected them to keep to it.

All three entries are restarted while i-1 names "many", and their logs have malformed_header of i-1 and no endpoint_limit in these seconds.

The rule checked stays: an entry that passed on an answer with a valid limit keeps to it.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from soak import checks
+from soak import checks, servers
 
 TIMEOUT_S = 4.0
 PAUSE_S = (0.005, 0.04)
@@ -94,7 +94,7 @@
             status = response.status
             if response.getheader("Server-Leaving") == "1":
                 self._leaving = response.getheader("X-Server-Name")
-            if response.getheader("Server-Limit"):
+            if response.getheader("Server-Limit") not in (None, servers.NO_LIMIT):
                 self._limited = response.getheader("X-Server-Name")
             answer = response.read()
             if response.will_close:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -424,7 +424,7 @@
         server.limit = str(limit_per_s)
         since_s = time.monotonic()
         time.sleep(event.for_s / 2)
-        server.limit = "many"
+        server.limit = servers.NO_LIMIT
         time.sleep(LIMITED_S)
         server.limit = str(limit_per_s)
         time.sleep(event.for_s / 2)
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -20,6 +20,8 @@
 BUSY_S = "0.7"
 # How the end of an answer is marked, drawn from the identifier of its request.
 FRAMINGS = ("length", "chunks", "close")
+# Limit that is no number and says nothing.
+NO_LIMIT = "many"
 ENDLESS_BLOCK_BYTES = 16 * 1024
 
 
