Let the stand-in of the store drop its history and take rows of other writers

The store may hold long polls silently while changes are made and then answer 410, and it has rows that this system's writers would never write.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -47,6 +47,14 @@
         self.server_close()
 
 
+# Interval at which polls that are held look whether the history was dropped.
+HELD_CHECK_S = 0.05
+
+
+class HistoryDropped(Exception):
+    """The store no longer has the changes since a version."""
+
+
 class RowStore(_Server):
     """Store of rows with long polls for changes.
 
@@ -56,28 +64,60 @@
     def __init__(self):
         self.is_down = False
         self.version = 0
+        self._oldest_version = 0
+        self._is_holding = False
         self._rows = {}
         self._changed = threading.Condition()
         super().__init__(_StoreHandler)
 
     def put(self, table, key, value):
         """Write one row; the value is sent as JSON."""
+        self.put_bytes(table, key, json.dumps(value).encode())
+
+    def put_bytes(self, table, key, data):
+        """Write one row, of which another writer may have written the bytes."""
+        self._write(table, key, {"value": base64.b64encode(data).decode()})
+
+    def remove(self, table, key):
+        """Remove one row."""
+        self._write(table, key, {"deleted": True})
+
+    def _write(self, table, key, fields):
         with self._changed:
             self.version += 1
-            data = base64.b64encode(json.dumps(value).encode()).decode()
-            row = {"table": table, "part": "", "key": key, "value": data}
+            row = {"table": table, "part": "", "key": key, **fields}
             self._rows[table, key] = {**row, "ver": self.version}
             self._changed.notify_all()
 
+    def hold_polls(self):
+        """Answer no long poll until the history is dropped."""
+        self._is_holding = True
+
+    def drop_history(self):
+        """Forget all changes so far; polls from an earlier version get 410."""
+        with self._changed:
+            self._oldest_version = self.version
+            self._is_holding = False
+            self._changed.notify_all()
+
     def rows(self, table, after=-1, wait_s=0.0):
-        """Return the rows of a table that changed after a version, and the version."""
+        """Return the rows of a table that changed after a version, and the version.
+
+        :raises HistoryDropped: when the changes since that version were dropped.
+        """
         deadline_s = time.monotonic() + wait_s
         with self._changed:
             while True:
+                while self._is_holding and after >= 0:
+                    self._changed.wait(HELD_CHECK_S)
+                if 0 <= after < self._oldest_version:
+                    raise HistoryDropped(f"changes after {after}")
                 found = [
                     row
                     for (name, _), row in self._rows.items()
-                    if name == table and row["ver"] > after
+                    if name == table
+                    and row["ver"] > after
+                    and not (after < 0 and row.get("deleted"))
                 ]
                 left_s = deadline_s - time.monotonic()
                 if found or left_s <= 0:
@@ -93,7 +133,11 @@
         after, wait_s = -1, 0.0
         if path == "/v1/rows-feed":
             after, wait_s = int(fields["after"]), int(fields["wait_ms"]) / 1000
-        found, version = self.server.rows(fields["table"], after, wait_s)
+        try:
+            found, version = self.server.rows(fields["table"], after, wait_s)
+        except HistoryDropped:
+            self.reply(410, b"{}")
+            return
         if self.server.is_down:
             self.reply(503, b"")
             return
