--- a/features/soak/seeds.feature
+++ b/features/soak/seeds.feature
@@ -17,3 +17,4 @@
       | 130  |
       | 7006 |
       | 7217 |
+      | 8105 |
--- a/features/steps/soak_seeds.py
+++ b/features/steps/soak_seeds.py
@@ -8,9 +8,7 @@
 
 @behave.when("the soak plays seed {seed:d} with {faults:d} faults in {length_s:d} s")
 def step_play(context, seed, faults, length_s):
-    arguments = soak_command.regressions().get(
-        seed, {"has_extras": True, "has_words": True}
-    )
+    arguments = soak_command.regressions().get(seed, soak_command.ALL_EVENTS)
     context.outcome = fleet.play(seed, length_s, faults, **arguments)
 
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,9 @@
 # Seeds that failed once, with the cause.
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.json")
 
+# Arguments of :func:`soak.fleet.play` for other seeds.
+ALL_EVENTS = {"has_extras": True, "has_words": True, "has_incidents": True}
+
 
 def numbers(text):
     """Return the seeds of a text such as ``1-50`` or ``3,7``."""
@@ -30,8 +33,8 @@
 
     Later modes and additional events would change what such a seed plays.
 
-    :returns: dict from seed to a dict with ``modes``, ``has_extras`` and
-        ``has_words``.
+    :returns: dict from seed to a dict with ``modes``, ``has_extras``,
+        ``has_words`` and ``has_incidents``.
     """
     entries = json.loads(REGRESSIONS.read_text())
     return {
@@ -39,6 +42,7 @@
             "modes": plan.MODES[: entry["modes"]],
             "has_extras": entry.get("extras", False),
             "has_words": entry.get("words", False),
+            "has_incidents": entry.get("incidents", False),
         }
         for entry in entries
     }
@@ -61,11 +65,12 @@
     arguments = regressions() if seeds == "regressions" else {}
     failed = 0
     for seed in chosen:
-        chosen_arguments = arguments.get(seed, {"has_extras": True, "has_words": True})
-        outcome = fleet.play(seed, seconds, faults, **chosen_arguments)
+        outcome = fleet.play(seed, seconds, faults, **arguments.get(seed, ALL_EVENTS))
         found = outcome.violations
         failed += bool(found)
-        words = ", ".join(f"{n} answers {word}" for word, n in outcome.words.items())
+        words = ", ".join(
+            f"{n} answers {word}" for word, n in outcome.words.items()
+        ) + "".join(f", {n} {name}" for name, n in outcome.situations.items())
         print(
             f"seed {seed}: {outcome.requests} requests, {words}, "
             f"{len(found)} violations",
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -52,6 +52,11 @@
     leaving: str = ""
     limited: str = ""
 
+    @property
+    def needs_weights(self):
+        """Whether it is a call of a model."""
+        return self.kind == "stream"
+
 
 def _answers(seen):
     for each in seen:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from soak import checks, servers
+from soak import checks, incidents, servers
 
 TIMEOUT_S = 4.0
 PAUSE_S = (0.005, 0.04)
@@ -85,6 +85,7 @@
             "X-Prefix-Hash": f"system:10,document-{self._count % 3}:10,{request}:10",
             "X-Attempt-Id": request,
             "X-Deadline-Ms": str(int(TIMEOUT_S * 1000)),
+            "X-Model": incidents.MODEL,
         }
         body = json.dumps({"id": request, "events": events})
         status = 0
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,7 +14,16 @@
 import threading
 import time
 
-from soak import checks, clients, extras, links, plan, servers
+from soak import (
+    checks,
+    clients,
+    extras,
+    incidents,
+    links,
+    plan,
+    servers,
+    timeliness,
+)
 from standins import rowstore
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -24,12 +33,15 @@
 GRACE_S = 4.0
 # After the last fault ends: ejections last up to 8 s.
 SETTLE_S = 4.0
+SETTLING_CHANGES = 6
 AFTER_S = 2.0
 # Limits that servers name, and how long at least.
 LIMITS_PER_S = (1.5, 4.0, 0.5)
 LIMITED_S = 6.0
 # Time after which a crashed server is replaced.
 RESTART_S = 1.0
+# Interval at which the operator tries to write while the store fails.
+WRITE_CHECK_S = 0.02
 
 
 def _free_port():
@@ -38,11 +50,12 @@
         return sock.getsockname()[1]
 
 
-def configuration(version, keys=()):
+def configuration(version, keys=(), has_model=False):
     """Return a configuration that knows the paths of its version and all before.
 
     :param version: its number.
     :param keys: further API keys.
+    :param has_model: whether streams are calls of a model.
     """
     kinds = {
         "once": ("non_idempotent", False),
@@ -56,6 +69,7 @@
             "prefix": f"/v{number}/{kind}/",
             "route_type": route_type,
             "resumable": resumable,
+            "sticky": has_model and resumable,
             "timeout_ms": 4000,
             "goal_ms": 600,
             "priority": 1,
@@ -81,11 +95,13 @@
     :param violations: list of texts.
     :param requests: number of requests during the faults.
     :param words: number of answers to clients by what the server said of itself.
+    :param situations: number of times that each situation of an incident came about.
     """
 
     violations: list
     requests: int
     words: collections.Counter
+    situations: collections.Counter
 
 
 class EntryProcess:
@@ -107,6 +123,8 @@
         self._log = folder / f"{name}.log"
         self._process = None
         self._lock = threading.Lock()
+        # Exit codes of processes that nothing had ended.
+        self.own_ends = []
         document = {
             "name": name,
             "host": host,
@@ -121,7 +139,8 @@
                 "retry_ratio": checks.RETRY_SHARE,
                 "retry_slack": checks.RETRY_ALLOWANCE,
                 "retry_window_s": 10,
-                "version_ms": 8000,
+                "version_ms": int(timeliness.WEIGHTS_ALLOWED_S * 1000),
+                "config_ms": int(timeliness.IN_FORCE_S * 1000),
                 "grace_s": GRACE_S,
             },
         }
@@ -147,6 +166,7 @@
     def restart(self, number):
         """End the process by a signal, and start it again."""
         with self._lock:
+            self._note_own_end()
             self.send(signal.SIGCONT)
             self.send(number)
             try:
@@ -156,6 +176,18 @@
                 self._process.wait()
             self.start()
 
+    def _note_own_end(self):
+        code = self._process.poll()
+        if code is not None:
+            self.own_ends.append(code)
+        return code is not None
+
+    def revive(self):
+        """Start the process again if it has ended by itself."""
+        with self._lock:
+            if self._note_own_end():
+                self.start()
+
     def stop(self):
         """Kill the process."""
         self.send(signal.SIGCONT)
@@ -185,10 +217,22 @@
     :param folder: folder for settings and logs.
     :param has_extras: whether the additional events and clients are played.
     :param has_words: whether servers say of themselves what no record says.
+    :param has_incidents: whether the events that follow incidents are played.
+    :ivar service: name of the service of all servers.
+    :ivar store: :class:`standins.rowstore.RowStore`.
+    :ivar disturbances: :class:`soak.timeliness.Disturbances`.
     """
 
-    def __init__(self, seed, folder, has_extras, has_words):
+    service = SERVICE
+
+    def __init__(self, seed, folder, has_extras, has_words, has_incidents):
         self.seed = seed
+        self._has_incidents = has_incidents
+        self._incidents = incidents.Incidents(self)
+        self.disturbances = timeliness.Disturbances()
+        self._changes = timeliness.Changes()
+        self._weights = 1
+        self._states = {}
         self._has_words = has_words
         self._has_extras = has_extras
         self.extra_keys = extras.KEYS if has_extras else ()
@@ -202,10 +246,10 @@
         self.ledger = servers.Ledger()
         self.drained = {}
         self._busy = []
-        self._store = rowstore.RowStore()
-        self._store.put("op", "config", configuration(self.version, self._keys))
+        self.store = rowstore.RowStore()
+        self._put_configuration()
         self._store_links = [
-            links.Link((rowstore.LOOPBACK, self._store.server_port))
+            links.Link((rowstore.LOOPBACK, self.store.server_port))
             for _ in range(ENTRIES)
         ]
         self.servers, self.links = [], []
@@ -221,6 +265,7 @@
 
     def _add_server(self, number):
         server = servers.Server(f"i-{number}", self.ledger)
+        server.weights = self._weights
         server.crash = self._crash
         link = links.Link((servers.LOOPBACK, server.server_port))
         self.servers.append(server)
@@ -229,8 +274,10 @@
 
     def _list(self, number, state):
         row = {"service": SERVICE, "address": self.links[number].address, "zone": "a"}
-        row |= {"slots": 6, "state": state, "seq": 1}
-        self._store.put("servers", self.servers[number].name, row)
+        models = [{"name": incidents.MODEL, "version": self.servers[number].weights}]
+        row |= {"slots": 6, "state": state, "seq": 1, "models": models}
+        self._states[number] = state
+        self.store.put("servers", self.servers[number].name, row)
 
     def run(self, length_s, count, modes):
         """Play the seed.
@@ -248,20 +295,41 @@
             events += plan.draw_extras(self.seed, length_s)
         if self._has_words:
             events += plan.draw_words(self.seed, length_s)
+        if self._has_incidents:
+            events += plan.draw_incidents(self.seed, length_s)
         events.sort(key=lambda event: event.at_s)
         seen = self._load("faults", lambda: self._play(events))
+        for entry in self.entries:
+            entry.revive()
         self._wait_ready()
-        time.sleep(SETTLE_S)
+        if self._has_incidents:
+            seen += self._load("settling", self._settle)
+        else:
+            time.sleep(SETTLE_S)
         after = self._load("after", lambda: time.sleep(AFTER_S))
         revoked = set(self.extra_keys) - set(self._keys)
         found = checks.Extras(revoked, self._left, self._crashes_s)
         violations = checks.violations(seen, after, self.ledger, self.drained, found)
         violations += checks.limits(self._limits, (*seen, *after), self.ledger)
+        violations += self._check_incidents([*seen, *after])
         words = collections.Counter(
             leaving=sum(1 for each in (*seen, *after) if each.leaving),
             limit=sum(1 for each in (*seen, *after) if each.limited),
         )
-        return Outcome(violations, len(seen), words)
+        return Outcome(violations, len(seen), words, self.ledger.situations)
+
+    def _check_incidents(self, seen):
+        found = [
+            f"own ends: {entry.name} ended by itself with code {code}"
+            for entry in self.entries
+            for code in entry.own_ends
+        ]
+        if self._has_incidents:
+            times = self._changes, self.disturbances
+            found += timeliness.configurations(seen, *times)
+            found += timeliness.weights(seen, self.ledger, *times)
+            found += timeliness.leaving(seen, self.ledger, *times)
+        return found
 
     def _wait_ready(self):
         deadline_s = time.monotonic() + READY_S
@@ -291,7 +359,10 @@
         start_s = time.monotonic()
         for event in events:
             time.sleep(max(0.0, start_s + event.at_s - time.monotonic()))
-            act = getattr(self, f"_{event.kind}")
+            if event.kind in plan.INCIDENT_KINDS:
+                act = getattr(self._incidents, event.kind)
+            else:
+                act = getattr(self, f"_{event.kind}")
             thread = threading.Thread(target=act, args=(event,), daemon=True)
             thread.start()
             self._busy.append(thread)
@@ -310,53 +381,74 @@
         return self.links[event.target % len(self.links)]
 
     def _link_delay(self, event):
-        self._link(event).delay_s = 0.1
-        time.sleep(event.for_s)
-        self._link(event).delay_s = 0.0
+        with self._disturbing_link(event):
+            self._link(event).delay_s = 0.1
+            time.sleep(event.for_s)
+            self._link(event).delay_s = 0.0
+
+    def _disturbing_link(self, event):
+        number = event.target % len(self.links)
+        return self.disturbances.during(self.servers[number].name)
 
     def _link_reset(self, event):
-        self._link(event).reset()
+        with self._disturbing_link(event):
+            self._link(event).reset()
 
     def _link_silent(self, event):
         link = self._link(event)
-        link.silent.add(event.detail)
-        time.sleep(event.for_s)
-        link.silent.discard(event.detail)
+        with self._disturbing_link(event):
+            link.silent.add(event.detail)
+            time.sleep(event.for_s)
+            link.silent.discard(event.detail)
 
     def _entry(self, event):
         return self.entries[event.target % len(self.entries)]
 
+    def _disturbing_entry(self, event):
+        name = timeliness.entry_name(event.target % len(self.entries))
+        return self.disturbances.during(name)
+
     def _entry_kill(self, event):
-        self._entry(event).restart(signal.SIGKILL)
+        with self._disturbing_entry(event):
+            self._entry(event).restart(signal.SIGKILL)
 
     def _entry_term(self, event):
-        self._entry(event).restart(signal.SIGTERM)
+        with self._disturbing_entry(event):
+            self._entry(event).restart(signal.SIGTERM)
 
     def _entry_freeze(self, event):
-        self._entry(event).send(signal.SIGSTOP)
-        time.sleep(event.for_s)
-        self._entry(event).send(signal.SIGCONT)
+        with self._disturbing_entry(event):
+            self._entry(event).send(signal.SIGSTOP)
+            time.sleep(event.for_s)
+            self._entry(event).send(signal.SIGCONT)
 
     def _hup(self, event):
         self._entry(event).send(signal.SIGHUP)
 
     def _store_down(self, event):
-        self._store.is_down = True
-        time.sleep(event.for_s)
-        self._store.is_down = False
+        with self.disturbances.during(timeliness.STORE):
+            self.store.is_down = True
+            time.sleep(event.for_s)
+            self.store.is_down = False
 
     def _store_silent(self, event):
-        for link in self._store_links:
-            link.silent.add("back")
-        time.sleep(event.for_s)
-        for link in self._store_links:
-            link.silent.discard("back")
+        self.silence_store(event.for_s)
+
+    def silence_store(self, for_s):
+        """Let no answer of the store arrive at entries for a while."""
+        with self.disturbances.during(timeliness.STORE):
+            for link in self._store_links:
+                link.silent.add("back")
+            time.sleep(for_s)
+            for link in self._store_links:
+                link.silent.discard("back")
 
     def _store_partial(self, event):
         link = self._store_links[event.target % ENTRIES]
-        link.silent.add("back")
-        time.sleep(event.for_s)
-        link.silent.discard("back")
+        with self._disturbing_entry(event):
+            link.silent.add("back")
+            time.sleep(event.for_s)
+            link.silent.discard("back")
 
     def _poison(self, event):
         clients = [extras.Poisoners(f"poison-{n}", self) for n in range(2)]
@@ -382,33 +474,103 @@
         with self._naming:
             self._add_server(len(self.servers))
 
+    def _settle(self):
+        """Change the configuration now and then, while nothing is disturbed."""
+        for _ in range(SETTLING_CHANGES):
+            self.change_configuration()
+            time.sleep(SETTLE_S / SETTLING_CHANGES)
+
+    def _put_configuration(self):
+        row = configuration(self._newest, self._keys, self._has_incidents)
+        self.store.put("op", "config", row)
+
+    def _await_store(self):
+        """Wait until the store acknowledges writes."""
+        while self._has_incidents and self.store.is_down:
+            time.sleep(WRITE_CHECK_S)
+
     def _revoke(self, event):
+        self._await_store()
         with self._naming:
             if not self._keys:
                 return
-            self._keys.pop(event.target % len(self._keys))
-            self._newest += 1
-            self._store.put("op", "config", configuration(self._newest, self._keys))
+            key = self._keys.pop(event.target % len(self._keys))
+            self._write_configuration()
+            self._changes.revoked.append((key, time.monotonic()))
+
+    def _write_configuration(self):
+        self._newest += 1
+        self._put_configuration()
+        self._changes.versions.append((self._newest, time.monotonic()))
+        if self._has_incidents:
+            self._start_timer(timeliness.IN_FORCE_S, self._use_paths, self._newest)
+
+    def _start_timer(self, delay_s, function, *arguments):
+        timer = threading.Timer(delay_s, function, arguments)
+        timer.daemon = True
+        timer.start()
+
+    def _use_paths(self, version):
+        self.version = max(self.version, version)
+
+    def change_configuration(self):
+        """Write a new version of the configuration."""
+        self._await_store()
+        with self._naming:
+            self._write_configuration()
+            return self._newest
 
     def _configuration(self, event):
-        with self._naming:
-            self._newest += 1
-            named = self._newest
-            self._store.put("op", "config", configuration(named, self._keys))
+        named = self.change_configuration()
         # Clients use the new paths once a change has to be in force.
-        time.sleep(2.0)
-        self.version = max(self.version, named)
+        time.sleep(timeliness.IN_FORCE_S)
+        self._use_paths(named)
+
+    def name_weights(self):
+        """Name the next version of the weights and return it."""
+        self._await_store()
+        with self._naming:
+            self._weights += 1
+            row = {"model": incidents.MODEL, "version": self._weights}
+            self.store.put("op", f"version/{incidents.MODEL}", row)
+            self._changes.weights.append((self._weights, time.monotonic()))
+            return self._weights
+
+    def load_weights(self, delay_s, number, version):
+        """Let a server load a version of the weights after a time.
+
+        :param delay_s: that time.
+        :param number: number of the server.
+        :param version: version; a server that has a newer one keeps it.
+        """
+        self._start_timer(delay_s, self._set_weights, number, version)
+
+    def _set_weights(self, number, version):
+        with self._naming:
+            if version > self.servers[number].weights:
+                self.servers[number].weights = version
+                self._list(number, self._states[number])
 
     def _drain(self, event):
+        self.drain(event.target, event.for_s)
+
+    def drain(self, target, allowance_s=0.0):
+        """Let a server leave; another one is added before.
+
+        :param target: number that chooses the server.
+        :param allowance_s: additional time in which it may get work.
+        """
         number = len(self.servers)
-        leaving = event.target % number
+        leaving = target % number
         if self.servers[leaving].name in self.drained:
             return
         self._add_server(number)
         self.servers[leaving].is_leaving = True
+        self._await_store()
         self._list(leaving, "draining")
-        if not self._store.is_down:
-            self.drained[self.servers[leaving].name] = time.monotonic() + event.for_s
+        self._changes.leaving.append((self.servers[leaving].name, time.monotonic()))
+        if not self.store.is_down:
+            self.drained[self.servers[leaving].name] = time.monotonic() + allowance_s
 
     def _leave_unlisted(self, event):
         """Let a server say in its answers that it leaves, while its record is ready."""
@@ -439,21 +601,31 @@
             entry.stop()
         for link in (*self.links, *self._store_links):
             link.stop()
-        for server in (*self.servers, self._store):
+        for server in (*self.servers, self.store):
             server.shutdown()
             server.server_close()
 
 
-def play(seed, length_s, count, modes=plan.MODES, has_extras=False, has_words=False):
+def play(
+    seed,
+    length_s,
+    count,
+    modes=plan.MODES,
+    has_extras=False,
+    has_words=False,
+    has_incidents=False,
+):
     """Play one seed from the start to the end.
 
     :param modes: modes of servers that are drawn from.
     :param has_extras: whether the additional events and clients are played.
     :param has_words: whether servers say of themselves what no record says.
+    :param has_incidents: whether the events that follow incidents are played.
     :returns: :class:`Outcome`.
     """
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(seed, pathlib.Path(folder), has_extras, has_words)
+        path = pathlib.Path(folder)
+        fleet = Fleet(seed, path, has_extras, has_words, has_incidents)
         try:
             return fleet.run(length_s, count, modes)
         finally:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -44,15 +44,41 @@
 WORD_KINDS = ("leave_unlisted", "leave_unlisted", "limit", "limit")
 
 
+# What incidents brought about, drawn apart for the same reason, and the details that a
+# kind has.
+INCIDENT_KINDS = (
+    "odd_row",
+    "odd_row",
+    "odd_row",
+    "weights",
+    "frozen_change",
+    "frozen_change",
+    "pending",
+    "held",
+    "repeated_refusal",
+    "repeated_refusal",
+    "broken_streams",
+    "broken_streams",
+)
+INCIDENT_DETAILS = {
+    "odd_row": ("servers", "servers", "op"),
+    "frozen_change": ("weights", "configuration"),
+    "repeated_refusal": ("repeat", "repeat_bare"),
+    "broken_streams": tuple(f"broken_{status}" for status in (500, 503, 421, 404, 200)),
+}
+
+
 @dataclasses.dataclass(frozen=True)
 class Event:
     """One fault or change.
 
     :param at_s: time from the start.
-    :param kind: one of :data:`KINDS`.
+    :param kind: one of :data:`KINDS`, :data:`EXTRA_KINDS`, :data:`WORD_KINDS` or
+        :data:`INCIDENT_KINDS`.
     :param target: number of the process, server or link.
     :param for_s: how long it lasts.
-    :param detail: mode of a server, or the direction of a link.
+    :param detail: mode of a server, the direction of a link, or one of
+        :data:`INCIDENT_DETAILS`.
     """
 
     at_s: float
@@ -108,6 +134,22 @@
     return _draw_each(random.Random(f"{seed}-words"), WORD_KINDS, length_s)
 
 
+def draw_incidents(seed, length_s):
+    """Draw the events of a seed that follow incidents.
+
+    :param seed: integer.
+    :param length_s: time in which they begin.
+    :returns: list of :class:`Event`.
+    """
+    rng = random.Random(f"{seed}-incidents")
+    return [
+        dataclasses.replace(event, detail=rng.choice(INCIDENT_DETAILS[event.kind]))
+        if event.kind in INCIDENT_DETAILS
+        else event
+        for event in _draw_each(rng, INCIDENT_KINDS, length_s)
+    ]
+
+
 def _draw_each(rng, kinds, length_s):
     return [
         Event(rng.uniform(0.3, length_s), kind, rng.randrange(100), for_s, "")
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -35,6 +35,7 @@
     :param ran: whether it was run.
     :param is_bad: whether its prompt has the part that crashes servers.
     :param is_misdirected: whether it was meant for another server.
+    :param weights: version of the weights that the server had.
     """
 
     request: str
@@ -43,6 +44,7 @@
     ran: bool
     is_bad: bool = False
     is_misdirected: bool = False
+    weights: int = 0
 
 
 class Ledger:
@@ -50,6 +52,8 @@
 
     def __init__(self):
         self.arrivals = []
+        # Number of times that each situation came about.
+        self.situations = collections.Counter()
         self._lock = threading.Lock()
 
     def add(self, request, server, ran, **marks):
@@ -58,6 +62,11 @@
         with self._lock:
             self.arrivals.append(arrival)
 
+    def count(self, situation):
+        """Count a situation that came about."""
+        with self._lock:
+            self.situations[situation] += 1
+
     def runs(self):
         """Return the number of runs by request."""
         return collections.Counter(a.request for a in self.arrivals if a.ran)
@@ -74,6 +83,11 @@
         it wants no calls), ``cut`` (breaks streams off half way, inside an
         event), ``endless_head`` and ``endless_body`` (send them until the connection is
         closed) or ``garbage`` (sends further bytes after each answer).
+    :ivar incident_mode: empty, ``repeat`` or ``repeat_bare`` (refuse the first request
+        of a connection, and write that refusal again as they run a later one, the
+        latter without its identifier), or ``broken_`` and a status (breaks streams off
+        between two events, and answers those that go on with that status).
+    :ivar weights: version of the weights that it has.
     :ivar delay_s: time that a run takes.
     :ivar is_leaving: whether it says in its answers that it leaves.
     :ivar limit: text of the limit that it names in its answers, or empty.
@@ -86,9 +100,11 @@
         self.name = name
         self.ledger = ledger
         self.mode = "ok"
+        self.incident_mode = ""
         self.delay_s = 0.02
         self.is_leaving = False
         self.limit = ""
+        self.weights = 1
         self.has_crashed = False
         # Called with this server when it crashes.
         self.crash = lambda server: None
@@ -101,6 +117,8 @@
 
 class _Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    # The refusal that was written on this connection, or empty.
+    _refusal = b""
 
     def log_message(self, *args):
         """Write no log."""
@@ -114,15 +132,31 @@
             server.ledger.add(request, server.name, False, is_misdirected=True)
             self._answer(421, b"")
             return
-        runs = server.mode not in ("refuse", "busy")
+        mode = server.incident_mode
+        repeats = mode.startswith("repeat")
+        status = self._status_of_rest(mode)
+        if status:
+            server.ledger.count("broken streams")
+        runs = server.mode not in ("refuse", "busy") and status not in (421, 503)
+        runs = runs and not (repeats and not self._refusal)
         is_bad = extras.BAD_PART in self._parts()
-        server.ledger.add(request, server.name, runs, is_bad=is_bad)
+        server.ledger.add(
+            request, server.name, runs, is_bad=is_bad, weights=server.weights
+        )
         if not runs:
             headers = [("X-Not-Executed", "1")]
             if server.mode == "busy":
                 headers.append(("Retry-After", BUSY_S))
-            self._answer(503, b"", headers)
+            if repeats:
+                self._refusal = self._make_refusal(self.headers["X-Attempt-Id"])
+                self.wfile.write(self._refusal)
+            else:
+                self._answer(status or 503, b"", headers)
             return
+        if repeats:
+            server.ledger.count("repeated refusals")
+            is_bare = mode == "repeat_bare"
+            self.wfile.write(self._make_refusal() if is_bare else self._refusal)
         time.sleep(server.delay_s)
         if is_bad:
             self._begin_and_crash()
@@ -141,6 +175,8 @@
             self._send_endless(b"id: 1\ndata: ", b"x")
         elif server.mode == "error":
             self._answer(500, b"failed")
+        elif status:
+            self._answer(status, b"no part of the stream")
         else:
             if server.mode == "wrong":
                 request = "another request"
@@ -153,6 +189,25 @@
                 self.close_connection = True
                 self.wfile.write(b"\x00\x01 garbage")
 
+    def _status_of_rest(self, mode):
+        """Return the status with which the rest of a stream is answered, 0 for none."""
+        if not mode.startswith("broken_"):
+            return 0
+        if int(self.headers.get("Last-Event-Id") or 0) == 0:
+            return 0
+        return int(mode.rpartition("_")[2])
+
+    def _make_refusal(self, attempt=""):
+        lines = ["HTTP/1.1 503 Service Unavailable", "Content-Length: 0"]
+        lines += ["X-Not-Executed: 1", "X-Server-Signature: s.1"]
+        words = (
+            ("X-Attempt-Id", attempt),
+            ("Server-Leaving", "1" if self.server.is_leaving else ""),
+            ("Server-Limit", self.server.limit),
+        )
+        lines += [f"{name}: {value}" for name, value in words if value]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
     def _parts(self):
         """Return the parts of the prompt that other requests may share."""
         entries = self.headers.get("X-Prefix-Hash", "").split(",")[:-1]
@@ -231,6 +286,10 @@
                 self._send_part(framing, data[: len(data) // 2])
                 self._break_off(resets=number % 2 == 0)
                 return
+            is_broken = self.server.incident_mode.startswith("broken_")
+            if is_broken and number > events // 2:
+                self._break_off(resets=True)
+                return
             self._send_part(framing, data)
             time.sleep(EVENT_GAP_S)
         if framing == "chunks":
