Date what peers say of the store by their echoes

What callers would see: an instance whose connection to a peer was made anew over a full link takes what the peer says of the store for newer than it is by the wait in the queue, and goes on with copies that nobody confirmed (CONFIG).

Cause: a report was dated by its delay beyond the smallest one of the same connection. On a new connection the first report is the smallest, however long it waited; the smallest delay itself is never counted.

Change: the age of a report is bounded by the echoes of its sender, as for the ages of weights.

--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -395,8 +395,12 @@
         if isinstance(message, types.GatewayReport):
             now_s = self._reactor.seconds()
             self.path_delays.record(peer, message.sent_s, now_s)
-            # A report that waited in a queue is as old as its wait.
-            reported_s = now_s - self.path_delays.delay_s(peer, now_s)
+            # A report that waited in a queue is as old as its wait. Without an echo of
+            # the peer only the wait beyond the shortest one is known.
+            delay_s = self.report_ages.max_age_s(peer, message.sent_s, now_s)
+            if delay_s is None:
+                delay_s = self.path_delays.delay_s(peer, now_s)
+            reported_s = now_s - delay_s
             self._reports[peer] = (message, reported_s)
             if self.report_ages.is_echo_due(peer, now_s):
                 self._hub.send(peer, types.ReportEcho(message.sent_s, now_s))
--- a/features/gateway/ages.feature
+++ b/features/gateway/ages.feature
@@ -46,3 +46,14 @@
       | it connects anew with a clock 30 s ahead |
       | it connects anew with a clock 30 s behind |
       | it sends a report at a time that is not a number |
+
+  Scenario Outline: A peer's word of the store counts from its arrival <case>
+    Given an entry process whose peer connects anew
+    When its peer has echoed a report <case>
+    And a report of it, that the store answered 0.1 s before, is 1.5 s under way
+    Then the state of the store counts as known as of <least> to <most> s ago
+
+    Examples:
+      | case                            | least | most |
+      | over an empty path              | 1.6   | 1.63 |
+      | over a path with 0.5 s of queue | 1.6   | 2.13 |
--- a/features/steps/gateway_ages.py
+++ b/features/steps/gateway_ages.py
@@ -10,6 +10,7 @@
 from features import entries
 
 PEER = "peer"
+PEER_BEHIND_S = 500.0
 ECHO = re.compile(r"([\d.]+) s under way at ([\d.]+)")
 
 
@@ -114,3 +115,40 @@
         context.delays.record(entries.PEER, sent_s, now_s)
         found_s = context.delays.delay_s(entries.PEER, now_s)
         assert abs(found_s - late_s) < 1e-6, found_s
+
+
+@behave.given("an entry process whose peer connects anew")
+def step_connects(context):
+    context.reactor = testing.MemoryReactorClock()
+    context.entry = entries.Entry(context.reactor, "10.0.0.1")
+    # Its own start is not what the state of the store counts from.
+    context.reactor.advance(100.0)
+    hello = types.Hello("entry", "r", "a", 0)
+    context.entry.receive(codec.encode(codec.Envelope(entries.PEER, 0, hello)))
+
+
+@behave.when("its peer has echoed a report over {path}")
+def step_echoed(context, path):
+    delay_s = 0.5 if "queue" in path else 0.02
+    sent_s = context.reactor.seconds() - delay_s
+    echo = types.ReportEcho(sent_s, sent_s + delay_s - PEER_BEHIND_S)
+    context.entry.receive(codec.encode(codec.Envelope(entries.PEER, 0, echo)))
+
+
+@behave.when(
+    "a report of it, that the store answered {age_s:f} s before, is {delay_s:f} s "
+    "under way"
+)
+def step_under_way(context, age_s, delay_s):
+    sent_s = context.reactor.seconds() - PEER_BEHIND_S
+    report = types.GatewayReport({}, {}, age_s, {}, sent_s)
+    context.reactor.advance(delay_s)
+    context.entry.receive(codec.encode(codec.Envelope(entries.PEER, 0, report)))
+
+
+@behave.then(
+    "the state of the store counts as known as of {least_s:f} to {most_s:f} s ago"
+)
+def step_known(context, least_s, most_s):
+    age_s = context.entry.process.peers.store_age_s(context.reactor.seconds())
+    assert least_s - 1e-6 <= age_s <= most_s, age_s
