Let an odd named version cost only its own model

Calls would run on a wrong version, or be refused for want of a version that no server has: a row of another writer under the key of one model could name another one, and versions such as -3, true and integers of 400 digits passed. The latter cannot be sent in a message, so that no agent got a notice.

Cause: the value was only checked to be an int, and the name in the value counted, not the key.

The row has to name the model of its key, with a version from 1 to 2**53 - 1.

--- a/cicadaplank/platform/rows.py
+++ b/cicadaplank/platform/rows.py
@@ -4,7 +4,6 @@
 """
 
 import collections
-import json
 
 from cicadaplank.gateway import endpoints, routes
 from cicadaplank.platform import documents
@@ -30,6 +29,7 @@
     def __init__(self):
         self.counts = collections.Counter()
         self._configurations = _Cache(_decode_configuration, self.counts)
+        self._versions = _Cache(_decode_version, self.counts)
         self._endpoints = _Cache(_decode_endpoint, self.counts)
 
     def configuration(self, table):
@@ -47,19 +47,14 @@
     def named_weights(self, table):
         """Return a dict from model name to the version that the operator named.
 
-        Rows that cannot be parsed are skipped.
+        Rows that cannot be decoded are skipped.
         """
-        named = {}
-        for key, record in table.values().items():
-            if not key.startswith(VERSION_PREFIX):
-                continue
-            value = _parse_object(record.value)
-            if value is None or not isinstance(value.get("version"), int):
-                continue
-            named[str(value.get("model", key[len(VERSION_PREFIX) :]))] = value[
-                "version"
-            ]
-        return named
+        records = {
+            key: record
+            for key, record in table.values().items()
+            if key.startswith(VERSION_PREFIX)
+        }
+        return dict(self._versions.update(records).values())
 
     def endpoints(self, table, configuration):
         """Return the endpoints of configured services and the number of unusable rows.
@@ -84,7 +79,7 @@
         """
         if name == self.endpoint_table:
             return self._endpoints.unreadable
-        return self._configurations.unreadable
+        return self._configurations.unreadable | self._versions.unreadable
 
 
 class _Cache:
@@ -134,17 +129,10 @@
 
 
 _CONFIGURATION = documents.Decoder(documents.Configuration)
+_NAMED_VERSION = documents.Decoder(documents.NamedVersion)
 _SERVER = documents.Decoder(documents.Server)
 
 
-def _parse_object(value):
-    try:
-        parsed = json.loads(value)
-    except (ValueError, TypeError, RecursionError):
-        return None
-    return parsed if isinstance(parsed, dict) else None
-
-
 def _decode_configuration(key, value):
     parsed = _CONFIGURATION.decode(value)
     accounts = None
@@ -221,6 +209,15 @@
     return routes.ClientLimits(**numbers)
 
 
+def _decode_version(key, value):
+    """Return model and version of a row, whose key also names the model."""
+    parsed = _NAMED_VERSION.decode(value)
+    model = documents.convert(key[len(VERSION_PREFIX) :], documents.PathName)
+    if parsed.model is not None and parsed.model != model:
+        raise documents.DocumentError(f"the row names another model, {parsed.model!a}")
+    return model, parsed.version
+
+
 def _decode_endpoint(key, value):
     name = documents.check_key(key)
     parsed = _SERVER.decode(value)
--- a/features/platform/odd_rows.feature
+++ b/features/platform/odd_rows.feature
@@ -107,3 +107,21 @@
       | tenants.0.name                | a text with NUL    |
       | tenants.0.priority            | 400 digits         |
       | tenants                       | objects 100000 deep |
+
+  Scenario Outline: An odd row of a named version costs only its model: <field> is <value>
+    Given an entry and an agent that follow a store with good rows
+    When version/other gets <field> as <value>, beside version 4 of the model
+    Then version 4 of the model is wanted, and none of the other one
+
+    Examples:
+      | field   | value              |
+      | version | 1e999              |
+      | version | 400 digits         |
+      | version | -3                 |
+      | version | 0                  |
+      | version | true               |
+      | version | "5"                |
+      | version | nested 100000 deep |
+      | model   | a lone surrogate   |
+      | model   | "m"                |
+      | model   | 7                  |
