Take rows of the store only with keys and versions that can be passed on

Cause: _parse_record asked for a str and an int only, and the base64 of a value was decoded with what does not belong there left out.

A row with an odd key or value stays a record, so that it does not count as deleted, but cannot be decoded. That failure of paging was found by reading and has no scenario of its own.

--- a/cicadaplank/platform/store.py
+++ b/cicadaplank/platform/store.py
@@ -6,7 +6,7 @@
 
 from cicadaplank.external import errors
 from cicadaplank.gateway import records, sync
-from cicadaplank.platform import client
+from cicadaplank.platform import client, documents
 from cicadaplank.world import machines
 
 # Maximum number of rows in one answer of the store.
@@ -41,7 +41,7 @@
         if status != 200:
             raise errors.Refused(status, path)
         rows, version = answer.get("rows"), answer.get("ver")
-        if not isinstance(rows, list) or not isinstance(version, int):
+        if not isinstance(rows, list) or not _is_version(version):
             raise errors.AnswerLost(f"{path}: answer without valid rows and ver")
         return answer
 
@@ -64,9 +64,9 @@
             # Later pages may include newer changes. With the version of the first page
             # the next call for changes returns them again.
             version = answer["ver"] if version is None else version
-            if not answer.get("has_more") or not page:
+            if not answer.get("has_more"):
                 return sync.Changes(tuple(found), version)
-            start = page[-1].key + "\x00"
+            start = _next_start(answer["rows"], start)
 
     async def changes(self, table, after, wait_s):
         """Return the records that changed after a version, by a long poll.
@@ -102,21 +102,47 @@
             raise errors.Refused(status, "rows-tx")
 
 
+def _is_version(value):
+    return type(value) is int and 0 <= value <= documents.MAX_INTEGER
+
+
+def _next_start(page, start):
+    """Return the first key of the page after another one.
+
+    :param page: list of rows in the order of their keys.
+    :param start: first key of the page, None for the first page.
+    :raises AnswerLost: when the page does not tell.
+    """
+    last = page[-1].get("key") if page and isinstance(page[-1], dict) else None
+    if not isinstance(last, str) or last != _carried(last) or last < (start or ""):
+        raise errors.AnswerLost("rows-get: page without a key to continue from")
+    return last + "\x00"
+
+
+def _carried(key):
+    """Return a key as a text that messages can carry: without lone surrogates."""
+    return key.encode("utf-8", "backslashreplace").decode()
+
+
 def _parse_record(row):
     """Return a row as :class:`records.Record`, or None when it is malformed."""
     if not isinstance(row, dict) or row.get("part", "") != "":
         return None
     key, version = row.get("key"), row.get("ver")
-    if not isinstance(key, str) or not isinstance(version, int):
+    if not isinstance(key, str) or not _is_version(version):
         return None
+    carried = _carried(key)
     if row.get("deleted"):
-        return records.Record(key, version, None)
-    try:
-        value = base64.b64decode(row.get("value") or "")
-    except (binascii.Error, TypeError, ValueError):
-        # The value is unusable, but the record exists and must not count as deleted.
-        value = b""
-    return records.Record(key, version, value)
+        return records.Record(carried, version, None)
+    # A record with an unusable value or key cannot be decoded, but it exists and must
+    # not count as deleted.
+    value = b""
+    if carried == key:
+        try:
+            value = base64.b64decode(row.get("value") or "", validate=True)
+        except (binascii.Error, TypeError, ValueError):
+            pass
+    return records.Record(carried, version, value)
 
 
 class InstanceRegistry:
--- a/features/platform/odd_rows.feature
+++ b/features/platform/odd_rows.feature
@@ -125,3 +125,20 @@
       | model   | a lone surrogate   |
       | model   | "m"                |
       | model   | 7                  |
+
+  Scenario Outline: A row of the store whose <field> is <value> costs only itself
+    Given an entry and an agent that follow a store with good rows
+    When a row comes whose <field> is <value>, and then a good one
+    Then only the good one is used beside that from before
+
+    Examples:
+      | field | value                |
+      | key   | a lone surrogate     |
+      | key   | a text with NUL      |
+      | key   | 7                    |
+      | ver   | 400 digits           |
+      | ver   | 18446744073709551616 |
+      | ver   | true                 |
+      | value | 7                    |
+      | value | "!!!!"               |
+      | value | a lone surrogate     |
