Skip registered instances whose entry is malformed or out of range

Processes would dial hosts and ports that do not exist, and log an unhandled error for each: any list of six values counted as an instance.

An entry has to stand under its own name, with an IPv4 address and a port that can be dialled. The others are counted in InstanceRegistry.counts.

--- a/cicadaplank/platform/store.py
+++ b/cicadaplank/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import collections
 import json
 
 from cicadaplank.external import errors
@@ -149,9 +150,11 @@
     """Registry of the entry instances in the store.
 
     :param store: :class:`Store`.
+    :ivar counts: number of ``unreadable`` records that were read.
     """
 
     def __init__(self, store):
+        self.counts = collections.Counter()
         self._store = store
 
     async def register(self, instance):
@@ -173,8 +176,29 @@
         found = []
         for record in snapshot.records:
             try:
-                found.append(machines.Instance(*json.loads(record.value)))
-            except (ValueError, TypeError, RecursionError):
+                found.append(_parse_instance(record))
+            except ValueError:
                 # A newer version of this program may write records of another format.
-                continue
+                self.counts["unreadable"] += 1
         return found
+
+
+_INSTANCE = documents.Decoder(documents.Instance)
+
+
+def _parse_instance(record):
+    """Return the instance that a record describes, whose key is its name.
+
+    :raises ValueError: when the record cannot be decoded.
+    """
+    parsed = _INSTANCE.decode(record.value or b"")
+    if parsed.name != record.key:
+        raise documents.DocumentError(f"the row names another one, {parsed.name!a}")
+    return machines.Instance(
+        parsed.name,
+        parsed.role,
+        documents.check_host(parsed.host),
+        parsed.port,
+        parsed.region,
+        parsed.data_centre,
+    )
--- a/features/platform/odd_rows.feature
+++ b/features/platform/odd_rows.feature
@@ -142,3 +142,24 @@
       | value | 7                    |
       | value | "!!!!"               |
       | value | a lone surrogate     |
+
+  Scenario Outline: An odd entry of the registry costs only itself: <field> is <value>
+    Given a registry with a good entry
+    When an entry with <field> as <value> is added
+    Then only the good entry is found
+
+    Examples:
+      | field | value              |
+      | 0     | a lone surrogate   |
+      | 0     | "another"          |
+      | 1     | 7                  |
+      | 2     | "host.example"     |
+      | 2     | a text with NUL    |
+      | 2     | ""                 |
+      | 3     | 99999              |
+      | 3     | -1                 |
+      | 3     | 1e999              |
+      | 3     | "7700"             |
+      | 3     | 400 digits         |
+      | 4     | a lone surrogate   |
+      | 5     | nested 100000 deep |
