Run real processes with odd rows among those of the servers

The real entry and agent processes start on a store with rows that are nested 100,000 deep, too large or out of range, get another one later, and follow on and take a named version.

--- a/features/platform/process.feature
+++ b/features/platform/process.feature
@@ -31,6 +31,20 @@
     And the process exits with 0 within 8 s
     And every line that it wrote can be read as key=value pairs
 
+  Scenario Outline: The <role> process outlives odd rows among those of the servers
+    Given a store with a configuration and a back end that needs 0.5 s
+    And rows of the store that are nested deeply, too large and out of range
+    When the <role> process is started
+    Then it logs "unreadable_record"
+    When another odd row is written, and a named version
+    Then it logs the version and follows the store without an error
+    And it runs on until it gets SIGTERM
+
+    Examples:
+      | role  |
+      | entry |
+      | agent |
+
   Scenario Outline: The <role> process takes changed settings and outlives faulty ones
     Given a store with a configuration and a back end that needs 0.5 s
     When the <role> process is started
--- a/features/steps/platform_process.py
+++ b/features/steps/platform_process.py
@@ -15,6 +15,7 @@
 import behave
 
 from cicadaplank.reports import events
+from features import odd_rows
 from standins import rowstore
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -83,6 +84,42 @@
     context.store.put("servers", "i-1", server)
 
 
+@behave.given("rows of the store that are nested deeply, too large and out of range")
+def step_odd_rows(context):
+    for number, (field, value) in enumerate(
+        [
+            ("models", "nested 100000 deep"),
+            ("slots", "1e999"),
+            ("models.0.version", "400 digits"),
+            ("address", '"10.128.0.9:99999"'),
+            ("zone", "a lone surrogate"),
+        ]
+    ):
+        write_odd_row(context, f"odd-{number}", field, value)
+
+
+def write_odd_row(context, key, field, value):
+    literal = odd_rows.literal_of(value)
+    server = {**odd_rows.SERVER, "service": SERVICE}
+    context.store.put("servers", key, odd_rows.replaced(server, field, literal))
+
+
+@behave.when("another odd row is written, and a named version")
+def step_odd_later(context):
+    write_odd_row(context, "odd-later", "warmup_left_ms", "1e999")
+    context.store.put("op", "version/odd", b'{"version": 1e999}')
+    context.store.put("op", "version/m", {"model": "m", "version": 3})
+
+
+@behave.then("it logs the version and follows the store without an error")
+def step_follows(context):
+    for text in ("key=odd-later", "key=version/odd", "model=m version=3"):
+        wait_for(lambda text=text: text in context.log.read_text(), text)
+    text = context.log.read_text()
+    for event in ("change_failed", "unexpected_error", "store_lost"):
+        assert f"event={event}" not in text, text
+
+
 def settings_document(context):
     """Return settings that both roles can read."""
     first = free_port()
--- a/soak/incidents.py
+++ b/soak/incidents.py
@@ -39,7 +39,7 @@
         chosen = random.Random(event.at_s).sample(rows, ODD_ROWS)
         keys = [f"{prefix}odd-{event.at_s}-{number}" for number in range(ODD_ROWS)]
         for key, data in zip(keys, chosen, strict=True):
-            self._fleet.store.put_bytes(table, key, data)
+            self._fleet.store.put(table, key, data)
             self._fleet.ledger.count("odd rows")
         if event.target % 2:
             time.sleep(event.for_s)
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -71,11 +71,8 @@
         super().__init__(_StoreHandler)
 
     def put(self, table, key, value):
-        """Write one row; the value is sent as JSON."""
-        self.put_bytes(table, key, json.dumps(value).encode())
-
-    def put_bytes(self, table, key, data):
-        """Write one row, of which another writer may have written the bytes."""
+        """Write one row; the value is sent as JSON, bytes as they are."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self._write(table, key, {"value": base64.b64encode(data).decode()})
 
     def remove(self, table, key):
