Let an odd message of a peer cost only itself

Connections between instances would end again and again: an error while a message is processed left the protocol, and Twisted closed the connection. A report with {"op": "x"} as newest versions was kept, so that each later tick of the process failed on it.

PeerHub.deliver logs the error with the end of its traceback (message_failed) and counts it. A frame with a number that is not finite, or with other types in the versions and loads, is skipped (frame_skipped, invalid_value) and not delivered; frames that are malformed still end the connection.

--- a/cicadaplank/links/streams.py
+++ b/cicadaplank/links/streams.py
@@ -8,6 +8,7 @@
 import dataclasses
 import itertools
 import struct
+import traceback
 import typing
 
 from twisted.internet import defer, endpoints, error, protocol
@@ -29,6 +30,8 @@
 FRAME_TIMEOUT_S = 30.0
 # Limit on the incomplete frames of all connections together.
 MAX_INCOMPLETE_BYTES = 32 * 1024 * 1024
+# Length of the end of a traceback that is logged.
+MAX_DETAIL_CHARS = 480
 _CONNECTION_NUMBERS = itertools.count(1)
 
 
@@ -258,7 +261,10 @@
         try:
             envelope = codec.decode(string)
         except codec.FrameError as fault:
-            self._reject(fault)
+            if fault.fault is codec.FrameFault.INVALID_VALUE and self.hello:
+                self._skip(fault)
+            else:
+                self._reject(fault)
             return
         if self.hello is not None:
             self.hub.count_received(self.hello, envelope.message, len(string))
@@ -276,6 +282,10 @@
         fault = codec.FrameFault.TOO_LONG
         self._reject(codec.FrameError(fault, f"{length} bytes announced"))
 
+    def _skip(self, fault):
+        self.hub.counters[f"frame_{fault.fault.value}"] += 1
+        self.hub.log("frame_skipped", peer=self.peer, reason=str(fault))
+
     def _reject(self, fault):
         self.hub.counters[f"frame_{fault.fault.value}"] += 1
         self.hub.log("frame_rejected", peer=self.peer or "?", reason=str(fault))
@@ -528,8 +538,18 @@
             metrics.set_gauge("peer_connections", count, event=event)
 
     def deliver(self, connection, envelope):
-        """Pass a message to the listener."""
-        self._listener.message_received(connection, envelope)
+        """Pass a message to the listener; an error costs the message only."""
+        try:
+            self._listener.message_received(connection, envelope)
+        except Exception:
+            self.counters["messages_failed"] += 1
+            detail = traceback.format_exc().strip().replace("\n", " | ")
+            self.log(
+                "message_failed",
+                peer=connection.peer,
+                message=type(envelope.message).__name__,
+                detail=detail[-MAX_DETAIL_CHARS:],
+            )
 
     def close(self):
         """Stop listening and close every connection.
--- a/cicadaplank/messages/codec.py
+++ b/cicadaplank/messages/codec.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 import msgpack
 
@@ -20,6 +21,7 @@
     UNKNOWN_TYPE = "unknown_type"
     WRONG_VERSION = "wrong_version"
     MALFORMED = "malformed"
+    INVALID_VALUE = "invalid_value"
 
 
 class FrameError(ValueError):
@@ -125,9 +127,24 @@
             raise FrameError(
                 FrameFault.MALFORMED, f"{name}.{field.name}: wrong type: {value!r:.40}"
             )
+        if not _is_valid(field, value):
+            raise FrameError(
+                FrameFault.INVALID_VALUE, f"{name}.{field.name}: {value!r:.40}"
+            )
     return _TYPES[name](*body)
 
 
+def _is_valid(field, value):
+    """Tell whether a number is finite, and keys and values are of their types."""
+    if field.type is float:
+        return math.isfinite(value)
+    types_of = field.metadata.get("items")
+    return types_of is None or all(
+        _has_type(types_of[0], key) and _has_type(types_of[1], item)
+        for key, item in value.items()
+    )
+
+
 def _has_type(expected, value):
     if expected is float:
         return isinstance(value, (int, float)) and not isinstance(value, bool)
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -572,8 +572,8 @@
         to have answered some instance again and again.
     """
 
-    loads: dict
-    newest: dict
+    loads: dict = dataclasses.field(metadata={"items": (str, int)})
+    newest: dict = dataclasses.field(metadata={"items": (str, int)})
     store_age_s: float
     weights_ages_s: dict
     sent_s: float
@@ -640,7 +640,7 @@
 
     configuration: int
     listed: int
-    named: dict
+    named: dict = dataclasses.field(metadata={"items": (str, int)})
     models: list
     origin: str
     resumable: dict
