Take records of the table service only with types and ranges

A process of the other way would end or skip a change later: the client of the table service took any value as key, text and revision, such as 1e999, true, -1, a list as key, or a lone surrogate that no message can carry.

Before the change, the six new cases of faults.feature failed, such as A malformed answer is neither a result nor a crash: read, {"records": [{"key": "k", "value": "v", "revision": 1e999}]} with a tuple as outcome (one case, a list as key, with an error).

A record that does not fit makes the read fail, as one without a value did: conditions of transactions rest on revisions, so that leaving one out is no choice.

--- a/cicadaplank/external/tables.py
+++ b/cicadaplank/external/tables.py
@@ -4,11 +4,14 @@
 import json
 import typing
 
+import msgspec
 from twisted.internet import defer
 
 from cicadaplank.external import errors, http
 
 MAX_PREFIX_RECORDS = 1_000
+# Largest integer that every JSON parser and message keeps exactly.
+MAX_REVISION = 2**53 - 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -152,11 +155,27 @@
         return Committed(revision)
 
 
+# Text without lone surrogates, which messages and logs cannot carry.
+_Text = typing.Annotated[str, msgspec.Meta(pattern=r"\A[^\ud800-\udfff]*\Z")]
+
+
+class _Row(msgspec.Struct, frozen=True):
+    """Record in an answer of the service."""
+
+    key: _Text
+    value: _Text | None
+    revision: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+
+
+class _Answer(msgspec.Struct, frozen=True):
+    """Answer of the service with records."""
+
+    records: list[_Row]
+
+
 def _parse_records(answer):
     try:
-        return tuple(
-            Record(entry["key"], entry["value"], entry["revision"])
-            for entry in answer.json()["records"]
-        )
-    except (KeyError, TypeError) as error:
-        raise errors.AnswerLost(f"malformed records: {error!r}") from error
+        parsed = msgspec.convert(answer.json(), _Answer)
+    except (ValueError, RecursionError) as error:
+        raise errors.AnswerLost(f"malformed records: {error!s:.160}") from error
+    return tuple(Record(row.key, row.value, row.revision) for row in parsed.records)
--- a/features/external/faults.feature
+++ b/features/external/faults.feature
@@ -93,6 +93,12 @@
       | read           | not json                    | Unavailable |
       | read           | {"records": [{"key": "k"}]} | Unavailable |
       | read           | {"records": 3}              | Unavailable |
+      | read           | {"records": [{"key": "k", "value": "v", "revision": 1e999}]} | Unavailable |
+      | read           | {"records": [{"key": "k", "value": "v", "revision": true}]}  | Unavailable |
+      | read           | {"records": [{"key": "k", "value": "v", "revision": -1}]}    | Unavailable |
+      | read           | {"records": [{"key": "k", "value": 7, "revision": 1}]}       | Unavailable |
+      | read           | {"records": [{"key": [], "value": "v", "revision": 1}]}      | Unavailable |
+      | read           | {"records": [{"key": "k", "value": "\ud800", "revision": 1}]} | Unavailable |
       | list instances | {"instances": [{}]}         | Unavailable |
       | list instances | {"instances": null}         | Unavailable |
       | engine state   | {"role": "both"}            | Unavailable |
