Leave out odd entries of the platform's list of instances

Processes of the other way would dial what cannot be dialled, or know no list at all: the client took any value as host and port, and one entry of another state failed the whole list.

A list of which no entry is usable still fails, as the present case [{}] asks.

--- a/features/external/faults.feature
+++ b/features/external/faults.feature
@@ -131,3 +131,25 @@
       | {}                                           |
       | {"faults": [{"kind": "unheard"}]}            |
       | {"faults": [{"kind": "refuse", "colour": 1}]} |
+
+  Scenario Outline: An odd entry of the list of instances costs only itself: <field> is <value>
+    Given a list of instances with a good entry and one with <field> as <value>
+    When the list of instances is read
+    Then only the good instance is in it
+
+    Examples:
+      | field | value              |
+      | port  | 99999              |
+      | port  | 0                  |
+      | port  | "7700"             |
+      | port  | true               |
+      | port  | 1e999              |
+      | port  | 400 digits         |
+      | host  | ""                 |
+      | host  | a lone surrogate   |
+      | host  | a text with NUL    |
+      | name  | ["x"]              |
+      | name  | a text of 400 letters |
+      | state | "dreaming"         |
+      | state | ["live"]           |
+      | half  | 7                  |
