Judge servers that leave behind a held poll by the time the store was reached

The soak marks a server as leaving while the store holds the polls. It put that server also under the older check, which asks for 3 s from the mark on and does not know when the store was out of reach.

The platform's rule counts from what a machine in touch could know. Such a server is still judged by timeliness.leaving, which asks for 3 s after the mark at an entry for which neither it nor the store was disturbed for 3 s. Servers that leave by the other event stay under both checks.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -552,25 +552,27 @@
                 self._list(number, self._states[number])
 
     def _drain(self, event):
-        self.drain(event.target, event.for_s)
+        name = self.drain(event.target)
+        if name is not None and not self.store.is_down:
+            self.drained[name] = time.monotonic() + event.for_s
 
-    def drain(self, target, allowance_s=0.0):
+    def drain(self, target):
         """Let a server leave; another one is added before.
 
         :param target: number that chooses the server.
-        :param allowance_s: additional time in which it may get work.
+        :returns: its name, or None when it leaves already.
         """
         number = len(self.servers)
         leaving = target % number
-        if self.servers[leaving].name in self.drained:
-            return
+        name = self.servers[leaving].name
+        if name in self.drained:
+            return None
         self._add_server(number)
         self.servers[leaving].is_leaving = True
         self._await_store()
         self._list(leaving, "draining")
-        self._changes.leaving.append((self.servers[leaving].name, time.monotonic()))
-        if not self.store.is_down:
-            self.drained[self.servers[leaving].name] = time.monotonic() + allowance_s
+        self._changes.leaving.append((name, time.monotonic()))
+        return name
 
     def _leave_unlisted(self, event):
         """Let a server say in its answers that it leaves, while its record is ready."""
