Keep a bound in force while the time of a newer version is corrected

Callers: for one report interval a call could begin on weights that were forbidden.

Cause: a version that a peer told of without a known delay counts as named long ago, so that older ones were dropped; the next report named the older one, which was dropped again before the time of the newer one was corrected in the same report.

Proof: without the change the scenario 'A bound in force is kept while the time of a newer version is corrected' fails: 'calls need version 0'.

--- a/cicadaplank/gateway/named_versions.py
+++ b/cicadaplank/gateway/named_versions.py
@@ -206,7 +206,8 @@
                 learned += versions.learn(
                     NamedVersion(version, earliest_s, latest_s, Source.PEER)
                 )
-                versions.drop_superseded(now_s - self._allowed_s)
+            # Only now, as a later entry may move the time of a newer version.
+            versions.drop_superseded(now_s - self._allowed_s)
             found[model] = learned
         return found
 
--- a/features/gateway/weights.feature
+++ b/features/gateway/weights.feature
@@ -246,3 +246,10 @@
     And its engine answers that it has other weights
     Then the call is sent to the engine with version 2
     And the call has been sent to two engines
+
+  @always_1
+  Scenario: A bound in force is kept while the time of a newer version is corrected
+    Given weights of which version 2 was named at 120 s
+    When a report without a known delay tells of versions 2 and 3 at 127.9 s
+    And a report that was made at once tells that 3 was named at 127.7 s at 128.0 s
+    Then calls need version 2 at 128.0 s
--- a/features/steps/gateway_weights.py
+++ b/features/steps/gateway_weights.py
@@ -7,7 +7,7 @@
 import behave
 from twisted.internet import testing
 
-from cicadaplank.gateway import reporting
+from cicadaplank.gateway import named_versions, reporting
 from cicadaplank.messages import codec, types
 from cicadaplank.reports import metrics
 from features import entries
@@ -397,3 +397,30 @@
 def step_two_engines(context):
     hosts = {host for host, _, _ in context.world.sent}
     assert len(hosts) == 2, hosts
+
+
+@behave.given("weights of which version 2 was named at 120 s")
+def step_known_naming(context):
+    found = context.requirement = named_versions.WeightsRequirement(8.0)
+    found.record_named_version(entries.MODEL, 1, 101.0, 100.0)
+    found.record_named_version(entries.MODEL, 2, 120.0, 120.0)
+
+
+@behave.when("a report without a known delay tells of versions 2 and 3 at 127.9 s")
+def step_undated(context):
+    ages = {entries.MODEL: [[2, 7.9, 7.9], [3, 0.2, 0.2]]}
+    context.requirement.record_reported_ages(ages, 127.9)
+
+
+@behave.when(
+    "a report that was made at once tells that 3 was named at 127.7 s at 128.0 s"
+)
+def step_dated(context):
+    ages = {entries.MODEL: [[2, 8.0, 8.0], [3, 0.3, 0.3]]}
+    context.requirement.record_reported_ages(ages, 128.0, 0.0)
+
+
+@behave.then("calls need version 2 at 128.0 s")
+def step_need(context):
+    found = context.requirement.min_version(entries.MODEL, 128.0)
+    assert found == 2, f"calls need version {found}"
