Go on reading a table after answers that cannot be used

Callers would see changes that are never in force again at one instance: an error while an answer was taken over left its read in progress for good, and after four of them no other was sent.

Proof: before, 'A table is not read any more after answers that cannot be used' fails with '4 reads, expected 6'.

--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import traceback
 import typing
 
 from twisted.internet import defer
@@ -289,12 +290,20 @@
                 changes = await self._store.snapshot(self.table)
             else:
                 changes = await self._store.changes(self.table, base, read.wait_s)
+            self._answer(read, changes)
         except HistoryLostError:
             self._lose_history(read)
+        except errors.PlatformError as fault:
+            self._fail(read, fault)
         except Exception as fault:
+            # An answer that cannot be used must not end the reads of the table.
+            detail = traceback.format_exc().strip().replace("\n", " | ")
+            self._log(
+                "read_failed",
+                table=self.table,
+                detail=detail[-guarded_calls.MAX_DETAIL_CHARS :],
+            )
             self._fail(read, fault)
-        else:
-            self._answer(read, changes)
         self._advance()
 
     def _lose_history(self, read):
--- a/features/gateway/failing_callbacks.feature
+++ b/features/gateway/failing_callbacks.feature
@@ -44,3 +44,11 @@
       | configuration |
       | named version |
       | endpoints     |
+
+  @always_7
+  Scenario: A table is not read any more after answers that cannot be used
+    Given a follower of a table whose callback fails 0 times
+    When the next 6 answers of the store cannot be used
+    And then the store writes version 6
+    Then version 6 is applied within 1.0 s
+    And each answer that could not be used was logged with the end of its traceback
--- a/features/steps/gateway_failing_callbacks.py
+++ b/features/steps/gateway_failing_callbacks.py
@@ -210,3 +210,36 @@
     run(context, within_s)
     assert in_force(context.entry)[part] == 2, in_force(context.entry)
     assert context.entry.process._guarded.counts, "no failure was counted"
+
+
+@behave.when("the next {count:d} answers of the store cannot be used")
+def step_unusable(context, count):
+    store, changes = context.store, context.store.changes
+    context.unusable = 0
+
+    async def unusable(table, after, wait_s):
+        context.unusable += 1
+        if context.unusable == count:
+            store.changes = changes
+        return sync.Changes((None,), 10)
+
+    store.changes = unusable
+    for _ in range(200):
+        if context.unusable == count:
+            return
+        run(context, STEP_S)
+    raise AssertionError(f"{context.unusable} reads, expected {count}")
+
+
+@behave.when("then the store writes version 6")
+def step_after(context):
+    context.store.write()
+
+
+@behave.then(
+    "each answer that could not be used was logged with the end of its traceback"
+)
+def step_unusable_logged(context):
+    lines = context.log.of("read_failed")
+    assert len(lines) == context.unusable, lines
+    assert all("AttributeError" in line["detail"] for line in lines), lines
