Tell only the own data centre of news at once

Callers: none yet.

Change: other data centres have readers of their own and get the next report; instances in the same one are told at once, as hops.feature needs.

Proof: before, the new scenario fails with '50 reports, at most 6.11'. currency, hops, decisions pass.

--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -292,12 +292,13 @@
         if now_s - self._local_counted_s >= CONNECT_INTERVAL_S:
             self._local_counted_s = now_s
             self._local_count = sum(map(self._is_local, self._connected()))
-        # News from the store does not wait for the next report.
+        # In the data centre, news from the store does not wait for the next report;
+        # others have readers of their own.
         changes_read = sum(each.changes_read for each in self._syncs.values())
         has_news, self._changes_told = changes_read > self._changes_told, changes_read
         answers_read = sum(each.answers_read for each in self._syncs.values())
         for is_local in (True, False):
-            period_s = 0.0 if has_news else self._period_s(is_local)
+            period_s = 0.0 if has_news and is_local else self._period_s(is_local)
             if is_local and answers_read > self._answers_told:
                 # Instances that take records from this one rely on its answers.
                 period_s = min(period_s, REPORT_S)
--- a/features/gateway/currency.feature
+++ b/features/gateway/currency.feature
@@ -75,3 +75,10 @@
       | nothing fails              | 2     |
       | the list lacks an instance | 4     |
       | every read fails           | 4     |
+
+  # Each change as a message to each of 98 instances filled the links between regions.
+  Scenario: Reports to other data centres do not grow with the changes that are read
+    Given an instance with 4 peers of its data centre and 40 of others
+    When it reads 10 changes a second for 5 s
+    Then it has sent at most 1.1 reports to each of the others in 0.9 s
+    And it has told each of its data centre of each change
--- a/features/steps/gateway_currency.py
+++ b/features/steps/gateway_currency.py
@@ -1,5 +1,6 @@
 """Steps for instances that take the store's records from peers."""
 
+import collections
 import random
 
 import behave
@@ -256,3 +257,70 @@
 @behave.then("each has read it at least {least:d} times")
 def step_registry_least(context, least):
     assert min(context.reads) >= least, context.reads
+
+
+class SpreadHub(gateway_decisions.Hub):
+    """Counts the reports that are sent to each peer; its name tells the data centre."""
+
+    def __init__(self, names):
+        super().__init__()
+        self.peers = names
+        self.reports = collections.Counter()
+        self.transport = testing.StringTransport()
+
+    def connection(self, name):
+        """Return a connection of an entry instance."""
+        self.hello = types.Hello("entry", "r", name.partition("-")[0], 0)
+        return self
+
+    def send(self, name, message):
+        """Count a report."""
+        self.reports[name] += isinstance(message, types.GatewayReport)
+
+
+@behave.given(
+    "an instance with {local:d} peers of its data centre and {remote:d} of others"
+)
+def step_spread(context, local, remote):
+    clock = context.clock = task.Clock()
+    context.local = [f"a-{number}" for number in range(local)]
+    context.remote = [f"b-{number}" for number in range(remote)]
+    context.followed = sync.TableSync(
+        clock, None, TABLE, lambda keys: None, lambda *a, **f: None, lambda: False
+    )
+    me = machines.Instance("me", "entry", "h", 1, "r", "a")
+    context.hub = SpreadHub(context.local + context.remote)
+    tables = {TABLE: context.followed}
+    context.peers = peers.Peers(
+        clock, me, context.hub, tables, dict, gateway_decisions.no_ages
+    )
+
+
+@behave.when("it reads {rate:d} changes a second for {duration_s:d} s")
+def step_reads_changes(context, rate, duration_s):
+    context.changes = rate * duration_s
+    for number in range(round(duration_s / STEP_S)):
+        now_s = context.clock.seconds()
+        for name in context.hub.peers:
+            report = types.GatewayReport({}, {}, 0.0, {}, now_s)
+            context.peers.message(name, report)
+        if number % round(1 / rate / STEP_S) == 0:
+            context.followed.changes_read += 1
+        context.peers.tick()
+        context.clock.advance(STEP_S)
+    context.duration_s = duration_s
+
+
+@behave.then(
+    "it has sent at most {most:f} reports to each of the others in {period_s:f} s"
+)
+def step_remote_reports(context, most, period_s):
+    limit = most * context.duration_s / period_s
+    found = max(context.hub.reports[name] for name in context.remote)
+    assert found <= limit, f"{found} reports, at most {limit}"
+
+
+@behave.then("it has told each of its data centre of each change")
+def step_local_reports(context):
+    found = min(context.hub.reports[name] for name in context.local)
+    assert found >= context.changes, f"{found} reports of {context.changes} changes"
