Log requests that end with their connection before they were started

Now request_unanswered names it, with who ended the connection, and requests_unanswered_total counts by that cause. call_ended has the version of the configuration that admitted the call last (admitted) beside the one in force, which shows whether a change came during the call. No decision changes.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -37,6 +37,7 @@
         self._call = None
         self._is_busy = False
         self._is_closing = False
+        self._is_broken_off = False
         self._is_disconnected = False
         self._attempt_id = b""
         self._is_http_1_0 = False
@@ -70,10 +71,19 @@
         self._listener.bodies.release(self)
         self._listener.disconnected(self)
         call, self._call = self._call, None
-        self._queue.clear()
+        if self._queue:
+            unanswered = [request.head.attempt for request, _, _ in self._queue]
+            self._queue.clear()
+            self._gateway.record_unanswered(unanswered, self._close_cause())
         if call is not None:
             call.client_left()
 
+    def _close_cause(self):
+        """Return who ended the connection, and how, for the log."""
+        if self._is_broken_off:
+            return "broken_off"
+        return "closed" if self._is_closing else "client_left"
+
     @property
     def has_left(self):
         """Whether the client has closed or reset the connection, reported or not."""
@@ -318,7 +328,7 @@
 
     def abort(self):
         """Reset the connection, so that a partial response cannot pass for complete."""
-        self._is_closing = True
+        self._is_closing = self._is_broken_off = True
         self._call = None
         self._is_busy = False
         self.transport.abortConnection()
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -404,6 +404,17 @@
         self._reporter.turned_away(request, status, reason, self.configuration_version)
         client.refuse(status, reason, after_s if status == 503 else None)
 
+    def record_unanswered(self, attempts, cause):
+        """Report requests that were read and end with their connection unanswered.
+
+        They were queued behind another one, and have not run.
+
+        :param attempts: list of the clients' identifiers of their attempts.
+        :param cause: ``client_left``, ``closed`` (by this process, in order) or
+            ``broken_off`` (by this process, in the middle of an answer).
+        """
+        self._reporter.unanswered(attempts, cause)
+
     def _choose_service(self, route):
         if len(route.shares) == 1:
             return route.shares[0].service
--- a/cicadaplank/gateway/reporting.py
+++ b/cicadaplank/gateway/reporting.py
@@ -109,6 +109,18 @@
             verdict=verdicts.Verdict.NOT_RUN.value,
         )
 
+    def unanswered(self, attempts, cause):
+        """Report requests that were read and not started when their connection ended.
+
+        :param attempts: list of the clients' identifiers of their attempts.
+        :param cause: who ended the connection, and how.
+        """
+        self.count("requests_unanswered", len(attempts), cause=cause)
+        for attempt in attempts:
+            self.event(
+                "request_unanswered", request=attempt.decode("latin-1"), cause=cause
+            )
+
     def record_first_event(self, call, latency_s):
         """Record the latency of a stream's first event in seconds."""
         account = call.account.name if call.account else ""
@@ -223,6 +235,7 @@
             longest_gap_s=call.longest_gap_s,
             elapsed_s=elapsed_s,
             **_response_fields(call),
+            admitted=call.admitted.version,
             configuration=version,
         )
 
