Keep a silent attempt until another endpoint has delivered

Beside a change of the configuration, a client got neither its answer nor a refusal, although its server was sound and only silent for a second.

Cause: an attempt was given up, by a reset of its connection, after 0.9 s of silence in a stream and 0.35 s or twice the objective before the answer begins, and only then it was asked whether the call could be sent again: whether the configuration in force allows it, whether the place in the stream is known, whether there is time, and whether the other endpoint takes it or is silent too. Each no ended the call. Class: an answer is given up for one that is not certain to come.

Change: a silent endpoint's attempt goes on. A call that may be repeated is sent to a second endpoint if it may be sent again now, and the first of the two that delivers a new event or a whole answer goes on; the other one is cancelled (hedged requests, Dean and Barroso 2013, started late). Whatever happens to the second attempt, the first one stays. Only an endpoint that was overtaken counts as failed. The other way weighed, to stay with a longer limit, leaves clients of mute servers to give up after a gap of 2 s. An attempt is an object of its own now (gateway/attempts.py).

Changed checks: 'with a pause' and 'of which only ... arrive' asked that the stalled endpoint is broken off before the other one goes on, which is the fault; they now ask that it is not, and that it is as soon as the other one goes on. 'silence and status 500' lets the call's time pass before it asks that the stream visibly breaks.

--- a/cicadaplank/gateway/budget.py
+++ b/cicadaplank/gateway/budget.py
@@ -72,3 +72,8 @@
             return False
         self._retries.append(now_s)
         return True
+
+    def give_back(self):
+        """Return the newest retry, which was not sent."""
+        if self._retries:
+            self._retries.pop()
--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -1,8 +1,14 @@
 """State machine of one call, from its arrival to its final answer.
 
-A :class:`Call` owns the current attempt at an endpoint and the answer to the client.
-The decisions are made elsewhere: :mod:`placement` chooses the endpoint, :mod:`waiting`
+A :class:`Call` owns its attempts at endpoints and the answer to the client. The
+decisions are made elsewhere: :mod:`placement` chooses the endpoint, :mod:`waiting`
 queues calls, and :mod:`outcomes` decides what follows a failed attempt.
+
+An endpoint that is silent may be dead, or go on in a moment. A call that may be
+repeated is sent to a second endpoint then, while the first attempt goes on: the first
+of the two that delivers answers the client, and the other one is cancelled. This is a
+hedged request (Dean and Barroso, The Tail at Scale, 2013), started late so that it
+costs few repeats.
 """
 
 import dataclasses
@@ -11,6 +17,7 @@
 from cicadaplank.external import event_streams
 from cicadaplank.gateway import (
     admittance,
+    attempts,
     framing,
     outcomes,
     placement,
@@ -19,25 +26,16 @@
 )
 from cicadaplank.requests import verdicts
 
-# An attempt whose answer has not started after this multiple of the route's objective
-# is abandoned for another endpoint. After twice the objective it is late anyway.
+# A call whose answer has not started after this multiple of the route's objective is
+# sent to a second endpoint. After twice the objective it is late anyway.
 RESPONSE_TIMEOUT_FACTOR = 2.0
 MIN_RESPONSE_TIMEOUT_S = 0.35
-# A stream that stays silent for this time is resumed at another endpoint. Clients
+# A stream that stays silent for this time is resumed at a second endpoint. Clients
 # abandon a stream after a gap of 2 s; the rest of it is left for the other endpoint to
 # process the prompt again.
 STREAM_STALL_TIMEOUT_S = 0.9
-# An endpoint that crashes under a part of a prompt does so as it begins to answer. A
-# stream that has gone on for this time shows that its prompt is sound.
-SOUND_STREAM_S = 0.5
 # A stream that has begun is aborted this long after the call's deadline.
 DEADLINE_SLACK_S = 0.1
-# Limit of an answer's body that is buffered until it is complete.
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
-# The connection of a call that may be retried is broken off when the endpoint's host
-# does not acknowledge the sent bytes within this time. The longest queueing delay seen
-# on the network path was 0.3 s.
-ACK_TIMEOUT_S = 0.4
 # An endpoint that refused a call because it is full gets no new calls for this time.
 FULL_BACK_OFF_S = 0.1
 
@@ -100,12 +98,11 @@
         self.phase = Phase.RECEIVED
         self.history = outcomes.History()
         self.excluded = frozenset()
-        self.state = None
         self.reason = ""
         self.last_event = b""
+        # Name of the last endpoint that the call was sent to or that answered, and the
+        # version of its weights that it published.
         self.endpoint_name = ""
-        # Version of the weights of the last endpoint that the call was sent to, as that
-        # endpoint published it.
         self.weights_version = None
         # Seconds since the arrival, for the log.
         self.sent_after_s = None
@@ -123,28 +120,17 @@
         self.objective_s = request.arrived_s + self.route.objective_s
         self._gateway = gateway
         self._client = client
-        self._connection = None
-        self._dial = None
-        self._attempt = 0
-        # Permit of the attempt as long as it is not sent, for an endpoint with a limit.
-        self._permit = None
+        # Attempts in progress: one, or two while the first one is silent.
+        self._attempts = []
         self._reply = None
-        self._body = bytearray()
-        self._splitter = None
+        self._body = b""
         self._stream_began = False
-        # Whether the current attempt brings the rest of a stream that has begun.
-        self._is_resumed = False
         # Whether the last event that was forwarded has an id.
         self._is_place_known = False
-        # Whether an event of the current attempt was forwarded.
-        self._has_progressed = False
         self._numbering = event_streams.Numbering()
         # Whether an attempt broke off inside an event that no later one has brought.
         self._is_event_due = False
         self._is_paused = False
-        self._sent_s = 0.0
-        # Time at which the answer to the last attempt began, in seconds.
-        self._answer_began_s = None
         self._last_event_s = 0.0
         self._last_activity_s = 0.0
 
@@ -153,18 +139,6 @@
         """Return the parts of the prompt that other requests may share."""
         return self.request.head.shared_parts
 
-    @property
-    def has_begun(self):
-        """Whether the answer to the last attempt has begun."""
-        return self._answer_began_s is not None
-
-    def is_sound(self, now_s):
-        """Tell whether the last attempt was answered for :data:`SOUND_STREAM_S`.
-
-        :param now_s: current time in seconds.
-        """
-        return self.has_begun and now_s - self._answer_began_s >= SOUND_STREAM_S
-
     def block(self, after_s, now_s):
         """End the call unless a part of its answer was forwarded.
 
@@ -276,13 +250,6 @@
         """Model whose weights the call needs, or empty."""
         return self.request.head.model if self.route.is_generation else ""
 
-    def _endpoint_version(self):
-        """Return the version of the weights that the endpoint serves, None if unknown.
-
-        The list of endpoints shows a change some hundred milliseconds late.
-        """
-        return self.state.endpoint.weights.get(self._model)
-
     def queue_entry(self):
         """Return the queue entry of this call.
 
@@ -316,28 +283,23 @@
         if self._client.has_left:
             self.client_left()
             return
-        self.state = state
-        self.endpoint_name = state.endpoint.name
         self.phase = Phase.DIALLING
-        self._attempt += 1
-        attempt = self._attempt
-        state.call_started()
-        self._permit = state.allowance.take(now_s)
+        self._begin_attempt(state, now_s)
+
+    def _begin_attempt(self, state, now_s, is_hedge=False):
+        attempt = attempts.Attempt(self._gateway, self, state, is_hedge, now_s)
+        self._attempts.append(attempt)
         may_retry = self.route.retry_policy is not routes.RetryPolicy.NEVER
         identifier = self.request.head.attempt
-        self._dial = self._gateway.pool(state).acquire(
-            lambda connection: self._opened(connection, attempt),
-            lambda reason: self._dial_failed(reason, attempt),
-            # Without an identifier, no answer but the first is known to be its own.
-            may_retry and bool(identifier),
-            identifier,
-        )
+        # Without an identifier, no answer but the first is known to be its own.
+        attempt.dial(may_retry and bool(identifier), identifier)
 
-    def _opened(self, connection, attempt):
-        if attempt != self._attempt or self.phase is not Phase.DIALLING:
-            self._gateway.release_connection(connection)
-            return
-        self._dial = None
+    def attempt_opened(self, attempt, connection):
+        """Send the call on the connection of an attempt, if it still may be sent.
+
+        :param attempt: :class:`attempts.Attempt`.
+        :param connection: :class:`cicadaplank.gateway.connections.EndpointConnection`.
+        """
         if self._client.has_left:
             self._gateway.release_connection(connection)
             self.client_left()
@@ -345,133 +307,65 @@
         now_s = self._gateway.now_s()
         left_s = self.deadline_s - now_s
         # The endpoint, or what the call requires, may have changed during the dial.
-        is_usable = (
-            not self.state.is_removed
-            and placement.may_be_sent(self.state, self.demand(), now_s)
-            and self.state.allowance.honours(self._permit)
-        )
-        if left_s < outcomes.MIN_ATTEMPT_S or not is_usable:
+        may_send = attempt.is_usable(self.demand(), now_s)
+        if attempt.is_hedge:
+            may_send = may_send and self._gateway.may_be_sent_again(self, now_s)
+        if left_s < outcomes.MIN_ATTEMPT_S or not may_send:
             self._gateway.release_connection(connection)
-            self._release_endpoint()
-            self.attempt_ended(outcomes.Ending.UNREACHABLE, "endpoint left", None)
+            attempt.end()
+            self.attempt_ended(
+                attempt,
+                outcomes.Ending.UNREACHABLE,
+                "endpoint left",
+                counts_as_failure=False,
+            )
             return
-        self._connection = connection
-        self._permit = None
-        self._reply = None
-        self._body = bytearray()
-        self._is_resumed = self._stream_began
-        self._has_progressed = False
-        self.response_end = framing.ResponseEnd()
-        self.partial_event_bytes = 0
-        self.phase = Phase.SENT
-        self._answer_began_s = None
-        self._sent_s = self._last_activity_s = now_s
+        if not self._is_second(attempt):
+            self.phase = Phase.SENT
         if self.sent_after_s is None:
             self.sent_after_s = now_s - self.request.arrived_s
         self.history.sends += 1
-        self.weights_version = self._endpoint_version()
-        if self.route.retry_policy is not routes.RetryPolicy.NEVER:
-            connection.set_unacknowledged_timeout(ACK_TIMEOUT_S)
-        connection.send(
-            self._gateway.encode_call(self, self.state, left_s),
-            self,
-            has_body=self.request.head.method != b"HEAD",
-        )
-        if self._is_paused:
-            connection.pause()
-
-    def _dial_failed(self, reason, attempt):
-        if attempt != self._attempt or self.phase is not Phase.DIALLING:
-            return
-        self._dial = None
-        self.attempt_ended(
-            outcomes.Ending.UNREACHABLE, reason, self._release_endpoint()
-        )
-
-    def _release_endpoint(self):
-        """Release the endpoint's slot and detach from its connection.
-
-        :returns: the endpoint's :class:`cicadaplank.gateway.endpoints.EndpointState`,
-            or None when there was none.
-        """
-        state, self.state = self.state, None
-        permit, self._permit = self._permit, None
-        self._connection = None
-        self._gateway.buffers.release(self)
-        if state is not None:
-            state.call_ended()
-            if permit is not None:
-                state.allowance.give_back(permit)
-        return state
-
-    # Answer of the endpoint.
-
-    def response_started(self, head):
-        """Handle the status and headers of the answer.
-
-        :param head: :class:`cicadaplank.gateway.dialects.ResponseHead`.
-        :returns: False when it answers another call and has to be skipped.
-        """
-        if not self._is_own(head):
-            self._gateway.count("answers_of_other_calls")
-            if head.attempt and head.is_leaving:
-                # An endpoint that has said that it leaves does not stay.
-                leaving = dataclasses.replace(head, busy_for_s=None, limit_per_s=None)
-                self._gateway.record_word(self, self.state, leaving, self._sent_s)
-            return False
-        self._gateway.record_word(self, self.state, head, self._sent_s)
-        self._last_activity_s = self._gateway.now_s()
-        if 200 <= head.status < 300:
-            self._answer_began_s = self._last_activity_s
-        self._reply = head
-        is_stream = self.route.is_stream and self.request.head.method != b"HEAD"
-        has_events = head.status == 200 and head.is_event_stream
-        if is_stream and has_events and self._is_valid_success(head):
-            self._splitter = event_streams.EventSplitter()
-        return True
-
-    def _is_own(self, head):
-        """Tell whether an answer belongs to the current attempt.
-
-        One without an identifier may be an earlier answer that is written once more,
-        unless it is the first one on its connection.
-        """
-        if head.attempt:
-            return head.attempt == self.request.head.attempt
-        return self._connection.is_first_response
-
-    @staticmethod
-    def _is_valid_success(head):
-        is_verified = head.is_signed and head.attempt and not head.is_encoded
-        return 200 <= head.status < 300 and bool(is_verified)
-
-    def response_data(self, data):
-        """Handle a part of the body: buffer it, or forward its complete events.
-
-        :param data: bytes.
+        state = attempt.state
+        attempt.weights_version = state.endpoint.weights.get(self._model)
+        self._show_attempt(attempt)
+        data = self._gateway.encode_call(self, state, left_s)
+        attempt.send(connection, data, self._stream_began, self._is_paused, now_s)
+
+    def _is_second(self, attempt):
+        return attempt is not self._attempts[0]
+
+    def _show_attempt(self, attempt):
+        """Let the log show an attempt as the last one."""
+        self.endpoint_name = attempt.endpoint_name
+        self.weights_version = attempt.weights_version
+        self.response_end = attempt.response_end
+        self.partial_event_bytes = attempt.partial_event_bytes
+
+    def _give_back_retry(self, attempt):
+        """Return the retry of a second attempt that was not sent to the budget."""
+        if attempt.sent_s is None:
+            self._gateway.budget(self.service).give_back()
+
+    # Answers of endpoints.
+
+    def events_received(self, attempt, events):
+        """Forward the events of an attempt that the client does not have yet.
+
+        :param attempt: :class:`attempts.Attempt`.
+        :param events: list of :class:`cicadaplank.external.event_streams.Event`.
+        :returns: why an event cannot follow the ones forwarded, empty if it can.
         """
         now_s = self._gateway.now_s()
-        if self._splitter is None:
-            self._last_activity_s = now_s
-            self._body += data
-            if len(self._body) > MAX_ANSWER_BYTES:
-                reason = f"the answer is longer than {MAX_ANSWER_BYTES} bytes"
-                self._abandon_attempt(outcomes.Ending.BROKEN, reason)
-                return
-            self._gateway.buffers.set_held(self, len(self._body))
-            return
-        try:
-            complete = self._splitter.feed(data)
-        except ValueError as fault:
-            self._abandon_attempt(outcomes.Ending.BROKEN, str(fault))
-            return
         forwarded = []
+        has_progressed = False
         fault = ""
-        for event in complete:
+        for event in events:
             if not event_streams.is_newer(event.identifier, self._previous_event):
                 self._gateway.count("repeated_events")
                 continue
-            fault = self._join_fault(event)
+            if event.is_comment and self._is_second(attempt):
+                continue
+            fault = self._join_fault(attempt, event)
             if fault:
                 break
             forwarded.append(event.data)
@@ -479,21 +373,47 @@
                 self.last_event = event.identifier
                 self._numbering.add(event.identifier)
             if not event.is_comment:
-                self._has_progressed = True
+                has_progressed = attempt.has_progressed = True
                 self._is_place_known = bool(event.identifier)
+        if has_progressed:
+            self._elect(attempt, now_s)
         if forwarded:
             # Bytes of an unfinished event are no progress for the client.
             if self._stream_began:
                 gap_s = now_s - self._last_event_s
                 self.longest_gap_s = max(self.longest_gap_s, gap_s)
+            attempt.last_activity_s = now_s
             self._last_event_s = self._last_activity_s = now_s
-            self._forward(b"".join(forwarded))
-            if self.is_sound(now_s):
+            self._forward(attempt, b"".join(forwarded), now_s)
+            if attempt.is_sound(now_s):
                 self._gateway.record_sound(self)
-        if fault:
-            self._abandon_attempt(outcomes.Ending.BROKEN, fault)
+        return fault
+
+    def _elect(self, attempt, now_s):
+        """Let an attempt that has delivered answer the client, and cancel the other.
+
+        An endpoint whose attempt was still silent when a later one had delivered has
+        failed; one that was second has not.
+        """
+        if len(self._attempts) == 1:
             return
-        self._gateway.buffers.set_held(self, self._splitter.rest_bytes)
+        is_second = self._is_second(attempt)
+        (other,) = (each for each in self._attempts if each is not attempt)
+        self._attempts = [attempt]
+        other.cancel()
+        self.history.ended(outcomes.Ending.SILENT)
+        if is_second:
+            self.excluded |= {other.endpoint_name}
+            self._gateway.record_failure(
+                self, other.state, outcomes.Ending.SILENT, self._silence(), now_s
+            )
+        else:
+            self._give_back_retry(other)
+        self._gateway.second_attempt_ended(self, is_second)
+        self._show_attempt(attempt)
+
+    def _silence(self):
+        return "stream stalled" if self._stream_began else "no answer"
 
     @property
     def _previous_event(self):
@@ -505,12 +425,13 @@
             return self.last_event
         return self.request.head.resume_after
 
-    def _join_fault(self, event):
+    def _join_fault(self, attempt, event):
         """Return why an event cannot follow the ones forwarded, empty if it can.
 
+        :param attempt: :class:`attempts.Attempt` that brings it.
         :param event: :class:`cicadaplank.external.event_streams.Event`.
         """
-        if not self._is_resumed or event.is_comment:
+        if not attempt.is_resumed or event.is_comment:
             return ""
         if not event.identifier:
             return "an event without an id in the rest of a stream"
@@ -518,176 +439,145 @@
             return "an event is missing in the rest of a stream"
         return ""
 
-    def drop_buffer(self, reason):
-        """Abandon the attempt, as the incomplete answers take too much memory.
-
-        :param reason: text for the log and the client.
-        """
-        self._cancel_attempt()
-        self._body = bytearray()
-        self.attempt_ended(outcomes.Ending.BROKEN, reason, None)
-
-    def _forward(self, data):
+    def _forward(self, attempt, data, now_s):
         self.phase = Phase.STREAMING
         self._is_event_due = False
         if not self._stream_began:
             self._stream_began = True
-            self.first_event_s = self._last_activity_s - self.request.arrived_s
+            self.first_event_s = now_s - self.request.arrived_s
             self._gateway.record_first_event(self, self.first_event_s)
-            self._observe_answer(self._last_activity_s)
-            self._client.begin_stream(self._reply)
+            self._observe_answer(attempt, now_s)
+            self._client.begin_stream(attempt.reply)
         self._client.stream(data)
 
-    def _observe_answer(self, now_s):
+    def _observe_answer(self, attempt, now_s):
         answer_time = self._gateway.answer_times[self.service]
-        answer_time.record_answer(now_s - self._sent_s)
-
-    def _record_response_end(self, end):
-        self.response_end = end
-        if self._splitter is not None:
-            self.partial_event_bytes = self._splitter.rest_bytes
-            self._is_event_due |= self._splitter.is_inside_event
-        self._gateway.count(
-            "responses", framing=end.framing.value, ended_by=end.termination.value
-        )
+        answer_time.record_answer(now_s - attempt.sent_s)
 
-    def response_ended(self, end):
+    def record_response_end(self, attempt):
+        """Record how the answer to an attempt ended, for the log and the next one.
+
+        :param attempt: :class:`attempts.Attempt`.
+        """
+        self._show_attempt(attempt)
+        self._is_event_due |= attempt.is_inside_event
+
+    def attempt_answered(self, attempt):
         """Handle the end of a complete answer.
 
-        :param end: :class:`cicadaplank.gateway.framing.ResponseEnd`.
+        :param attempt: :class:`attempts.Attempt`, ended.
         """
-        self._record_response_end(end)
-        head = self._reply
-        state = self._release_endpoint()
+        head, state = attempt.reply, attempt.state
         now_s = self._gateway.now_s()
         if head.is_not_run or head.is_misdirected:
             ending = outcomes.Ending.REFUSED
             if head.is_misdirected:
                 ending = outcomes.Ending.MISDIRECTED
-            self.attempt_ended(ending, f"status {head.status}", state)
+            self.attempt_ended(attempt, ending, f"status {head.status}")
             return
-        if self._splitter is not None:
-            self._stream_ended(end, state, now_s)
+        if attempt.splitter is not None:
+            self._stream_ended(attempt, now_s)
             return
+        broken = outcomes.Ending.BROKEN
         if self._stream_began:
             reason = f"status {head.status} instead of the rest of a stream"
-            self.attempt_ended(outcomes.Ending.BROKEN, reason, state)
+            self.attempt_ended(attempt, broken, reason)
             return
         # Redirects and client errors of the application itself, such as 404, are
         # forwarded as they are.
         is_forwarded = head.is_signed and 300 <= head.status < 500
-        if self._is_valid_success(head) or is_forwarded:
-            if not self._claims_not_run(head):
+        if head.is_valid_success or is_forwarded:
+            if not head.claims_not_run:
+                self._elect(attempt, now_s)
                 state.record_answer(now_s)
-                self._observe_answer(now_s)
-                if self._is_valid_success(head):
-                    self._record_sound(end)
+                self._observe_answer(attempt, now_s)
+                if head.is_valid_success:
+                    self._record_sound(attempt)
                 self._finish("answered", verdicts.Verdict.RAN)
-                self._client.reply(head, bytes(self._body))
+                self._client.reply(head, bytes(attempt.body))
                 return
-        if head.status >= 500 and head.is_signed and not self._claims_not_run(head):
-            self.attempt_ended(outcomes.Ending.FAILED, f"status {head.status}", state)
-            return
-        self.attempt_ended(outcomes.Ending.BROKEN, f"status {head.status}", state)
-
-    @staticmethod
-    def _claims_not_run(head):
-        """Tell whether the status means to clients that the call did not run.
-
-        An answer with such a status is not forwarded.
-        """
-        return head.status in (408, 421, 429, 503)
-
-    def _stream_ended(self, end, state, now_s):
-        fault = self._stream_fault(end)
+        ending = broken
+        if head.status >= 500 and head.is_signed and not head.claims_not_run:
+            ending = outcomes.Ending.FAILED
+            self._reply, self._body = head, bytes(attempt.body)
+        self.attempt_ended(attempt, ending, f"status {head.status}")
+
+    def _stream_ended(self, attempt, now_s):
+        fault = self._stream_fault(attempt)
         if fault:
-            if end.termination is not framing.Termination.COMPLETE:
-                self._gateway.connection_broken(self, state)
-            self.attempt_ended(outcomes.Ending.BROKEN, fault, state)
+            if attempt.response_end.termination is not framing.Termination.COMPLETE:
+                self._gateway.connection_broken(self, attempt)
+            self.attempt_ended(attempt, outcomes.Ending.BROKEN, fault)
             return
-        rest = self._splitter.rest
-        self._splitter = None
-        state.record_answer(now_s)
-        self._record_sound(end)
+        rest = attempt.splitter.rest
+        self._elect(attempt, now_s)
+        attempt.state.record_answer(now_s)
+        self._record_sound(attempt)
         if rest or not self._stream_began:
-            self._forward(rest)
+            self._forward(attempt, rest, now_s)
         self._finish("answered", verdicts.Verdict.RAN)
         self._client.end_stream()
 
-    def _record_sound(self, end):
+    def _record_sound(self, attempt):
         """Record a whole answer, as evidence that its prompt crashes no endpoint.
 
         Without a length and chunks it ends in the same way when its endpoint crashes.
         """
-        if end.framing is not framing.Framing.CLOSE:
+        if attempt.response_end.framing is not framing.Framing.CLOSE:
             self._gateway.record_sound(self)
 
-    def _stream_fault(self, end):
+    def _stream_fault(self, attempt):
         """Return why a stream whose answer has ended is not whole, empty if it is.
 
         Without a length and chunks, a close is the only end of an answer, also of one
         whose endpoint has crashed.
         """
-        if self._splitter.is_inside_event:
+        if attempt.is_inside_event:
             return "the stream ended inside an event"
-        if self._is_event_due:
+        others = [each for each in self._attempts if each is not attempt]
+        if self._is_event_due or any(other.is_inside_event for other in others):
             return "the stream ended before the rest of an event"
-        if end.framing is framing.Framing.CLOSE and not self._has_progressed:
+        is_unframed = attempt.response_end.framing is framing.Framing.CLOSE
+        if is_unframed and not attempt.has_progressed:
             return "the stream ended before its first event"
         return ""
 
-    def response_failed(self, end, reason):
-        """Handle the loss of the connection before the end of the answer.
-
-        :param end: :class:`cicadaplank.gateway.framing.ResponseEnd`.
-        :param reason: text for the log and the client.
-        """
-        self._record_response_end(end)
-        state = self._release_endpoint()
-        self._gateway.connection_broken(self, state)
-        self.attempt_ended(outcomes.Ending.BROKEN, reason, state)
-
-    def _abandon_attempt(self, ending, reason):
-        """Cancel the attempt; the closed connection tells the endpoint to stop."""
-        self.attempt_ended(ending, reason, self._cancel_attempt())
-
-    def _cancel_attempt(self):
-        connection = self._connection
-        state = self._release_endpoint()
-        if connection is not None:
-            self._record_response_end(connection.cancel())
-        return state
-
     def pause(self):
-        """Stop reading from the endpoint because the client reads too slowly."""
+        """Stop reading from endpoints because the client reads too slowly."""
         self._is_paused = True
-        if self._connection is not None:
-            self._connection.pause()
+        for attempt in self._attempts:
+            attempt.pause()
 
     def resume(self):
-        """Resume reading from the endpoint."""
+        """Resume reading from endpoints."""
         self._is_paused = False
         self._last_activity_s = self._gateway.now_s()
-        if self._connection is not None:
-            self._connection.resume()
+        for attempt in self._attempts:
+            attempt.resume(self._last_activity_s)
 
     # End of an attempt and of the call.
 
-    def attempt_ended(self, ending, reason, state):
+    def attempt_ended(self, attempt, ending, reason, counts_as_failure=True):
         """Retry or end the call after an attempt that gave the client no answer.
 
+        While another attempt is in progress, the call goes on with that.
+
+        :param attempt: :class:`attempts.Attempt`, ended.
         :param ending: :class:`cicadaplank.gateway.outcomes.Ending`.
         :param reason: what happened, for the log and the client.
-        :param state: state of the endpoint that failed, or None when the failure is not
-            counted against an endpoint.
+        :param counts_as_failure: whether the endpoint is responsible for it.
         """
         now_s = self._gateway.now_s()
-        self._attempt += 1
-        self._splitter = None
+        is_second = self._is_second(attempt)
+        self._attempts.remove(attempt)
+        self._last_activity_s = max(self._last_activity_s, attempt.last_activity_s)
         self.history.ended(ending)
-        if state is not None:
-            self.excluded |= {state.endpoint.name}
-            self._gateway.record_failure(self, state, ending, reason, now_s)
+        if counts_as_failure:
+            self.excluded |= {attempt.endpoint_name}
+            self._gateway.record_failure(self, attempt.state, ending, reason, now_s)
+        if self._attempts:
+            self._go_on_without(attempt, is_second)
+            return
         decision = outcomes.decide(
             self.history,
             ending,
@@ -713,10 +603,26 @@
             self.refuse(self.reason, now_s)
         elif action is outcomes.Action.PASS:
             self._finish("passed_failure", verdicts.Verdict.RAN)
-            self._client.reply(self._reply, bytes(self._body))
+            self._client.reply(self._reply, self._body)
         else:
             self.fail(502, reason, now_s)
 
+    def _go_on_without(self, ended, is_second):
+        """Go on with the other attempt after one of two has ended.
+
+        :param ended: :class:`attempts.Attempt` that has ended.
+        :param is_second: whether it began after the other one.
+        """
+        (attempt,) = self._attempts
+        self._show_attempt(attempt)
+        if is_second:
+            self._give_back_retry(ended)
+            self._gateway.second_attempt_ended(self, False)
+        elif attempt.sent_s is None:
+            self.phase = Phase.DIALLING
+        else:
+            self.phase = Phase.SENT
+
     def refuse(self, reason, now_s, expected_s=0.0, has_told_time=False):
         """End the call as not run, and tell the client when to retry.
 
@@ -769,6 +675,7 @@
 
     def _finish(self, outcome, verdict):
         self.phase = Phase.ENDED
+        self._attempts = []
         self._gateway.call_ended(self, outcome, verdict)
 
     def client_left(self):
@@ -796,16 +703,11 @@
             self.refuse(reason, now_s)
 
     def _stop(self):
-        self._attempt += 1
-        connection, dial = self._connection, self._dial
-        self._dial = None
         if self.phase is Phase.WAITING:
             self._gateway.withdraw(self)
-        self._release_endpoint()
-        if connection is not None:
-            self._record_response_end(connection.cancel())
-        if dial is not None:
-            dial.disconnect()
+        stopped, self._attempts = self._attempts, []
+        for attempt in stopped:
+            attempt.cancel()
 
     # Time.
 
@@ -819,67 +721,95 @@
         limit_s = self.deadline_s + (DEADLINE_SLACK_S if self._stream_began else 0.0)
         if now_s >= limit_s:
             self._expire(now_s)
-        elif self.phase is Phase.SENT and self._withdraw_if_due(now_s):
             return
-        elif self._is_paused:
+        for attempt in list(self._attempts):
+            if not attempt.is_ended:
+                self._withdraw_if_due(attempt, now_s)
+        if not self._is_paused and self._is_silent(now_s):
+            self._send_to_second(now_s)
+
+    def _is_silent(self, now_s):
+        """Tell whether the only attempt in progress is silent for too long."""
+        if len(self._attempts) != 1 or self._attempts[0].sent_s is None:
+            return False
+        return self._silent_s(self._attempts[0], now_s) > self._silence_limit_s()
+
+    def _silent_s(self, attempt, now_s):
+        """Return for how long an attempt has been silent that was sent.
+
+        Before the first event or the whole answer, that is the time since the sending.
+        """
+        is_streaming = self.phase is Phase.STREAMING and not self._is_second(attempt)
+        return now_s - (attempt.last_activity_s if is_streaming else attempt.sent_s)
+
+    def _silence_limit_s(self):
+        if self.phase is Phase.STREAMING:
+            return STREAM_STALL_TIMEOUT_S
+        return self._response_timeout_s()
+
+    def _send_to_second(self, now_s):
+        """Send the call to a second endpoint, if it may be sent again now."""
+        is_place_known = self._is_place_known or not self._stream_began
+        budget = self._gateway.budget(self.service)
+        if (
+            self.route.retry_policy is routes.RetryPolicy.NEVER
+            or not is_place_known
+            or self.history.sends >= self.route.max_attempts
+            or self.deadline_s - now_s < outcomes.MIN_ATTEMPT_S
+            or budget.retries_left(now_s) < 1
+        ):
+            return
+        first = self._attempts[0]
+        state = self._gateway.choose_second(self, first.endpoint_name, now_s)
+        if state is None or not budget.try_retry(now_s):
             return
-        elif self.phase is Phase.STREAMING:
-            if (
-                now_s - self._last_activity_s > STREAM_STALL_TIMEOUT_S
-                and self._can_fail_over()
-            ):
-                self._abandon_attempt(outcomes.Ending.SILENT, "stream stalled")
-        elif self.phase is Phase.SENT:
-            elapsed_s = now_s - self._sent_s
-            if elapsed_s > self._response_timeout_s() and self._can_fail_over():
-                self._abandon_attempt(outcomes.Ending.SILENT, "no answer")
-
-    def _withdraw_if_due(self, now_s):
+        self._gateway.second_attempt_begins(self, state, self._silence(), now_s)
+        self._begin_attempt(state, now_s, is_hedge=True)
+
+    def _withdraw_if_due(self, attempt, now_s):
         """Withdraw a waiting attempt before its endpoint's weights are forbidden.
 
         The endpoint has not failed, so this is not counted against it.
-
-        :returns: whether the attempt was withdrawn.
         """
-        version = self._endpoint_version()
+        is_first = not self._is_second(attempt)
+        if attempt.sent_s is None or attempt.body or attempt.has_progressed:
+            return
+        if is_first and self.phase is not Phase.SENT:
+            return
+        # The list of endpoints shows a change some hundred milliseconds late.
+        version = attempt.state.endpoint.weights.get(self._model)
         if version is None:
-            version = self.weights_version
-        if version is None or self._body:
-            return False
+            version = attempt.weights_version
+        if version is None:
+            return
         bound = self._gateway.near_bound(self._model, version, now_s)
         if bound is None:
-            return False
+            return
+        attempt.cancel()
         self._gateway.record_withdrawal(self, version, bound)
-        self._cancel_attempt()
-        self.excluded |= {self.endpoint_name}
+        self.excluded |= {attempt.endpoint_name}
         reason = f"withdrawn: version {bound.version} of the weights is required"
-        self.attempt_ended(outcomes.Ending.WITHDRAWN, reason, None)
-        return True
+        self.attempt_ended(
+            attempt, outcomes.Ending.WITHDRAWN, reason, counts_as_failure=False
+        )
 
     def _response_timeout_s(self):
         return max(
             MIN_RESPONSE_TIMEOUT_S, RESPONSE_TIMEOUT_FACTOR * self.route.objective_s
         )
 
-    def _can_fail_over(self):
-        """Tell whether the call may be retried and another endpoint is available."""
-        return (
-            self.route.retry_policy is not routes.RetryPolicy.NEVER
-            and self.history.sends < self.route.max_attempts
-            and self._gateway.budget(self.service).retries_left(self._gateway.now_s())
-            >= 1
-            and self._gateway.has_alternative(self)
-        )
-
     def _expire(self, now_s):
-        was_sent = self.phase in (Phase.SENT, Phase.STREAMING)
-        state = self.state
+        sent = [each for each in self._attempts if each.sent_s is not None]
+        limit_s = self._silence_limit_s()
+        # A second attempt may have begun just now.
+        silent = sent[:1] + [a for a in sent[1:] if self._silent_s(a, now_s) > limit_s]
         self._stop()
-        if was_sent:
+        if sent:
             self.history.ended(outcomes.Ending.SILENT)
-            self._gateway.record_failure(
-                self, state, outcomes.Ending.SILENT, "deadline", now_s
-            )
+            for attempt in silent:
+                self._gateway.record_failure(
+                    self, attempt.state, outcomes.Ending.SILENT, "deadline", now_s
+                )
             self.fail(504, "deadline", now_s)
         else:
             self.refuse("deadline", now_s)
--- a/cicadaplank/gateway/dialects.py
+++ b/cicadaplank/gateway/dialects.py
@@ -120,6 +120,20 @@
     names_limit: bool = False
     malformed: tuple = ()
 
+    @property
+    def is_valid_success(self):
+        """Whether it is a success that certainly comes from the endpoint."""
+        is_verified = self.is_signed and self.attempt and not self.is_encoded
+        return 200 <= self.status < 300 and bool(is_verified)
+
+    @property
+    def claims_not_run(self):
+        """Whether the status means to clients that the call did not run.
+
+        An answer with such a status is not forwarded.
+        """
+        return self.status in (408, 421, 429, 503)
+
 
 class Dialect(typing.Protocol):
     """Parses and writes the headers of a deployment."""
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -577,14 +577,76 @@
         """Remove a call from the queue of its service."""
         self._queues[call.service].withdraw(call)
 
-    def has_alternative(self, call):
-        """Tell whether another endpoint has a free slot for a call in progress."""
+    def may_be_sent_again(self, call, now_s):
+        """Tell whether a call that is at an endpoint may be sent to another one.
+
+        The configuration in force has to allow it as it was admitted. Unlike in
+        :meth:`admit_again`, a call that may not be sent stays where it is.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        :param now_s: current time in seconds.
+        """
+        if self.stop_reason():
+            return False
+        if self.crash_causes.blocked_for_s(call.shared_parts, now_s) > 0:
+            return False
+        if call.admitted.version == self.configuration_version:
+            return True
+        admitted = admittance.check(self.route_index, call.request.head)
+        if isinstance(admitted, admittance.Denied):
+            return False
+        services = {share.service for share in admitted.route.shares}
+        return (
+            call.service in services
+            and admitted.account == call.account
+            and admitted.route.retry_policy is call.route.retry_policy
+            and admitted.route.is_stream == call.route.is_stream
+        )
+
+    def choose_second(self, call, first, now_s):
+        """Choose an endpoint for a call while it is at another one that is silent.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        :param first: name of the endpoint that it is at.
+        :param now_s: current time in seconds.
+        :returns: :class:`cicadaplank.gateway.endpoints.EndpointState` with a free slot,
+            or None when there is none or the call may not be sent again.
+        """
+        if not self.may_be_sent_again(call, now_s):
+            return None
         demand = call.demand()
-        name = call.state.endpoint.name if call.state else ""
-        demand = dataclasses.replace(demand, excluded=call.excluded | {name})
+        demand = dataclasses.replace(demand, excluded=call.excluded | {first})
         states = self.endpoints.of_service(call.service)
-        now_s = self.now_s()
-        return placement.choose(states, demand, now_s, self._random) is not None
+        return placement.choose(states, demand, now_s, self._random)
+
+    def second_attempt_begins(self, call, state, reason, now_s):
+        """Report that a call is sent to a second endpoint while the first is silent.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        :param state: :class:`cicadaplank.gateway.endpoints.EndpointState`.
+        :param reason: text for the log.
+        :param now_s: current time in seconds.
+        """
+        self._queues[call.service].record_start(now_s)
+        self._reporter.count("second_attempts", service=call.service)
+        self._reporter.event(
+            "second_attempt",
+            request=call.name,
+            endpoint=state.endpoint.name,
+            first=call.endpoint_name,
+            reason=reason,
+        )
+
+    def second_attempt_ended(self, call, has_won):
+        """Count the end of the race between two attempts.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        :param has_won: whether the second attempt answers the client.
+        """
+        result = "won" if has_won else "lost"
+        self._reporter.count(
+            "second_attempts_ended", service=call.service, result=result
+        )
 
     def call_ended(self, call, outcome, verdict):
         """Remove a call that has ended, report it, and use its slot for a waiting one.
@@ -695,21 +757,21 @@
         """
         return waiting.told_retry_after_s(expected_s, self._random)
 
-    def connection_broken(self, call, state):
+    def connection_broken(self, call, attempt):
         """Record that a request may have crashed its endpoint, and tell the peers.
 
         :param call: :class:`cicadaplank.gateway.calls.Call`.
-        :param state: :class:`cicadaplank.gateway.endpoints.EndpointState` of the
-            endpoint that closed the connection.
+        :param attempt: :class:`cicadaplank.gateway.attempts.Attempt` whose endpoint
+            closed the connection.
         """
         if not call.fingerprint:
             call.fingerprint = self._fingerprint(call.request, call.admitted)
         now_s = self.now_s()
-        if call.shared_parts and not call.is_sound(now_s):
-            attempts = self._broken_attempts.setdefault(state, [])
-            attempts.append((now_s, call.shared_parts, call.has_begun))
-            del attempts[:-MAX_BROKEN_ATTEMPTS]
-        name = state.endpoint.name
+        if call.shared_parts and not attempt.is_sound(now_s):
+            broken = self._broken_attempts.setdefault(attempt.state, [])
+            broken.append((now_s, call.shared_parts, attempt.has_begun))
+            del broken[:-MAX_BROKEN_ATTEMPTS]
+        name = attempt.endpoint_name
         sent = self.suspects.record_crash(call.fingerprint, name, self.unix_s())
         for action in sent:
             self.broadcast(action.message, action.exclude)
--- a/features/gateway/endings.feature
+++ b/features/gateway/endings.feature
@@ -143,9 +143,10 @@
   Scenario Outline: A stream of which only <bytes> arrive goes on at another endpoint
     Given a gateway with 2 endpoints and a route that streams and resumes
     When an endpoint has sent event 2 and <bytes> arrive for 1.2 s
-    Then the endpoint's connection is broken off
+    Then the endpoint's connection is still open
     When the other endpoint goes on from event 3
     Then the caller gets the events 1 to 4, each once, and a complete end
+    And the endpoint's connection is broken off
 
     Examples: bytes
       | bytes                   |
--- a/features/gateway/silences.feature
+++ b/features/gateway/silences.feature
@@ -9,9 +9,84 @@
     Then its caller gets the whole answer, once
     And no call is left
 
-    Examples: changes
-      | kind                | moment          | pause | change                           |
-      | streams and resumes | after event 2   | 1.0   | the route is dropped             |
-      | streams and resumes | after event 2   | 1.0   | the key is dropped               |
-      | streams and resumes | after event 2   | 2.0   | the other endpoint is silent too |
-      | may repeat          | before its head | 1.5   | the route is dropped             |
+    Examples: streams after an event
+      | kind                | moment        | pause | change                              |
+      | streams and resumes | after event 2 | 1.0   | nothing changes                     |
+      | streams and resumes | after event 2 | 1.5   | nothing changes                     |
+      | streams and resumes | after event 2 | 2.0   | nothing changes                     |
+      | streams and resumes | after event 2 | 1.0   | the route is dropped                |
+      | streams and resumes | after event 2 | 2.0   | the route is dropped                |
+      | streams and resumes | after event 2 | 1.0   | the key is dropped                  |
+      | streams and resumes | after event 2 | 1.5   | the route goes to another service   |
+      | streams and resumes | after event 2 | 1.5   | the route no longer repeats         |
+      | streams and resumes | after event 2 | 1.5   | the route's time-out is cut         |
+      | streams and resumes | after event 2 | 1.5   | the configuration is said to be old |
+      | streams and resumes | after event 2 | 1.5   | the other endpoint leaves           |
+      | streams and resumes | after event 2 | 1.5   | the other endpoint is full          |
+      | streams and resumes | after event 2 | 1.5   | the other endpoint takes no dial    |
+      | streams and resumes | after event 2 | 1.5   | the other endpoint refuses          |
+      | streams and resumes | after event 2 | 1.5   | the other endpoint fails            |
+      | streams and resumes | after event 2 | 1.5   | the other endpoint breaks           |
+      | streams and resumes | after event 2 | 1.0   | the other endpoint is silent too    |
+      | streams and resumes | after event 2 | 2.0   | the other endpoint is silent too    |
+      | streams and resumes | after event 2 | 1.5   | its own endpoint leaves             |
+      | streams and resumes | after event 2 | 1.5   | the budget is used up               |
+      | streams and resumes | after event 2 | 1.5   | the process is stopped              |
+      | streams and resumes | in event 3    | 1.5   | the route is dropped                |
+      | streams and resumes | in event 3    | 1.5   | the other endpoint is silent too    |
+      | streams and resumes | before an id  | 1.5   | nothing changes                     |
+      | streams once        | after event 2 | 2.0   | the route is dropped                |
+
+    Examples: before the answer begins
+      | kind                | moment          | pause | change                            |
+      | streams and resumes | before its head | 1.0   | nothing changes                   |
+      | streams and resumes | before its head | 1.5   | the route is dropped              |
+      | streams and resumes | before its head | 2.0   | the key is dropped                |
+      | streams and resumes | before its head | 1.5   | the other endpoint is silent too  |
+      | streams and resumes | before its head | 1.5   | the other endpoint refuses        |
+      | streams and resumes | after its head  | 1.5   | the route is dropped              |
+      | may repeat          | before its head | 1.0   | nothing changes                   |
+      | may repeat          | before its head | 1.5   | the route is dropped              |
+      | may repeat          | before its head | 1.5   | the key is dropped                |
+      | may repeat          | before its head | 1.5   | the route goes to another service |
+      | may repeat          | before its head | 1.5   | the other endpoint leaves         |
+      | may repeat          | before its head | 1.5   | the other endpoint takes no dial  |
+      | may repeat          | before its head | 1.5   | the other endpoint fails          |
+      | may repeat          | before its head | 1.5   | the other endpoint breaks         |
+      | may repeat          | before its head | 2.0   | the other endpoint is silent too  |
+      | may repeat          | in its body     | 1.5   | the route is dropped              |
+      | may repeat          | before its head | 1.5   | the budget is used up             |
+      | runs once only      | before its head | 2.0   | the route is dropped              |
+
+  @always_2
+  Scenario Outline: A mute endpoint's call that <kind> goes on at another one, <moment>
+    Given two endpoints and a route with 6 s that <kind>
+    When a call's endpoint is silent <moment> for ever and the other one answers
+    Then its caller gets the whole answer, once
+    And the silent endpoint's connection is broken off within <limit> s
+    And one failure of the silent endpoint and none of the other was reported
+
+    Examples: moments
+      | kind                | moment          | limit |
+      | streams and resumes | after event 2   | 1.0   |
+      | streams and resumes | in event 3      | 1.0   |
+      | streams and resumes | before its head | 0.45  |
+      | may repeat          | before its head | 0.45  |
+
+  Scenario Outline: An endpoint that goes on <first> is not blamed, and the other is told
+    Given two endpoints and a route with 6 s that <kind>
+    When a call's endpoint is silent <first> for 1.2 s while the other endpoint is silent too
+    Then its caller gets the whole answer, once
+    And the other endpoint's connection is broken off
+    And no failure of an endpoint was reported
+
+    Examples: moments
+      | kind                | first           |
+      | streams and resumes | after event 2   |
+      | may repeat          | before its head |
+
+  Scenario: A second endpoint that is not sent the call costs no retry
+    Given two endpoints and a route with 6 s that streams and resumes
+    When a call's endpoint is silent after event 2 for 1.5 s while the other endpoint takes no dial
+    Then its caller gets the whole answer, once
+    And no retry was taken from the budget
--- a/features/steps/gateway_endings.py
+++ b/features/steps/gateway_endings.py
@@ -333,6 +333,11 @@
             context.protocol.dataReceived(part)
 
 
+@behave.then("the endpoint's connection is still open")
+def step_endpoint_open(context):
+    assert not context.transport.disconnecting
+
+
 @behave.then("the endpoint's connection is broken off")
 def step_endpoint_broken(context):
     assert context.transport.aborted
--- a/features/steps/gateway_endless.py
+++ b/features/steps/gateway_endless.py
@@ -5,7 +5,7 @@
 import behave
 
 from cicadaplank.external import event_streams
-from cicadaplank.gateway import calls, connections
+from cicadaplank.gateway import attempts, calls, connections
 from features.steps import gateway as gateway_steps
 from features.steps import gateway_endings
 
@@ -53,9 +53,9 @@
     "chunk size": connections.MAX_HEAD_BYTES,
     "chunk extension": connections.MAX_HEAD_BYTES,
     "trailers": connections.MAX_HEAD_BYTES,
-    "body with a length": calls.MAX_ANSWER_BYTES,
-    "body in chunks": 1.1 * calls.MAX_ANSWER_BYTES,
-    "body with neither": calls.MAX_ANSWER_BYTES,
+    "body with a length": attempts.MAX_ANSWER_BYTES,
+    "body in chunks": 1.1 * attempts.MAX_ANSWER_BYTES,
+    "body with neither": attempts.MAX_ANSWER_BYTES,
     "event": event_streams.MAX_EVENT_BYTES,
     "comment": event_streams.MAX_EVENT_BYTES,
 }
--- a/features/steps/gateway_streams_elsewhere.py
+++ b/features/steps/gateway_streams_elsewhere.py
@@ -162,7 +162,7 @@
 
 @behave.when("a stream for HTTP/{version} breaks off after event 2 by {ending}")
 def step_breaks(context, version, ending):
-    context.version = version
+    context.version, context.ending = version, ending
     protocol, transport = send(context.world, version)
     transport.take()
     break_off(context.world, protocol, ending)
@@ -201,6 +201,9 @@
 
 @behave.then("the caller's stream {seen}")
 def step_seen(context, seen):
+    if context.ending == "silence" and seen != "is whole":
+        # The silent endpoint may go on until the call's time is over.
+        context.world.run(gateway.TIMEOUT_S)
     body, is_whole = read_stream(context)
     body = re.sub(rb": first\n\n", b"", body)
     assert STREAM.startswith(body), body
