Decide the planned stop of a gateway process where all others do

At the end of the grace period answers were cut that were already there: a client that read slowly lost the rest of an answer, or the 502 that was to tell it of the abort, since the process ended 0.1 s after the last call whatever was unsent; and a process that went on after a freeze near the end aborted its calls before it read the answers that had come meanwhile.

Cause: the gateway process had a planned stop of its own beside members/draining.py. The pause extension of the latter was missing there, and the end of the process did not depend on the bytes that were left. Class: one decision in two places.

Change: draining.Draining takes its limits as data (StopLimits) and decides for the gateway process too when new connections and idle ones are closed, which calls are taken, when they are aborted and when the process exits. A state 'flushing' follows the abort: the process stays for connections that are left, in the gateway until 0.1 s before it is killed. After a pause sockets are read at least once before the abort. Calls that come whole after the abort get 503. The process ends at a tick only, no longer while the last answer is written. The copies in gateway/process.py and Listener are gone; Listener.is_stopping reads the decision.

Proof: features/gateway/stop.feature, all but the row of the client that never reads fail on: 'the process ended before its client had read all' (both rows of slow clients), and 'HTTP/1.1 502 Bad Gateway ... may have run: this process stops' in the three rows of freezes, though the answer was there.

Changed steps: those that set Listener.is_stopping or put a call into the gateway's set now request the stop of, or offer the call to, the decision object; what they check is the same.

--- a/cicadaplank/agent/process.py
+++ b/cicadaplank/agent/process.py
@@ -186,7 +186,7 @@
         return self.weights.progress() if self.weights else {}
 
     def _endpoint_state(self):
-        if self.draining.state != "serving":
+        if self.draining.is_stopping:
             return "leaving"
         return "ready" if self.is_ready else "starting"
 
--- a/cicadaplank/agent/work.py
+++ b/cicadaplank/agent/work.py
@@ -113,8 +113,7 @@
         version = self._versions.pop(attempt, None)
         if version is not None:
             self._backend.work_ended(version)
-        now_s = self._daemon.now_s
-        self._daemon.carry_out(self._daemon.draining.finished(attempt, now_s))
+        self._daemon.draining.finished(attempt)
 
     def _call(self, action):
         work, digest = action.work, action.manifest_digest
--- a/cicadaplank/daemons/base.py
+++ b/cicadaplank/daemons/base.py
@@ -60,7 +60,7 @@
         )
         self.app = klein.Klein()
         self.distribution = distribution.Distribution(settings.name, self.rng)
-        self.draining = draining.Draining(settings.drain_limit_s)
+        self.draining = draining.Draining(draining.StopLimits(settings.drain_limit_s))
         self.membership = None
         self.instance = None
         self.peers = {}
@@ -107,7 +107,7 @@
     def is_ready(self):
         """Whether the process may take new work."""
         ready = self.distribution.ready(self.now_s)
-        return ready and self.draining.state == "serving"
+        return ready and not self.draining.is_stopping
 
     def client(self, url, timeout_s=http.TIMEOUT_S):
         """Return an HTTP client that identifies itself with this instance's name."""
@@ -115,6 +115,11 @@
 
     # Hook methods, overridden by the subclasses.
 
+    @property
+    def unfinished(self):
+        """Number of answers for which a planned stop waits, besides the work."""
+        return 0
+
     def peer_message_received(self, connection, message):
         """Handle any message from a peer, after the base class did."""
 
@@ -229,7 +234,7 @@
         self.membership.poll_age_s = self.distribution.poll_age_s(now_s)
         self.carry_out(self.membership.tick(now_s))
         self.carry_out(self.distribution.tick(now_s))
-        self.carry_out(self.draining.tick(now_s))
+        self.carry_out(self.draining.tick(now_s, self.unfinished))
         self.tick()
 
     # Actions and messages.
--- a/cicadaplank/entry/serving.py
+++ b/cicadaplank/entry/serving.py
@@ -149,7 +149,7 @@
         """Return the answer that rejects a request, or None when it is accepted."""
         daemon = self._daemon
         if not daemon.is_ready:
-            code = "stopping" if daemon.draining.state != "serving" else "not_ready"
+            code = "stopping" if daemon.draining.is_stopping else "not_ready"
             message = f"This entry instance is {code.replace('_', ' ')}."
             return frontend.error_answer(
                 identifier, code, 503, message, RETRY_LATER_ADVICE, 1.0
@@ -218,8 +218,7 @@
 
     def _request_ended(self, identifier):
         self._prefixes.pop(identifier, None)
-        finished = self._daemon.draining.finished(identifier, self._daemon.now_s)
-        self._daemon.carry_out(finished)
+        self._daemon.draining.finished(identifier)
 
     # Admission.
 
--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -372,7 +372,6 @@
     :param reactor: Twisted reactor.
     :param gateway: :class:`cicadaplank.gateway.gateway.Gateway`.
     :param rejected: called with the status and message of each rejected request.
-    :ivar is_stopping: when True, connections close after their current response.
     """
 
     noisy = False
@@ -381,7 +380,6 @@
         self.reactor = reactor
         self.gateway = gateway
         self.rejected = rejected
-        self.is_stopping = False
         self.bodies = buffers.BufferBudget(MAX_BODIES_BYTES)
         self._connections = set()
 
@@ -389,6 +387,11 @@
         """Return the protocol of a new connection."""
         return ClientConnection(self)
 
+    @property
+    def is_stopping(self):
+        """Whether connections close after their current response."""
+        return self.gateway.draining.is_stopping
+
     @property
     def open_count(self):
         """Number of open connections."""
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -23,6 +23,7 @@
     staleness,
     waiting,
 )
+from cicadaplank.members import draining
 from cicadaplank.messages import types
 from cicadaplank.requests import crash_causes, crash_tracking
 from cicadaplank.world import buffers
@@ -56,6 +57,10 @@
 MAX_WISH_S = 5.0
 WISHES_PER_PERMIT = 4
 
+# Reasons of calls that end because this process stops or has too many of them.
+STOPPING = "this process stops"
+REFUSALS = {"leaving": STOPPING, "busy": "too many calls are in progress"}
+
 
 @dataclasses.dataclass(frozen=True)
 class Bounds:
@@ -84,11 +89,16 @@
     :param bounds: :class:`Bounds`.
     :param random: ``random.Random``.
     :param reporter: :class:`cicadaplank.gateway.reporting.Reporter`.
+    :param stop: :class:`cicadaplank.members.draining.Draining` of this process; None
+        for one with default limits.
     """
 
-    def __init__(self, reactor, dialect, data_centre, bounds, random, reporter):
+    def __init__(
+        self, reactor, dialect, data_centre, bounds, random, reporter, stop=None
+    ):
         self.dialect = dialect
         self.data_centre = data_centre
+        self.draining = stop or draining.Draining()
         self.endpoints = endpoints.Endpoints(random)
         self.buffers = buffers.BufferBudget(MAX_BUFFERED_BYTES)
         self.suspects = crash_tracking.CrashTracker(CRASH_LIMIT, SUSPICION_S)
@@ -359,8 +369,11 @@
         call = calls.Call(self, client, request, admitted, service, fingerprint)
         self._calls.add(call)
         now_s = self.now_s()
+        (offered,) = self.draining.offered(call, now_s)
         if call.deadline_s - now_s < outcomes.MIN_ATTEMPT_S:
             call.refuse("deadline", now_s)
+        elif isinstance(offered, draining.Refuse):
+            call.refuse(REFUSALS[offered.reason], now_s, offered.retry_after_s)
         else:
             self.place(call, now_s)
         return None if call.phase is calls.Phase.ENDED else call
@@ -656,6 +669,7 @@
         :param verdict: :class:`cicadaplank.requests.verdicts.Verdict`.
         """
         self._calls.discard(call)
+        self.draining.finished(call)
         if outcome == "answered" and call.fingerprint:
             self.suspects.clear(call.fingerprint)
         self._reporter.ended(call, outcome, verdict, self.configuration_version)
@@ -1135,13 +1149,9 @@
         else:
             call.refuse("waited too long", now_s, wait_s, True)
 
-    def abort_all(self, reason):
-        """End every call and close the connection pools; the process is stopping.
+    def abort(self, call):
+        """End a call that exceeds the time limit of a planned stop.
 
-        :param reason: text for the clients and the log.
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
         """
-        now_s = self.now_s()
-        for call in list(self._calls):
-            call.terminate(reason, now_s)
-        for pool in self._pools.values():
-            pool.close()
+        call.terminate(STOPPING, self.now_s())
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -27,6 +27,7 @@
     unreadable,
 )
 from cicadaplank.links import streams
+from cicadaplank.members import draining
 from cicadaplank.messages import types
 from cicadaplank.reports import events, metrics
 from cicadaplank.world import machines
@@ -34,16 +35,20 @@
 # New connections are accepted for this time after the stop signal: a load balancer
 # checks readiness every second and needs two failed checks.
 ACCEPT_AFTER_STOP_S = 3.0
-# Time before the end of the grace period, when the platform kills the process, at which
-# it aborts calls in progress and exits.
-EXIT_MARGIN_S = 0.4
+# Times before the end of the grace period, when the platform kills the process, at
+# which it aborts calls in progress, and at which it exits although clients have not
+# read their answers.
+ABORT_MARGIN_S = 0.4
+EXIT_MARGIN_S = 0.1
+# A gap between two checks of a stopping process that shows that it was paused.
+STOP_PAUSE_S = 0.3
 # Interval at which endpoints are looked at whose records are missing just after an
 # outage of the store. They are dropped when its grace period is over.
 MISSING_CHECK_INTERVAL_S = 0.1
 # Interval at which the instances are counted that share limits, while there is none.
 MEMBERS_INTERVAL_S = 1.0
 # Interval at which a stopping process checks for calls in progress.
-STOP_CHECK_INTERVAL_S = 0.1
+STOP_CHECK_INTERVAL_S = 0.05
 # Delay of the event loop from which on it is logged. Each client then waits as long.
 LATE_LOOP_S = 0.25
 # Delay of a message on the path from a peer from which on it is logged, and the least
@@ -163,6 +168,22 @@
         """Return the registered instances as a list."""
 
 
+def stop_limits(grace_s):
+    """Return the time limits of a planned stop.
+
+    :param grace_s: time from the stop signal until the process is killed, in seconds.
+    :returns: :class:`cicadaplank.members.draining.StopLimits`.
+    """
+    return draining.StopLimits(
+        drain_limit_s=max(0.0, grace_s - ABORT_MARGIN_S),
+        linger_s=ACCEPT_AFTER_STOP_S,
+        accept_s=ACCEPT_AFTER_STOP_S,
+        takes_work=True,
+        end_s=max(0.0, grace_s - EXIT_MARGIN_S),
+        pause_s=STOP_PAUSE_S,
+    )
+
+
 class EntryProcess:
     """Connects the gateway to clients, peers and the store.
 
@@ -193,7 +214,6 @@
         # and the time as of which the versions before it are confirmed.
         self._is_naming_pending = False
         self._named_confirmed_s = None
-        self._stop_started_s = None
         self._front = None
         self._agents_notified_s = float("-inf")
         self._checks_missing = False
@@ -213,6 +233,7 @@
             settings.bounds,
             random.Random(),
             reporter,
+            draining.Draining(stop_limits(settings.grace_s)),
         )
         self.listener = clients.Listener(reactor, self.gateway, self._request_rejected)
         self.operator = sync.TableSync(
@@ -261,6 +282,14 @@
         self.gateway.stop_reason = self._stop_reason
         self.gateway.broadcast = self.peers.broadcast
         self.gateway.send_to_peer = self.hub.send
+        self._stop_handlers = {
+            # Load balancers read the readiness page, which shows the stop.
+            draining.Announce: lambda action: None,
+            draining.StopAccepting: lambda action: self._front.stopListening(),
+            draining.CloseIdle: lambda action: self.listener.close_idle(),
+            draining.Abort: lambda action: self.gateway.abort(action.work),
+            draining.Exit: self._exit,
+        }
 
     def _log(self, event, **fields):
         self._reporter.state_event(event, **fields)
@@ -304,6 +333,7 @@
 
     def _settings_changed(self, settings):
         self.settings = settings
+        self.gateway.draining.set_limits(stop_limits(settings.grace_s))
         self.gateway.set_bounds(settings.bounds)
         self._apply_settings(settings)
 
@@ -321,33 +351,35 @@
         The process reports not ready at once, accepts connections for another
         :data:`ACCEPT_AFTER_STOP_S` and lets calls end within the grace period.
         """
-        if self._stop_started_s is not None:
+        if self.gateway.draining.is_stopping:
             return
-        self._stop_started_s = self.reactor.seconds()
-        self.listener.is_stopping = True
         self.events.log("stopping", calls=self.gateway.open_calls)
-        self.reactor.callLater(ACCEPT_AFTER_STOP_S, self._stop_accepting)
-
-    def _stop_accepting(self):
-        """Close the client port: later requests might not end in the grace period."""
-        self._front.stopListening()
-        self._finish()
-
-    def _finish(self):
-        """Close idle connections, and exit when no call or connection is left.
-
-        Calls that are still in progress near the end of the grace period are aborted.
+        started = self.gateway.draining.stop_requested(self.reactor.seconds())
+        self._carry_out_stop(started)
+        self._check_stop()
+
+    def _check_stop(self):
+        """Apply the time limits of the stop until the process exits."""
+        stop = self.gateway.draining
+        actions = stop.tick(self.reactor.seconds(), self.listener.open_count)
+        if stop.state != "stopped":
+            self.reactor.callLater(STOP_CHECK_INTERVAL_S, self._check_stop)
+        aborted = sum(isinstance(action, draining.Abort) for action in actions)
+        if aborted:
+            self.events.log("calls_aborted", calls=aborted)
+        self._carry_out_stop(actions)
+
+    def _carry_out_stop(self, actions):
+        """Carry out actions of the stop; an error in one does not hold up the others.
+
+        :param actions: iterable of actions of :mod:`cicadaplank.members.draining`.
         """
-        self.listener.close_idle()
-        left_s = self._stop_started_s + self.settings.grace_s - self.reactor.seconds()
-        if left_s <= EXIT_MARGIN_S:
-            self.events.log("calls_aborted", calls=self.gateway.open_calls)
-            self.gateway.abort_all("this process stops")
-        elif self.gateway.open_calls or self.listener.open_count:
-            self.reactor.callLater(STOP_CHECK_INTERVAL_S, self._finish)
-            return
-        self.events.log("stopped")
-        self.reactor.callLater(STOP_CHECK_INTERVAL_S, self.reactor.stop)
+        for action in actions:
+            self._guarded.call("stop", self._stop_handlers[type(action)], action)
+
+    def _exit(self, action):
+        self.events.log("stopped", connections=self.listener.open_count)
+        self.reactor.stop()
 
     # Pages.
 
@@ -357,7 +389,7 @@
         has_tables = (
             self.gateway.route_index is not None and self.listed.copy.version >= 0
         )
-        is_stopping = self._stop_started_s is not None
+        is_stopping = self.gateway.draining.is_stopping
         return has_tables and not is_stopping and not self._stop_reason()
 
     def _ready_page(self):
--- a/features/steps/draining.py
+++ b/features/steps/draining.py
@@ -22,7 +22,7 @@
 
     def __init__(self, name):
         self.name = name
-        self.draining = draining.Draining(DRAIN_LIMIT_S)
+        self.draining = draining.Draining(draining.StopLimits(DRAIN_LIMIT_S))
         self.work = {}
         self.paused_until_s = 0.0
         self.inbox = []
@@ -140,7 +140,7 @@
             gone = entry not in self.routers
             if gone or (self.now_s >= end_s and self.reachable(entry, agent.name)):
                 del agent.work[work]
-                self.apply(agent, stop.finished(work, self.now_s))
+                stop.finished(work)
                 self.end(entry, work, routing.Outcome.ANSWERED)
 
     def kill(self, name):
@@ -243,7 +243,7 @@
 
 @behave.given("a planned stop with a limit of 10 s and work that has {progress}")
 def step_planned(context, progress):
-    context.stop = draining.Draining(10.0)
+    context.stop = draining.Draining(draining.StopLimits(10.0))
     context.stop.offered("work", 0.0)
     if progress == "started":
         context.stop.started("work")
@@ -252,7 +252,7 @@
 
 @behave.given("a planned stop that finds nothing in progress")
 def step_idle(context):
-    context.stop = draining.Draining(10.0)
+    context.stop = draining.Draining(draining.StopLimits(10.0))
     context.actions = context.stop.stop_requested(0.0)
 
 
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -556,7 +556,7 @@
     world = context.world
     world.client.dataReceived(world.request(body=b"call"))
     world.accept()
-    world.listener.is_stopping = True
+    world.gateway.draining.stop_requested(world.reactor.seconds())
     world.listener.close_idle()
 
 
--- a/features/steps/gateway_silences.py
+++ b/features/steps/gateway_silences.py
@@ -82,7 +82,7 @@
         while gateway.budget(gateway_steps.SERVICE).try_retry(gateway.now_s()):
             pass
     elif change == "the process is stopped":
-        world.listener.is_stopping = True
+        gateway.draining.stop_requested(world.reactor.seconds())
         world.listener.close_idle()
     if configuration is not world.configuration:
         gateway.set_configuration(configuration)
--- a/features/steps/gateway_stop.py
+++ b/features/steps/gateway_stop.py
@@ -46,6 +46,7 @@
     context.port = context.process._front = Port()
     context.call = object()
     context.process.gateway._calls.add(context.call)
+    context.process.gateway.draining.offered(context.call, context.reactor.seconds())
 
 
 @behave.when("it gets the stop signal")
@@ -100,5 +101,6 @@
     context.reactor.pump([0.1] * 20)
     assert not context.reactor.hasStopped
     context.process.gateway._calls.clear()
+    context.process.gateway.draining.finished(context.call)
     context.reactor.pump([0.1] * 4)
     assert context.reactor.hasStopped
