Refuse calls that cannot end before a stopping process is killed

In a planned stop, requests that came late in the grace period on connections that were open were passed on, and cut at its end: streams by a reset, calls that may run once only with 502.

Cause: a stopping process took every request that came whole, whatever time was left. Class: work is accepted without asking whether it can be finished.

Change: a call is offered to the decision object with the time that it may take, and refused as not run when that is longer than the time until calls are aborted: 503, Retry-After of about 0.1 s and Connection: close, as other instances can take it at once. What it may take is the time to its deadline (the client's wait and the route's time-out), and at most 1.25 times the longest whole answer of its service in the last one to two minutes (requests/answer_times.py); where none is known, the time to its deadline.

Proof: features/gateway/stop.feature, grace period 8 s, work of 3.5 s.

--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -25,7 +25,7 @@
 )
 from cicadaplank.members import draining
 from cicadaplank.messages import types
-from cicadaplank.requests import crash_causes, crash_tracking
+from cicadaplank.requests import answer_times, crash_causes, crash_tracking
 from cicadaplank.world import buffers
 
 TIMEOUT_CHECK_INTERVAL_S = 0.05
@@ -126,6 +126,7 @@
         self._queues = collections.defaultdict(waiting.CallQueue)
         self._budgets = {}
         self.answer_times = collections.defaultdict(waiting.AnswerTimeAverage)
+        self._longest_answers = collections.defaultdict(answer_times.LongestAnswer)
         # Time of the last check of time-outs, and by how much it was late, in seconds.
         self._checked_s = None
         self._late_s = 0.0
@@ -369,7 +370,7 @@
         call = calls.Call(self, client, request, admitted, service, fingerprint)
         self._calls.add(call)
         now_s = self.now_s()
-        (offered,) = self.draining.offered(call, now_s)
+        (offered,) = self.draining.offered(call, now_s, self._needed_s(call, now_s))
         if call.deadline_s - now_s < outcomes.MIN_ATTEMPT_S:
             call.refuse("deadline", now_s)
         elif isinstance(offered, draining.Refuse):
@@ -378,6 +379,11 @@
             self.place(call, now_s)
         return None if call.phase is calls.Phase.ENDED else call
 
+    def _needed_s(self, call, now_s):
+        """Return the time in seconds that a call may take until its whole answer."""
+        longest = self._longest_answers[call.service]
+        return longest.needed_s(call.deadline_s - now_s, now_s)
+
     def _if_current(self, denied):
         """Return the denial for a client.
 
@@ -670,8 +676,12 @@
         """
         self._calls.discard(call)
         self.draining.finished(call)
-        if outcome == "answered" and call.fingerprint:
-            self.suspects.clear(call.fingerprint)
+        if outcome == "answered":
+            now_s = self.now_s()
+            sent_s = call.request.arrived_s + call.sent_after_s
+            self._longest_answers[call.service].record(now_s - sent_s, now_s)
+            if call.fingerprint:
+                self.suspects.clear(call.fingerprint)
         self._reporter.ended(call, outcome, verdict, self.configuration_version)
         if call.phase is calls.Phase.ENDED and len(self._queues[call.service]):
             self._reactor.callLater(0, self.dispatch, call.service)
--- a/features/gateway/stop.feature
+++ b/features/gateway/stop.feature
@@ -3,6 +3,40 @@
   answer by then, or a refusal that is true. One that cannot end in time is refused when
   it arrives, so that its client goes to another instance.
 
+  @always_6
+  Scenario Outline: A request is cut at the end of the grace period: it <kind>, whole at <whole_s> s, limit <limit_s> s, work <known>
+    Given an entry process that is killed 8 s after its stop signal
+    And a route that <kind>, with a limit of <limit_s> s and work of <work_s> s that is <known>
+    When it is stopped, and a request on an open connection is whole <whole_s> s later
+    And the endpoint takes its time and the grace period passes
+    Then the late caller gets <outcome>
+
+    Examples:
+      | kind                | whole_s | limit_s | work_s | known   | outcome       |
+      | may repeat          | 0.5     | 20      | 3.5    | known   | the answer    |
+      | may repeat          | 3.0     | 20      | 3.5    | known   | the answer    |
+      | may repeat          | 4.0     | 20      | 3.5    | known   | 503 at once   |
+      | may repeat          | 5.0     | 20      | 3.5    | known   | 503 at once   |
+      | may repeat          | 5.8     | 20      | 3.5    | known   | 503 at once   |
+      | runs once only      | 0.5     | 20      | 3.5    | known   | the answer    |
+      | runs once only      | 3.0     | 20      | 3.5    | known   | the answer    |
+      | runs once only      | 4.0     | 20      | 3.5    | known   | 503 at once   |
+      | runs once only      | 5.0     | 20      | 3.5    | known   | 503 at once   |
+      | runs once only      | 5.8     | 20      | 3.5    | known   | 503 at once   |
+      | runs once only      | 5.8     | 20      | 1.0    | known   | the answer    |
+      | runs once only      | 5.0     | 2       | 1.0    | unknown | the answer    |
+      | runs once only      | 5.8     | 2       | 1.9    | unknown | 503 at once   |
+      | runs once only      | 0.0     | 20      | 3.5    | unknown | 503 at once   |
+      | runs once only      | 0.0     | 7       | 3.5    | unknown | the answer    |
+      | runs once only      | 7.7     | 2       | 0.1    | known   | 503 at once   |
+      | streams once        | 3.0     | 20      | 3.5    | known   | the stream    |
+      | streams once        | 4.0     | 20      | 3.5    | known   | 503 at once   |
+      | streams once        | 5.0     | 20      | 3.5    | known   | 503 at once   |
+      | streams once        | 5.8     | 20      | 3.5    | known   | 503 at once   |
+      | streams and resumes | 3.0     | 20      | 3.5    | known   | the stream    |
+      | streams and resumes | 4.0     | 20      | 3.5    | known   | 503 at once   |
+      | streams and resumes | 5.8     | 20      | 3.5    | known   | 503 at once   |
+
   @always_6
   Scenario Outline: An answer is cut because its client reads slowly: <answer>
     Given an entry process that is killed 8 s after its stop signal
@@ -34,3 +68,16 @@
       | 3.0    | 7.7     |
       | 7.0    | 7.7     |
       | 7.4    | 7.85    |
+
+  Scenario Outline: The time that a call may take, after <answers>, at <now_s> s with a limit of <limit_s> s
+    Given a service that gave whole answers in <answers>
+    Then a call with a limit of <limit_s> s may take <needed_s> s at <now_s> s
+
+    Examples:
+      | answers                     | now_s | limit_s | needed_s |
+      | no time                     | 0     | 20      | 20       |
+      | 2.0 s at 0 s, 1.0 s at 10 s | 20    | 20      | 2.5      |
+      | 2.0 s at 0 s                | 50    | 1       | 1        |
+      | 2.0 s at 0 s, 1.0 s at 70 s | 80    | 20      | 2.5      |
+      | 2.0 s at 0 s, 1.0 s at 70 s | 131   | 20      | 1.25     |
+      | 2.0 s at 0 s                | 121   | 20      | 20       |
--- a/features/steps/gateway_grace.py
+++ b/features/steps/gateway_grace.py
@@ -1,6 +1,7 @@
 """Steps for requests during the planned stop of an entry process."""
 
 import dataclasses
+import re
 import types
 
 import behave
@@ -8,10 +9,14 @@
 
 from cicadaplank.gateway import process, routes
 from cicadaplank.platform import headers
+from cicadaplank.requests import answer_times
 from features.steps import gateway as gateway_steps
 from features.steps import gateway_stop
 
 GRACE_S = 8.0
+# A refusal in the first half of the grace period leaves the time for another instance.
+LATEST_REFUSAL_S = GRACE_S / 2
+PART_BYTES = 20
 
 
 class ClientTransport(gateway_steps.Transport):
@@ -147,10 +152,16 @@
             data = gateway_steps.chunk(gateway_steps.event(1))
             sent[1].dataReceived(gateway_steps.stream_head() + data)
 
-    def work(self, work_s, until_s=None):
+    @property
+    def has_call(self):
+        """Whether an endpoint is dialled or has been sent a call."""
+        return self.has_dial or any(t.value() for _, _, t in self.sent)
+
+    def work(self, work_s):
         """Let the endpoint work on the newest call for a time, then answer."""
-        self.accept()
-        sent = self.sent[-1]
+        if self.has_dial:
+            self.accept()
+        sent = next(each for each in self.sent if each[2].take())
         self.begin(sent)
         steps = round(work_s / gateway_steps.STEP_S)
         for _ in range(steps):
@@ -182,6 +193,66 @@
         world.connect()
 
 
+@behave.when(
+    "it is stopped, and a request on an open connection is whole {whole_s:g} s later"
+)
+def step_whole(context, whole_s):
+    world = context.world
+    data = world.request(body=b"call")
+    world.stop()
+    world.run_until(min(whole_s, 2.9))
+    world.client.dataReceived(data[:PART_BYTES])
+    world.run_until(whole_s)
+    context.asked_s = world.since_stop_s
+    world.client.dataReceived(data[PART_BYTES:])
+    context.answered_s = None
+    if world.client_transport.value():
+        context.answered_s = world.since_stop_s
+
+
+@behave.when("the endpoint takes its time and the grace period passes")
+def step_grace(context):
+    world = context.world
+    if world.has_call and "call_transport" not in context:
+        world.work(context.work_s)
+    world.run_until(GRACE_S)
+    assert world.reactor.hasStopped, "the process has not ended by itself"
+
+
+@behave.then("the late caller gets {outcome}")
+def step_outcome(context, outcome):
+    world = context.world
+    transport = world.client_transport
+    if "call_transport" in context:
+        transport = context.call_transport
+    got = transport.value()
+    status = gateway_steps.status_of(got)
+    if outcome == "the answer":
+        assert status == 200 and got.endswith(gateway_steps.BODY), got
+    elif outcome == "the stream":
+        assert status == 200 and got.endswith(b"0\r\n\r\n"), got
+        assert not transport.aborted
+    elif outcome == "503 at once":
+        assert_refused(got)
+        assert context.answered_s == context.asked_s, context.answered_s
+        assert not world.has_call, "the request was sent"
+    else:
+        assert outcome == "503 before it is too late for others", outcome
+        assert_refused(got)
+        assert transport.ended_s <= context.latest_s, transport.ended_s
+    assert got.count(b"HTTP/1.1") == 1, got
+    assert world.listener.open_count == 0
+
+
+def assert_refused(got):
+    """Check for a refusal that sends the client to another instance."""
+    assert gateway_steps.status_of(got) == 503, got
+    assert b"not run" in got, got
+    assert b"Connection: close" in got, got
+    after_s = float(re.search(rb"Retry-After: ([0-9.]+)", got).group(1))
+    assert after_s <= 0.5, after_s
+
+
 @behave.when("it is stopped, and a slow client has {answer} unread until {read_s:g} s")
 def step_slow(context, answer, read_s):
     world = context.world
@@ -244,3 +315,17 @@
     assert gateway_steps.status_of(got) == 200, got
     assert world.client_transport.ended_s < GRACE_S
     assert world.reactor.hasStopped
+
+
+@behave.given("a service that gave whole answers in {times}")
+def step_answers(context, times):
+    context.longest = answer_times.LongestAnswer()
+    for duration_s, at_s in re.findall(r"([0-9.]+) s at ([0-9.]+) s", times):
+        context.longest.record(float(duration_s), float(at_s))
+
+
+@behave.then(
+    "a call with a limit of {limit_s:g} s may take {needed_s:g} s at {now_s:g} s"
+)
+def step_needed(context, limit_s, needed_s, now_s):
+    assert context.longest.needed_s(limit_s, now_s) == needed_s
