Refuse waiting calls at once that cannot end before the process is killed

In a planned stop, calls that waited for an endpoint, were being dialled, or were to be sent again after a refusal went on without regard to the end of the grace period: they were refused at its end, when their clients had little time left, or sent a moment before it and cut with 502 or a reset stream. A call that would have had to wait was told to come back when the queue of this process was expected to be shorter.

Cause: whether a call can end in time was asked on its arrival only.

Change: while the process stops, calls that have certainly not run are checked again every 0.05 s, when they are placed, with the expected wait, and when their connection is there. They are refused with 503 and a Retry-After of about 0.1 s. Calls that may have run, and streams that have begun, go on: a refusal would not be true for them.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -305,6 +305,9 @@
             self.client_left()
             return
         now_s = self._gateway.now_s()
+        if self._gateway.refuse_if_late(self, now_s):
+            self._gateway.release_connection(connection)
+            return
         left_s = self.deadline_s - now_s
         # The endpoint, or what the call requires, may have changed during the dial.
         may_send = attempt.is_usable(self.demand(), now_s)
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -384,6 +384,22 @@
         longest = self._longest_answers[call.service]
         return longest.needed_s(call.deadline_s - now_s, now_s)
 
+    def refuse_if_late(self, call, now_s, wait_s=0.0):
+        """Refuse a call that has not run and cannot end before this process stops.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        :param now_s: current time in seconds.
+        :param wait_s: expected time in seconds until it is sent.
+        :returns: whether the call was refused.
+        """
+        is_sent = call.phase in (calls.Phase.SENT, calls.Phase.STREAMING)
+        if is_sent or not call.may_be_refused:
+            return False
+        if self.draining.can_end(now_s, wait_s + self._needed_s(call, now_s)):
+            return False
+        call.terminate(STOPPING, now_s)
+        return True
+
     def _if_current(self, denied):
         """Return the denial for a client.
 
@@ -459,7 +475,7 @@
         :param call: :class:`cicadaplank.gateway.calls.Call`.
         :param now_s: current time in seconds.
         """
-        if not call.admit_again(now_s):
+        if not call.admit_again(now_s) or self.refuse_if_late(call, now_s):
             return
         blocked_s = self.crash_causes.blocked_for_s(call.shared_parts, now_s)
         if blocked_s > 0:
@@ -479,12 +495,14 @@
         if self._refuse_unservable(call, queue_entry, states, now_s):
             return
         expected_s = placement.permit_wait_s(states, demand, len(queue), now_s)
-        if expected_s is None:
-            expected_s = queue.expected_wait_s(now_s)
-            reason, is_told = queue.admit(queue_entry, now_s), False
+        is_told = expected_s is not None
+        if is_told:
+            longest_s = PERMIT_WAIT_MARGIN * expected_s
         else:
-            longest_s, is_told = PERMIT_WAIT_MARGIN * expected_s, True
-            reason = queue.admit(queue_entry, now_s, longest_s)
+            longest_s = expected_s = queue.expected_wait_s(now_s)
+        if self.refuse_if_late(call, now_s, longest_s):
+            return
+        reason = queue.admit(queue_entry, now_s, longest_s)
         if reason:
             call.refuse(reason, now_s, expected_s, is_told)
             return
@@ -1142,7 +1160,8 @@
             self._late_s = now_s - self._checked_s - TIMEOUT_CHECK_INTERVAL_S
         self._checked_s = now_s
         for call in list(self._calls):
-            call.check_timeouts(now_s)
+            if not (self.draining.is_stopping and self.refuse_if_late(call, now_s)):
+                call.check_timeouts(now_s)
         self._update_permits(now_s)
         for service, queue in list(self._queues.items()):
             for queued_call in queue.pop_expired(now_s):
--- a/features/gateway/stop.feature
+++ b/features/gateway/stop.feature
@@ -12,30 +12,50 @@
     Then the late caller gets <outcome>
 
     Examples:
-      | kind                | whole_s | limit_s | work_s | known   | outcome       |
-      | may repeat          | 0.5     | 20      | 3.5    | known   | the answer    |
-      | may repeat          | 3.0     | 20      | 3.5    | known   | the answer    |
-      | may repeat          | 4.0     | 20      | 3.5    | known   | 503 at once   |
-      | may repeat          | 5.0     | 20      | 3.5    | known   | 503 at once   |
-      | may repeat          | 5.8     | 20      | 3.5    | known   | 503 at once   |
-      | runs once only      | 0.5     | 20      | 3.5    | known   | the answer    |
-      | runs once only      | 3.0     | 20      | 3.5    | known   | the answer    |
-      | runs once only      | 4.0     | 20      | 3.5    | known   | 503 at once   |
-      | runs once only      | 5.0     | 20      | 3.5    | known   | 503 at once   |
-      | runs once only      | 5.8     | 20      | 3.5    | known   | 503 at once   |
-      | runs once only      | 5.8     | 20      | 1.0    | known   | the answer    |
-      | runs once only      | 5.0     | 2       | 1.0    | unknown | the answer    |
-      | runs once only      | 5.8     | 2       | 1.9    | unknown | 503 at once   |
-      | runs once only      | 0.0     | 20      | 3.5    | unknown | 503 at once   |
-      | runs once only      | 0.0     | 7       | 3.5    | unknown | the answer    |
-      | runs once only      | 7.7     | 2       | 0.1    | known   | 503 at once   |
-      | streams once        | 3.0     | 20      | 3.5    | known   | the stream    |
-      | streams once        | 4.0     | 20      | 3.5    | known   | 503 at once   |
-      | streams once        | 5.0     | 20      | 3.5    | known   | 503 at once   |
-      | streams once        | 5.8     | 20      | 3.5    | known   | 503 at once   |
-      | streams and resumes | 3.0     | 20      | 3.5    | known   | the stream    |
-      | streams and resumes | 4.0     | 20      | 3.5    | known   | 503 at once   |
-      | streams and resumes | 5.8     | 20      | 3.5    | known   | 503 at once   |
+      | kind                | whole_s | limit_s | work_s | known   | outcome     |
+      | may repeat          | 0.5     | 20      | 3.5    | known   | the answer  |
+      | may repeat          | 3.0     | 20      | 3.5    | known   | the answer  |
+      | may repeat          | 4.0     | 20      | 3.5    | known   | 503 at once |
+      | may repeat          | 5.0     | 20      | 3.5    | known   | 503 at once |
+      | may repeat          | 5.8     | 20      | 3.5    | known   | 503 at once |
+      | runs once only      | 0.5     | 20      | 3.5    | known   | the answer  |
+      | runs once only      | 3.0     | 20      | 3.5    | known   | the answer  |
+      | runs once only      | 4.0     | 20      | 3.5    | known   | 503 at once |
+      | runs once only      | 5.0     | 20      | 3.5    | known   | 503 at once |
+      | runs once only      | 5.8     | 20      | 3.5    | known   | 503 at once |
+      | runs once only      | 5.8     | 20      | 1.0    | known   | the answer  |
+      | runs once only      | 5.0     | 2       | 1.0    | unknown | the answer  |
+      | runs once only      | 5.8     | 2       | 1.9    | unknown | 503 at once |
+      | runs once only      | 0.0     | 20      | 3.5    | unknown | 503 at once |
+      | runs once only      | 0.0     | 7       | 3.5    | unknown | the answer  |
+      | runs once only      | 7.7     | 2       | 0.1    | known   | 503 at once |
+      | streams once        | 3.0     | 20      | 3.5    | known   | the stream  |
+      | streams once        | 4.0     | 20      | 3.5    | known   | 503 at once |
+      | streams once        | 5.0     | 20      | 3.5    | known   | 503 at once |
+      | streams once        | 5.8     | 20      | 3.5    | known   | 503 at once |
+      | streams and resumes | 3.0     | 20      | 3.5    | known   | the stream  |
+      | streams and resumes | 4.0     | 20      | 3.5    | known   | 503 at once |
+      | streams and resumes | 5.8     | 20      | 3.5    | known   | 503 at once |
+
+  @always_6
+  Scenario Outline: A request that has not run is held until it is cut: it <kind> and <situation>
+    Given an entry process that is killed 8 s after its stop signal
+    And a route that <kind>, with a limit of 20 s and work of 3.5 s that is known
+    When it is stopped while a request <situation>
+    And the endpoint takes its time and the grace period passes
+    Then the late caller gets 503 before it is too late for others
+
+    Examples:
+      | kind                | situation                                                            |
+      | may repeat          | waits for an endpoint                                                |
+      | runs once only      | waits for an endpoint                                                |
+      | streams once        | waits for an endpoint                                                |
+      | may repeat          | comes while another has waited for 2 s                               |
+      | runs once only      | is being dialled                                                     |
+      | streams once        | is being dialled                                                     |
+      | may repeat          | is refused as full by one endpoint at 4.5 s                          |
+      | streams and resumes | is refused as full by one endpoint at 4.5 s                          |
+      | may repeat          | is refused as full by one endpoint at 4.5 s while another is dialled |
 
   @always_6
   Scenario Outline: An answer is cut because its client reads slowly: <answer>
--- a/features/steps/gateway_grace.py
+++ b/features/steps/gateway_grace.py
@@ -16,6 +16,8 @@
 GRACE_S = 8.0
 # A refusal in the first half of the grace period leaves the time for another instance.
 LATEST_REFUSAL_S = GRACE_S / 2
+# A refusal in the first half of the grace period leaves the time for another instance.
+LATEST_REFUSAL_S = GRACE_S / 2
 PART_BYTES = 20
 
 
@@ -157,11 +159,17 @@
         """Whether an endpoint is dialled or has been sent a call."""
         return self.has_dial or any(t.value() for _, _, t in self.sent)
 
-    def work(self, work_s):
-        """Let the endpoint work on the newest call for a time, then answer."""
+    def take_call(self):
+        """Return host, protocol and transport of a new call, None if none is sent."""
         if self.has_dial:
             self.accept()
-        sent = next(each for each in self.sent if each[2].take())
+        return next((each for each in self.sent if each[2].take()), None)
+
+    def work(self, work_s):
+        """Let the endpoint work on the newest call for a time, then answer."""
+        sent = self.take_call()
+        if sent is None:
+            return
         self.begin(sent)
         steps = round(work_s / gateway_steps.STEP_S)
         for _ in range(steps):
@@ -253,18 +261,67 @@
     assert after_s <= 0.5, after_s
 
 
+@behave.when("it is stopped while a request {situation}")
+def step_unsent(context, situation):
+    world = context.world
+    context.latest_s = LATEST_REFUSAL_S
+    if situation == "is being dialled":
+        world.send()
+        context.call_transport = world.client_transport
+        assert world.has_dial
+        world.stop()
+        world.run_until(4.5)
+    elif situation.startswith("is refused as full by one endpoint at 4.5 s"):
+        context.latest_s = 4.6
+        world.send()
+        context.call_transport = world.client_transport
+        _, endpoint, _ = world.take_call()
+        world.stop()
+        if situation.endswith("while another is dialled"):
+            world.gateway.set_endpoints(world.listed, False)
+            world.run_until(4.5)
+            assert world.has_dial
+        world.run_until(4.5)
+        world.gateway.set_endpoints(world.listed, False)
+        refusal = gateway_steps.answer(503, b"", False, b"X-Not-Executed: 1\r\n")
+        endpoint.dataReceived(refusal)
+    else:
+        world.send()
+        running = world.take_call()
+        world.begin(running)
+        world.connect()
+        world.send()
+        context.call_transport = world.client_transport
+        if situation == "comes while another has waited for 2 s":
+            context.latest_s = 1.1
+            world.run(1.0)
+            world.connect()
+            world.stop()
+            world.run_until(1.0)
+            world.send()
+            context.call_transport = world.client_transport
+        else:
+            assert situation == "waits for an endpoint", situation
+            world.stop()
+        assert not world.has_call
+        world.run_until(4.5)
+        world.answer(running)
+    if world.has_call:
+        world.work(context.work_s)
+
+
 @behave.when("it is stopped, and a slow client has {answer} unread until {read_s:g} s")
 def step_slow(context, answer, read_s):
     world = context.world
     world.send()
-    world.accept()
+    sent = world.take_call()
     context.read_s = read_s
     context.transport = transport = world.client_transport
     transport.is_slow = True
     world.stop()
     world.run_until(5.0)
     if answer == "an answer from 5.0 s":
-        world.answer(world.sent[-1])
+        world.answer(sent)
     else:
         assert answer == "a failure at the end", answer
     world.run_until(read_s)
@@ -296,13 +353,13 @@
 def step_frozen(context, from_s, until_s):
     world = context.world
     world.send()
-    world.accept()
+    sent = world.take_call()
     world.stop()
     world.run_until(from_s)
     # Timers run before the sockets are read.
     world.reactor.advance(until_s - from_s)
     world.gateway.check_timeouts()
-    world.answer(world.sent[-1])
+    world.answer(sent)
 
 
 @behave.then(
