--- a/bench/inmemory.py
+++ b/bench/inmemory.py
@@ -11,6 +11,7 @@
 import random
 
 from cicadaplank.agent import executions
+from cicadaplank.members import draining
 from cicadaplank.messages import types
 from cicadaplank.requests import (
     answers,
@@ -298,7 +299,8 @@
         self.runs = {}
         self._marks = {}
         self.started = 0
-        self.executions = executions.Executions(self._grant)
+        self.draining = draining.Draining()
+        self.executions = executions.Executions(self._grant, self.draining)
         self._engine_up = True
 
     def _grant(self, work, now_s):
--- a/cicadaplank/agent/executions.py
+++ b/cicadaplank/agent/executions.py
@@ -10,6 +10,7 @@
 
 import automat
 
+from cicadaplank.members import draining
 from cicadaplank.messages import types
 from cicadaplank.requests import attempts, retries, verdicts
 
@@ -28,6 +29,8 @@
 LATE_RESULT_S = 30.0
 # An engine that does not respond to a probe within this time counts as crashed.
 PROBE_LIMIT_S = 2.0
+# Reasons of refusals by the planned stop.
+REFUSALS = {"leaving": "the endpoint is stopping", "busy": "the endpoint is full"}
 STATUS_OK = 200
 STATUS_BAD_GATEWAY = 502
 # The engine or a proxy in front of it did not complete the request.
@@ -102,11 +105,6 @@
     """Probe the engine and report with :meth:`Executions.engine_probed`."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Drained:
-    """The drain is complete: no work is in progress; the process may exit."""
-
-
 class Execution:
     """State machine of one attempt; each event returns a tuple of actions.
 
@@ -374,22 +372,24 @@
     """All attempts in progress at an agent.
 
     Every event method returns a tuple of :class:`Reply`, :class:`CallEngine`,
-    :class:`CancelEngine`, :class:`ProbeEngine` and :class:`Drained`. The caller carries
-    them out and calls :meth:`tick` at the time that :meth:`next_tick_s` returns.
+    :class:`CancelEngine` and :class:`ProbeEngine`. The caller carries them out and
+    calls :meth:`tick` at the time that :meth:`next_tick_s` returns.
 
     :param check: callable that takes the ``Work`` and ``now_s`` and returns a
         :class:`GrantDecision`, which tells whether this agent may run the work.
+    :param stop: :class:`cicadaplank.members.draining.Draining` of this process; None
+        for one with default limits.
     :ivar dropped_responses: number of engine events without an attempt in progress.
     :ivar refused: number of work messages that were refused.
     """
 
-    def __init__(self, check):
+    def __init__(self, check, stop=None):
         self._check = check
+        self._stop = stop or draining.Draining()
         self._executions = {}
         self._claim_generations = collections.OrderedDict()
         self._seen_attempts = collections.OrderedDict()
         self._probe_deadline_s = None
-        self._draining = False
         self._drain_deadline_s = None
         self.dropped_responses = 0
         self.refused = 0
@@ -424,9 +424,15 @@
                 _may_have_run_reply(entry, work, "the claim was dispatched before"),
             )
         grant = self._check(work, now_s)
+        (offered,) = self._stop.offered(work.attempt, now_s)
+        if isinstance(offered, draining.Refuse):
+            reason = REFUSALS[offered.reason]
+            return self._refuse(entry, work, reason, offered.retry_after_s)
         refusal = self._refusal(work, grant)
         if refusal is not None:
+            self._stop.finished(work.attempt)
             return self._refuse(entry, work, *refusal)
+        self._stop.started(work.attempt)
         deadline_s = now_s + work.deadline_s
         if work.once_key:
             self._claim_generations[_claim_key(work)] = (work.generation, work.attempt)
@@ -456,8 +462,6 @@
 
     def _refusal(self, work, grant):
         """Return the reason and ``retry_after_s`` of a refusal, None to accept."""
-        if self._draining:
-            return "the endpoint is stopping", 0.0
         if work.deadline_s < retries.MIN_ATTEMPT_S:
             return "the deadline has passed", 0.0
         if not grant.allowed:
@@ -672,9 +676,8 @@
         :param now_s: current time in seconds.
         :returns: tuple of actions.
         """
-        self._draining = True
         self._drain_deadline_s = now_s + limit_s
-        return () if self._executions else (Drained(),)
+        return ()
 
     def tick(self, now_s):
         """End work whose deadline, drain limit or probe time limit has passed.
@@ -714,8 +717,7 @@
         actions = getattr(execution, event)(*arguments, now_s)
         if execution.is_ended:
             del self._executions[attempt]
-            if self._draining and not self._executions:
-                actions += (Drained(),)
+            self._stop.finished(attempt)
         return actions
 
 
--- a/cicadaplank/agent/work.py
+++ b/cicadaplank/agent/work.py
@@ -25,7 +25,7 @@
     def __init__(self, daemon, backend):
         self._daemon = daemon
         self._backend = backend
-        self.executions = executions.Executions(self._check_grant)
+        self.executions = executions.Executions(self._check_grant, daemon.draining)
         self.counts = collections.Counter()
         self._connections = {}
         self._calls = {}
@@ -44,7 +44,6 @@
             executions.CallEngine: self._call,
             executions.CancelEngine: self._cancel,
             executions.ProbeEngine: self._probe,
-            executions.Drained: lambda action: None,
         }
 
     def message(self, connection, message):
@@ -56,7 +55,6 @@
         now_s = self._daemon.now_s
         if isinstance(message, types.Work):
             self._connections[message.attempt] = connection
-            self._daemon.draining.offered(message.attempt, now_s)
             actions = self.executions.work(connection.name, message, now_s)
             self._carry_out(actions)
         elif isinstance(message, types.WorkCancel):
@@ -113,7 +111,6 @@
         version = self._versions.pop(attempt, None)
         if version is not None:
             self._backend.work_ended(version)
-        self._daemon.draining.finished(attempt)
 
     def _call(self, action):
         work, digest = action.work, action.manifest_digest
--- a/features/routing/draining.feature
+++ b/features/routing/draining.feature
@@ -42,6 +42,11 @@
       | not started | NOT_RUN      |
       | started     | MAY_HAVE_RUN |
 
+  Scenario: Work that is sent twice holds up the stop of its agent
+    Given an agent with work in progress
+    When the agent is sent that work twice, answers it and is stopped
+    Then the agent ends within 1.1 s of the stop signal
+
   Scenario: A second stop request does not put the limit off
     Given a planned stop with a limit of 10 s and work that has started
     When the planned stop is requested again at 5 s
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -122,7 +122,7 @@
     send(context, "stream")
     fleet.run(0.05)
     for agent in list(fleet.agents.values())[:-1]:
-        agent.apply(agent.executions.drain(30.0, fleet.now_s))
+        agent.draining.stop_requested(fleet.now_s)
 
 
 @behave.when(
