--- a/features/requests/responses.feature
+++ b/features/requests/responses.feature
@@ -89,6 +89,17 @@
     When a whole request meets the faults part_crossed
     Then the request entries dropped at least 1 responses
 
+  Scenario Outline: An agent gives up work without a word to its entry because <cause>
+    Given an agent with work in progress
+    When the agent gives the work up because <cause>
+    Then the entry is told before the connection closes that the work may have run
+
+    Examples:
+      | cause                               |
+      | the answer belongs to another one   |
+      | a token belongs to another one      |
+      | the deadline of the work has passed |
+
   Scenario: A caller that disconnects cancels its attempt at the engine
     Given a request fleet of 1 agents and 1 entries
     When a stream request is left by its caller after 0.05 seconds
--- a/features/steps/agent_stop.py
+++ b/features/steps/agent_stop.py
@@ -160,6 +160,33 @@
     agent.run_until(DRAIN_LIMIT_S + 5.0)
 
 
+@behave.then("the entry is told before the connection closes that the work {outcome}")
+def step_told(context, outcome):
+    agent = context.agent
+    final = agent.connection.sent[-1]
+    if outcome == "has run":
+        assert isinstance(final, types.WorkEnd), final
+        return
+    assert outcome == "may have run", outcome
+    assert isinstance(final, types.WorkFailed), final
+    assert final.verdict == "may_have_run", final
+    assert agent.backend.cancelled == 1
+
+
+@behave.when("the agent gives the work up because {cause}")
+def step_gives_up(context, cause):
+    agent = context.agent
+    task = agent.daemon.work
+    if cause == "the answer belongs to another one":
+        task.response_started(ATTEMPT, 200, "other", "", 0)
+    elif cause == "a token belongs to another one":
+        token = task.executions.engine_token(ATTEMPT, "other", 0, b"token", 0.0)
+        task._carry_out(token)
+    else:
+        assert cause == "the deadline of the work has passed", cause
+        agent.reactor.advance(61.0)
+
+
 @behave.then("the agent ends within {limit_s:g} s of the stop signal")
 def step_ends(context, limit_s):
     exited_s = context.agent.exited_s
