Tell the entry what became of work at the drain limit of its agent

Work that was left at the drain limit ended with the connection: its entry heard nothing, and the engine call was not cancelled.

Cause: the limit was kept twice. In agent/executions.py it was set anew at each announcement, once a second, so that it lay ten seconds ahead when that of members/draining.py passed and the process left; the abort of the latter did nothing in an agent. Class: one decision in two places.

Change: Executions has no limit of its own and no drain(). The abort of the decision object ends the attempt with its verdict, and then the connections are closed. The hook that told the agent of the start of a stop is gone with it.

Proof: features/routing/draining.feature, 'An agent leaves its entry in doubt when its engine does not answer', fails on the commit before: "ASSERT FAILED: WorkAccepted(attempt='entry/1/1.1', ...)" is the last message.

Changed step: 'its request agent drains with a limit' carries out the abort of the decision object.

--- a/cicadaplank/agent/executions.py
+++ b/cicadaplank/agent/executions.py
@@ -392,7 +392,6 @@
         self._claim_generations = collections.OrderedDict()
         self._seen_attempts = collections.OrderedDict()
         self._probe_deadline_s = None
-        self._drain_deadline_s = None
         self.dropped_responses = 0
         self.refused = 0
 
@@ -671,18 +670,19 @@
                 actions += self._handle_event(attempt, "stop", (), now_s)
         return actions
 
-    def drain(self, limit_s, now_s):
-        """Refuse new work and let the work in progress finish.
+    def abort(self, action, now_s):
+        """End work that exceeds the drain limit of a planned stop.
 
-        :param limit_s: seconds after which remaining work fails with its verdict.
+        :param action: :class:`cicadaplank.members.draining.Abort`.
         :param now_s: current time in seconds.
         :returns: tuple of actions.
         """
-        self._drain_deadline_s = now_s + limit_s
-        return ()
+        if action.work not in self._executions:
+            return ()
+        return self._end_now(action.work, action.verdict, "the endpoint stopped", now_s)
 
     def tick(self, now_s):
-        """End work whose deadline, drain limit or probe time limit has passed.
+        """End work whose deadline or probe time limit has passed.
 
         :param now_s: current time in seconds.
         :returns: tuple of actions.
@@ -690,23 +690,19 @@
         actions = ()
         if self._probe_deadline_s is not None and now_s >= self._probe_deadline_s:
             actions += self.engine_crashed(now_s)
-        draining = (
-            self._drain_deadline_s is not None and now_s >= self._drain_deadline_s
-        )
+        verdict, reason = verdicts.Verdict.MAY_HAVE_RUN, "the deadline has passed"
         for attempt, execution in list(self._executions.items()):
-            late = now_s >= execution.deadline_s
-            if late or draining:
-                reason = "the deadline has passed" if late else "the endpoint stopped"
-                arguments = (verdicts.Verdict.MAY_HAVE_RUN, reason, False)
-                actions += self._handle_event(attempt, "fail", arguments, now_s)
-                actions += (CancelEngine(attempt),)
+            if now_s >= execution.deadline_s:
+                actions += self._end_now(attempt, verdict, reason, now_s)
         return actions
 
+    def _end_now(self, attempt, verdict, reason, now_s):
+        failed = self._handle_event(attempt, "fail", (verdict, reason, False), now_s)
+        return (*failed, CancelEngine(attempt))
+
     def next_tick_s(self):
         """Return the time at which :meth:`tick` is due, or None."""
         times = [execution.deadline_s for execution in self._executions.values()]
-        if self._drain_deadline_s is not None and times:
-            times.append(self._drain_deadline_s)
         if self._probe_deadline_s is not None:
             times.append(self._probe_deadline_s)
         return min(times, default=None)
--- a/cicadaplank/agent/process.py
+++ b/cicadaplank/agent/process.py
@@ -36,7 +36,7 @@
         self._watchers = {}
         self.handlers[draining.Accept] = lambda action: None
         self.handlers[draining.Refuse] = lambda action: None
-        self.handlers[draining.Abort] = lambda action: None
+        self.handlers[draining.Abort] = lambda action: self.work.abort(action)
         self._lease_handlers = {
             records.ReadKeys: self._call_table_for_lease,
             records.Transact: self._call_table_for_lease,
@@ -160,10 +160,6 @@
         super()._announce_leaving(action)
         self.readiness_changed()
 
-    def leaving(self):
-        """Refuse new work and drain the work in progress."""
-        self.work.drain()
-
     def closing(self):
         """Release the lease on the engine."""
         if self.lease is not None:
--- a/cicadaplank/agent/work.py
+++ b/cicadaplank/agent/work.py
@@ -66,10 +66,12 @@
         now_s = self._daemon.now_s
         self._carry_out(self.executions.entry_connection_lost(connection.name, now_s))
 
-    def drain(self):
-        """Refuse new work and end the work in progress at the drain limit."""
-        limit_s = self._daemon.settings.drain_limit_s
-        self._carry_out(self.executions.drain(limit_s, self._daemon.now_s))
+    def abort(self, action):
+        """End work at the drain limit.
+
+        :param action: :class:`cicadaplank.members.draining.Abort`.
+        """
+        self._carry_out(self.executions.abort(action, self._daemon.now_s))
 
     def tick(self):
         """Apply the time limits; see ``Executions.tick``."""
--- a/cicadaplank/daemons/base.py
+++ b/cicadaplank/daemons/base.py
@@ -138,9 +138,6 @@
     def tick(self):
         """Do periodic work; called every ``TICK_S``."""
 
-    def leaving(self):
-        """Handle the start of a planned stop."""
-
     def closing(self):
         """Handle the end of a planned stop, just before connections are closed."""
 
@@ -224,7 +221,6 @@
     def _announce_leaving(self, action):
         if self.membership.state != "leaving":
             self.carry_out(self.membership.leave(self.now_s))
-        self.leaving()
 
     def _tick(self):
         now_s = self.now_s
--- a/features/routing/draining.feature
+++ b/features/routing/draining.feature
@@ -42,6 +42,17 @@
       | not started | NOT_RUN      |
       | started     | MAY_HAVE_RUN |
 
+  Scenario Outline: An agent leaves its entry in doubt when its engine <behaviour>
+    Given an agent with work in progress
+    When the agent is stopped and its engine <behaviour>
+    Then the entry is told before the connection closes that the work <outcome>
+    And the agent ends within <limit> s of the stop signal
+
+    Examples:
+      | behaviour                          | outcome      | limit |
+      | does not answer                    | may have run | 10.1  |
+      | answers during a freeze until 12 s | has run      | 12.2  |
+
   Scenario: Work that is sent twice holds up the stop of its agent
     Given an agent with work in progress
     When the agent is sent that work twice, answers it and is stopped
--- a/features/steps/agent_stop.py
+++ b/features/steps/agent_stop.py
@@ -151,6 +151,21 @@
     assert context.agent.backend.calls
 
 
+@behave.when("the agent is stopped and its engine {behaviour}")
+def step_stop(context, behaviour):
+    agent = context.agent
+    agent.stop()
+    if behaviour == "does not answer":
+        agent.run_until(DRAIN_LIMIT_S + 5.0)
+        return
+    assert behaviour == "answers during a freeze until 12 s", behaviour
+    agent.run_until(3.0)
+    agent.reactor.advance(9.0)
+    agent.tick()
+    agent.answer(ATTEMPT)
+    agent.run_until(DRAIN_LIMIT_S + 5.0)
+
+
 @behave.when("the agent is sent that work twice, answers it and is stopped")
 def step_twice(context):
     agent = context.agent
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -8,6 +8,7 @@
 from bench import inmemory
 from bench import requests as bench_requests
 from cicadaplank.agent import executions
+from cicadaplank.members import draining
 from cicadaplank.messages import types
 from cicadaplank.requests import (
     answers,
@@ -133,7 +134,15 @@
     send(context, "whole")
     fleet.run(0.01)
     agent = fleet.agents["a0"]
-    agent.apply(agent.executions.drain(limit, fleet.now_s))
+    agent.draining.set_limits(draining.StopLimits(limit))
+    agent.draining.stop_requested(fleet.now_s)
+
+    def reach_limit():
+        for action in agent.draining.tick(fleet.now_s):
+            if isinstance(action, draining.Abort):
+                agent.apply(agent.executions.abort(action, fleet.now_s))
+
+    fleet.at(limit, reach_limit)
 
 
 @behave.when(
