Stay until the callers of a stopping entry instance have their answers

At its drain limit, a caller whose call may run once and had not been sent yet got no answer: its connection ended with the process.

Cause: such a call is answered when the release of its claim has taken effect, or after 1 s (exchange.RELEASE_TIMEOUT_S), but the process ended 0.5 s after the limit: the abort takes the work out of the decision object, which then saw nothing to wait for. Class: an end that does not depend on what is still owed.

--- a/cicadaplank/entry/process.py
+++ b/cicadaplank/entry/process.py
@@ -53,6 +53,11 @@
             self._add_route(path, ["POST"], self._create_model_handler(path))
         self._add_route("/services/<path:rest>", SERVICE_METHODS, self._handle_service)
 
+    @property
+    def unfinished(self):
+        """Number of callers' requests whose response is not complete."""
+        return self.serving.open_count
+
     def _add_route(self, path, methods, handler):
         self.app.route(path, methods=methods, endpoint=path)(handler)
 
--- a/cicadaplank/entry/serving.py
+++ b/cicadaplank/entry/serving.py
@@ -486,6 +486,7 @@
             )
             self._answer(answer)
         self._daemon.carry_out(self.dispatcher.stop(now_s))
+        self._schedule()
 
     # Time.
 
--- a/features/routing/draining.feature
+++ b/features/routing/draining.feature
@@ -58,6 +58,11 @@
     When the agent is sent that work twice, answers it and is stopped
     Then the agent ends within 1.1 s of the stop signal
 
+  Scenario: An entry instance ends before its caller has the answer to a call
+    Given an entry instance with a call that may run once, held by its claim
+    When the entry instance is stopped and the table service is silent
+    Then its caller gets the verdict not_run before the process ends
+
   Scenario: A second stop request does not put the limit off
     Given a planned stop with a limit of 10 s and work that has started
     When the planned stop is requested again at 5 s
--- /dev/null
+++ b/features/steps/entry_stop.py
@@ -0,0 +1,190 @@
+"""Steps for the planned stop of an entry instance, without sockets and processes."""
+
+import types as plain_types
+
+import behave
+from twisted.internet import defer, testing
+
+from cicadaplank.entry import frontend, process, serving
+from cicadaplank.reports import objectives
+from cicadaplank.requests import claims, dispatcher, exchange
+from features.steps import gateway_left
+
+DRAIN_LIMIT_S = 10.0
+STEP_S = 0.1
+IDENTIFIER = "entry/1/1"
+
+
+class Caller:
+    """Request of a caller, with the response that it got."""
+
+    uri = b"/services/row/x"
+
+    def __init__(self, reactor):
+        self._reactor = reactor
+        self.status = None
+        self.headers = {}
+        self.body = b""
+        self.ended_s = None
+        self.channel = plain_types.SimpleNamespace(persistent=1)
+        socket = gateway_left.ClientSocket()
+        self.transport = plain_types.SimpleNamespace(getHandle=lambda: socket)
+
+    def notifyFinish(self):
+        """Return a Deferred that does not fire: the caller stays."""
+        return defer.Deferred()
+
+    def setResponseCode(self, status):
+        """Keep the status."""
+        self.status = status
+
+    def setHeader(self, name, value):
+        """Keep a header."""
+        self.headers[name] = value
+
+    def write(self, data):
+        """Keep a part of the body that is written before the process ends."""
+        assert not self._reactor.hasStopped
+        self.body += data
+
+    def finish(self):
+        """Note when the response ended."""
+        self.ended_s = self._reactor.seconds()
+
+
+class Hub:
+    """Connections to agents, none of which is ever established."""
+
+    peers = ()
+    counters = {}
+
+    def connection(self, name):
+        """Return no connection."""
+
+    def dial(self, instance):
+        """Return a Deferred that does not fire."""
+        return defer.Deferred()
+
+    def send(self, peer, message):
+        """Drop a message."""
+
+    def close(self):
+        """Do nothing."""
+
+
+class Entry:
+    """An entry process whose requests, planned stop and time a scenario plays."""
+
+    def __init__(self):
+        self.reactor = testing.MemoryReactorClock()
+        settings = plain_types.SimpleNamespace(
+            name="entry",
+            role="entry",
+            region="r",
+            data_centre="a",
+            objectives=objectives.DEFAULTS,
+            objective=lambda name: next(
+                each for each in objectives.DEFAULTS if each.name == name
+            ),
+            drain_limit_s=DRAIN_LIMIT_S,
+            request_limit_s=60.0,
+            max_queue=10,
+            once_calls=(),
+            platform=plain_types.SimpleNamespace(
+                table_url="http://127.0.0.1:1", instances_url="http://127.0.0.1:1"
+            ),
+        )
+        self.daemon = daemon = process.EntryDaemon(self.reactor, settings)
+        daemon.hub = Hub()
+        daemon.membership = plain_types.SimpleNamespace(state="leaving")
+        row = plain_types.SimpleNamespace(priority=5)
+        table = plain_types.SimpleNamespace(row=lambda name: row, rows=(), halves=())
+        daemon.distribution = plain_types.SimpleNamespace(
+            ready=lambda now_s: True,
+            configuration=plain_types.SimpleNamespace(table=table),
+        )
+        daemon.peers = {"agent-1": object()}
+        daemon.serving.dispatcher = dispatcher.Dispatcher(
+            "entry", "entry/1", lambda route, now_s: "agent-1", daemon.rng
+        )
+        daemon.serving.router = plain_types.SimpleNamespace(
+            dispatched=lambda *arguments: None,
+            finished=lambda *arguments: (),
+            counts={},
+        )
+        daemon.handlers[claims.Transact] = self._transact
+        self.transactions = 0
+        self.stopped_s = None
+        self.ended_s = None
+        self.caller = None
+
+    def _transact(self, action):
+        """Commit the first transaction; the table service is silent after it."""
+        self.transactions += 1
+        if self.transactions == 1:
+            committed = self.daemon.serving.dispatcher.committed
+            actions = committed(action.change_id, self.daemon.now_s, 1)
+            self.daemon.carry_out(actions)
+
+    def call(self, once_key=""):
+        """Return a caller's call of a plain service."""
+        return frontend.Call("row", "client", "POST", "/x", b"{}", once_key=once_key)
+
+    def dispatch(self, call):
+        """Dispatch a request; its agent's connection is never established."""
+        daemon = self.daemon
+        self.caller = Caller(self.reactor)
+        request = serving.OpenRequest(self.caller, call, daemon.now_s)
+        daemon.serving._open_requests[IDENTIFIER] = request
+        daemon.draining.offered(IDENTIFIER, daemon.now_s)
+        wanted = exchange.Request(
+            IDENTIFIER,
+            call.row,
+            call.client,
+            call.method,
+            call.path,
+            call.body,
+            daemon.now_s + 60.0,
+            repeatable=False,
+            once_key=call.once_key,
+        )
+        daemon.serving._start(wanted, daemon.now_s)
+
+    def stop(self):
+        """Send the stop signal."""
+        self.stopped_s = self.daemon.now_s
+        self.daemon.stop()
+
+    def run_until(self, since_stop_s):
+        """Let time pass until a time after the stop signal or the process has ended."""
+        until_s = self.stopped_s + since_stop_s
+        daemon = self.daemon
+        while daemon.now_s < until_s - 1e-6 and not self.reactor.hasStopped:
+            self.reactor.advance(STEP_S)
+            daemon.carry_out(daemon.draining.tick(daemon.now_s, daemon.unfinished))
+            daemon.serving._dispatcher_tick()
+        if self.reactor.hasStopped:
+            self.ended_s = daemon.now_s - self.stopped_s
+
+
+@behave.given("an entry instance with a call that may run once, held by its claim")
+def step_entry(context):
+    context.entry = Entry()
+    context.entry.dispatch(context.entry.call("key-1"))
+    assert context.entry.transactions == 1
+
+
+@behave.when("the entry instance is stopped and the table service is silent")
+def step_stop(context):
+    context.entry.stop()
+    context.entry.run_until(DRAIN_LIMIT_S + 5.0)
+    assert context.entry.transactions == 2, "the claim was not released"
+
+
+@behave.then("its caller gets the verdict {verdict} before the process ends")
+def step_told(context, verdict):
+    caller = context.entry.caller
+    assert caller.ended_s is not None, "the caller got no answer"
+    assert caller.status == 503, caller.status
+    assert caller.headers[frontend.VERDICT_HEADER] == verdict, caller.headers
+    assert context.entry.reactor.hasStopped
