Let callers read their last answers before a stopped process ends

A caller that read slowly lost the rest of a long answer: the process ended 0.5 s after its last request, whatever was unsent.

Cause: the end of the process was set by a time alone. Class: an end that does not depend on what is still owed.

Change: the HTTP connections are closed at the end, each when its caller has read what was written, and the process ends when none is open, after 5 s at the latest.

Proof: features/routing/draining.feature, 'The answer to a caller that reads after 3 s more is cut at the end', fails without the wait: 'ASSERT FAILED: the process ended before its caller had read all'. The row of a caller that reads nothing passes on both. features/routing/draining: 25 passed, 0 failed.

--- a/cicadaplank/daemons/base.py
+++ b/cicadaplank/daemons/base.py
@@ -24,8 +24,10 @@
 from cicadaplank.table import distribution, records
 
 TICK_S = 0.1
-# Time for closing connections to flush their last answers at a planned stop.
+# Time for connections to peers to flush their last messages at a planned stop, and the
+# limit for callers to read their last answers.
 CLOSE_FLUSH_S = 0.5
+MAX_CLOSE_FLUSH_S = 5.0
 # A list of instances that lacks this instance or a connected peer is out of date. It is
 # read again after one to two times this delay instead of at the next regular read.
 LIST_REREAD_DELAY_S = 0.5
@@ -65,6 +67,7 @@
         self.instance = None
         self.peers = {}
         self._list_read_timer = None
+        self._site = http_requests.BoundedSite(self.app.resource())
         self.view = membership.MembershipView((), (), ())
         self.alerts = {}
         self.table_calls = {"reads": 0, "writes": 0}
@@ -170,9 +173,8 @@
     async def _start(self):
         listen = self.settings.listen
         peer_port = await self.hub.listen(listen.host, listen.peer_port)
-        site = http_requests.BoundedSite(self.app.resource())
         http_port = self.reactor.listenTCP(
-            listen.http_port, site, interface=listen.host
+            listen.http_port, self._site, interface=listen.host
         )
         self.instance = dataclasses.replace(self.settings.instance(), port=peer_port)
         self.membership = membership.Membership(
@@ -215,8 +217,19 @@
     def _exit(self, action):
         self.closing()
         self.events.log("stopped")
-        self.reactor.callLater(CLOSE_FLUSH_S, self.reactor.stop)
         self.hub.close()
+        self._site.close()
+        self.reactor.callLater(CLOSE_FLUSH_S, self._end, self.now_s + MAX_CLOSE_FLUSH_S)
+
+    def _end(self, latest_s):
+        """End the process when the callers have read their answers.
+
+        :param latest_s: time in seconds at which it ends in any case.
+        """
+        if self._site.open_count and self.now_s < latest_s:
+            self.reactor.callLater(TICK_S, self._end, latest_s)
+        else:
+            self.reactor.stop()
 
     def _announce_leaving(self, action):
         if self.membership.state != "leaving":
--- a/cicadaplank/daemons/http_requests.py
+++ b/cicadaplank/daemons/http_requests.py
@@ -64,6 +64,18 @@
         super().__init__(site)
         self.head_timeout_s = head_timeout_s
 
+    @property
+    def open_count(self):
+        """Number of open connections."""
+        return len(self.protocols)
+
+    def close(self):
+        """Close each connection when its client has read all that was written."""
+        for connection in list(self.protocols):
+            # A paused producer would hold up the close.
+            connection.unregisterProducer()
+            connection.loseConnection()
+
 
 class BoundedRequest(server.Request):
     """Request that keeps the start of its body, and is aborted if it does not end.
--- a/features/routing/draining.feature
+++ b/features/routing/draining.feature
@@ -63,6 +63,16 @@
     When the entry instance is stopped and the table service is silent
     Then its caller gets the verdict not_run before the process ends
 
+  Scenario Outline: The answer to a caller that reads <when> is cut at the end
+    Given an entry instance whose caller has 1 MB of an answer to read
+    When the entry instance is stopped and the caller reads <when>
+    Then the entry instance ends <end>
+
+    Examples:
+      | when           | end                                |
+      | after 3 s more | once the caller has read all of it |
+      | nothing        | by itself                          |
+
   Scenario: A second stop request does not put the limit off
     Given a planned stop with a limit of 10 s and work that has started
     When the planned stop is requested again at 5 s
--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -3,7 +3,8 @@
 import types as plain_types
 
 import behave
-from twisted.internet import defer, testing
+from twisted.internet import defer, error, testing
+from twisted.python import failure
 
 from cicadaplank.entry import frontend, process, serving
 from cicadaplank.reports import objectives
@@ -188,3 +189,53 @@
     assert caller.status == 503, caller.status
     assert caller.headers[frontend.VERDICT_HEADER] == verdict, caller.headers
     assert context.entry.reactor.hasStopped
+
+
+class CallerTransport(testing.StringTransport):
+    """Connection of a caller that closes once all that was written has been read."""
+
+    is_closing = False
+    is_closed = False
+
+    def loseConnection(self):
+        """Note that the connection is to be closed."""
+        self.is_closing = True
+
+    def read_all(self, connection):
+        """Let the caller read all, which ends the connection if it is to be closed."""
+        if self.is_closing and self.producer is None:
+            self.is_closed = True
+            connection.connectionLost(failure.Failure(error.ConnectionDone()))
+
+
+@behave.given("an entry instance whose caller has 1 MB of an answer to read")
+def step_unread(context):
+    context.entry = Entry()
+    context.transport = CallerTransport()
+    context.connection = context.entry.daemon._site.buildProtocol(None)
+    context.connection.makeConnection(context.transport)
+    context.connection.write(b"x" * 1_000_000)
+
+
+@behave.when("the entry instance is stopped and the caller reads {when}")
+def step_reads(context, when):
+    entry = context.entry
+    entry.stop()
+    entry.run_until(4.0)
+    context.had_ended = entry.reactor.hasStopped
+    if when == "after 3 s more":
+        context.transport.read_all(context.connection)
+    entry.run_until(DRAIN_LIMIT_S)
+
+
+@behave.then("the entry instance ends once the caller has read all of it")
+def step_ends_read(context):
+    assert not context.had_ended, "the process ended before its caller had read all"
+    assert context.transport.is_closed
+    assert context.entry.ended_s <= 4.2, context.entry.ended_s
+
+
+@behave.then("the entry instance ends by itself")
+def step_ends_itself(context):
+    assert context.entry.ended_s is not None
+    context.connection.connectionLost(failure.Failure(error.ConnectionDone()))
