Answer requests early that cannot end before a stopping entry instance

New requests are refused from the start of a stop, but one that had been dispatched and was still being dialled, or waited to be sent again, went on: it was held to the drain limit, or written to another agent just before it, cut there, and its caller told that it may have run.

Cause and class: as in the gateway, whether a request can end in time was not asked.

Change: while an entry instance stops, requests that have certainly not run are looked at each 0.1 s and before work is written. What a request may take is the time to its deadline, and at most 1.25 times the longest recent answer of its row. Those that cannot end are answered 503 with the verdict not_run. The refusal of new requests comes from the decision object alone.

--- a/cicadaplank/entry/serving.py
+++ b/cicadaplank/entry/serving.py
@@ -7,10 +7,12 @@
 
 from cicadaplank.entry import claimcalls, frontend
 from cicadaplank.links import sockets
+from cicadaplank.members import draining
 from cicadaplank.messages import types
 from cicadaplank.reports import objectives
 from cicadaplank.requests import (
     admission,
+    answer_times,
     answers,
     claims,
     crash_tracking,
@@ -30,6 +32,11 @@
 # Limits the waiting requests of one row that are dispatched in one call, so that the
 # event loop is not blocked.
 MAX_STARTS_PER_TURN = 64
+# Error codes and messages of refusals by the planned stop.
+REFUSALS = {
+    "leaving": ("stopping", "This entry instance is stopping."),
+    "busy": ("overload", "Too many requests are in progress."),
+}
 
 
 class OpenRequest:
@@ -82,6 +89,7 @@
         self._open_requests = {}
         self._queued_requests = {}
         self._prefixes = {}
+        self._longest_answers = collections.defaultdict(answer_times.LongestAnswer)
         self._sequence = 0
         self._process = process
         self._timer = None
@@ -133,7 +141,6 @@
             return
         wanted = self._exchange_request(identifier, call, now_s)
         self._prefixes[identifier] = call.prefix
-        self._daemon.draining.offered(identifier, now_s)
         if self._is_suspect(wanted, now_s):
             # The dispatcher rejects it at once; a full queue must not delay that.
             self._start(wanted, now_s)
@@ -148,12 +155,13 @@
     def _rejection(self, identifier, call, now_s):
         """Return the answer that rejects a request, or None when it is accepted."""
         daemon = self._daemon
-        if not daemon.is_ready:
-            code = "stopping" if daemon.draining.is_stopping else "not_ready"
-            message = f"This entry instance is {code.replace('_', ' ')}."
-            return frontend.error_answer(
-                identifier, code, 503, message, RETRY_LATER_ADVICE, 1.0
-            )
+        (offered,) = daemon.draining.offered(identifier, now_s)
+        if isinstance(offered, draining.Refuse):
+            code, message = REFUSALS[offered.reason]
+            return _unavailable(identifier, code, message)
+        if not daemon.distribution.ready(now_s):
+            message = "This entry instance is not ready."
+            return _unavailable(identifier, "not_ready", message)
         if daemon.configuration.table.row(call.row) is None:
             message = f"The table has no row {call.row!r}."
             return frontend.error_answer(
@@ -318,6 +326,8 @@
         elif not connection.has_room:
             self._undelivered(work.attempt, "the connection's send queue is full")
         else:
+            if self._daemon.draining.is_stopping:
+                self._refuse_late()
             work = self.dispatcher.begin_write(work, self._daemon.now_s)
             if work is not None:
                 connection.send(work)
@@ -383,6 +393,7 @@
             return
         if not open_request.tokens:
             frontend.write_stream_part(open_request.request, b"", False)
+        self._record_answer(open_request)
         frontend.write_stream_end(open_request.request, action.total)
         self._observe(open_request, verdicts.Verdict.RAN, "answered")
 
@@ -395,9 +406,17 @@
     def _answer(self, answer):
         open_request = self._close_request(answer.request)
         if open_request is not None:
+            if not answer.code:
+                self._record_answer(open_request)
             frontend.write_answer(open_request.request, answer)
             self._observe(open_request, answer.verdict, answer.code or "answered")
 
+    def _record_answer(self, open_request):
+        if open_request.started_s is not None:
+            now_s = self._daemon.now_s
+            longest = self._longest_answers[open_request.call.row]
+            longest.record(now_s - open_request.started_s, now_s)
+
     def _close_request(self, identifier):
         open_request = self._open_requests.pop(identifier, None)
         self._request_ended(identifier)
@@ -478,16 +497,31 @@
         """Give every request its final answer, at the time limit of a planned stop."""
         now_s = self._daemon.now_s
         for identifier in list(self._queued_requests):
-            self._daemon.carry_out(self.admission.withdrawn(identifier, now_s))
-            self._queued_requests.pop(identifier)
-            message = "This entry instance stops and the request did not start."
-            answer = frontend.error_answer(
-                identifier, "stopping", 503, message, RETRY_LATER_ADVICE, 1.0
-            )
-            self._answer(answer)
+            self._refuse_queued(identifier, now_s)
         self._daemon.carry_out(self.dispatcher.stop(now_s))
         self._schedule()
 
+    def _refuse_queued(self, identifier, now_s):
+        self._daemon.carry_out(self.admission.withdrawn(identifier, now_s))
+        self._queued_requests.pop(identifier)
+        message = "This entry instance stops and the request did not start."
+        self._answer(_unavailable(identifier, "stopping", message))
+
+    def _refuse_late(self):
+        """Refuse requests that have not run and cannot end by the drain limit."""
+        now_s = self._daemon.now_s
+        for identifier, wanted in list(self._queued_requests.items()):
+            if not self._can_end(wanted, now_s):
+                self._refuse_queued(identifier, now_s)
+        stopped = self.dispatcher.stop_unsent(self._can_end, now_s)
+        self._daemon.carry_out(stopped)
+        self._schedule()
+
+    def _can_end(self, wanted, now_s):
+        longest = self._longest_answers[wanted.row]
+        needed_s = longest.needed_s(wanted.deadline_s - now_s, now_s)
+        return self._daemon.draining.can_end(now_s, needed_s)
+
     # Time.
 
     def tick(self):
@@ -498,6 +532,8 @@
         now_s = self._daemon.now_s
         self._daemon.carry_out(self.limits.tick(now_s))
         self._daemon.carry_out(self.admission.tick(now_s))
+        if self._daemon.draining.is_stopping:
+            self._refuse_late()
         self.start_waiting_of_all_rows()
         self._dispatcher_tick()
 
@@ -524,6 +560,13 @@
 )
 
 
+def _unavailable(identifier, code, message):
+    """Return the answer to a request that was not run, and may be sent again soon."""
+    return frontend.error_answer(
+        identifier, code, 503, message, RETRY_LATER_ADVICE, 1.0
+    )
+
+
 def _only_strings(values):
     """Return the digests of a report without values of another type."""
     return tuple(value for value in values if isinstance(value, str))
--- a/cicadaplank/requests/dispatcher.py
+++ b/cicadaplank/requests/dispatcher.py
@@ -202,6 +202,20 @@
             result += self._apply(machine, machine.stop(now_s), now_s)
         return result
 
+    def stop_unsent(self, can_end, now_s):
+        """Give requests that have certainly not run their final answer in a stop.
+
+        :param can_end: callable that takes an :class:`exchange.Request` and ``now_s``
+            and tells whether it can end in time; those that can go on.
+        :param now_s: current time in seconds.
+        :returns: tuple of actions.
+        """
+        result = ()
+        for machine in list(self._exchanges.values()):
+            if _is_unsent(machine) and not can_end(machine.request, now_s):
+                result += self._apply(machine, machine.stop(now_s), now_s)
+        return result
+
     def suspect_report(self, sender, report, now_s):
         """Handle a crash report of another entry instance.
 
@@ -339,6 +353,18 @@
         )
 
 
+def _is_unsent(machine):
+    """Tell whether a request has not run and is not at an endpoint.
+
+    :param machine: :class:`exchange.Exchange`.
+    """
+    if machine.verdict is not verdicts.Verdict.NOT_RUN:
+        return False
+    if machine.state() == "attempting":
+        return machine.attempt.state() == "created"
+    return machine.state() in ("claiming", "backing_off")
+
+
 def _attempt_event_for(message):
     """Return the event of a message about an attempt.
 
--- a/features/routing/draining.feature
+++ b/features/routing/draining.feature
@@ -63,6 +63,17 @@
     When the entry instance is stopped and the table service is silent
     Then its caller gets the verdict not_run before the process ends
 
+  Scenario Outline: A stopping entry instance holds a request that <situation>, answers take <known>
+    Given an entry instance whose answers take <known>
+    When the entry instance is stopped while a request <situation>
+    Then its caller is sent elsewhere within <limit> s of the stop signal
+
+    Examples:
+      | situation                        | known           | limit |
+      | is being dialled                 | an unknown time | 0.2   |
+      | is being dialled                 | 2 s             | 7.7   |
+      | is refused by its agent at 9.5 s | 2 s             | 9.6   |
+
   Scenario Outline: The answer to a caller that reads <when> is cut at the end
     Given an entry instance whose caller has 1 MB of an answer to read
     When the entry instance is stopped and the caller reads <when>
--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -7,9 +7,10 @@
 from twisted.python import failure
 
 from cicadaplank.entry import frontend, process, serving
+from cicadaplank.messages import types
 from cicadaplank.reports import objectives
-from cicadaplank.requests import claims, dispatcher, exchange
-from features.steps import gateway_left
+from cicadaplank.requests import claims, dispatcher, exchange, rate_limits
+from features.steps import gateway_left, requests_left
 
 DRAIN_LIMIT_S = 10.0
 STEP_S = 0.1
@@ -54,17 +55,24 @@
 
 
 class Hub:
-    """Connections to agents, none of which is ever established."""
+    """Connections to agents.
+
+    :ivar is_dialling: whether connections are not established for now.
+    """
 
     peers = ()
     counters = {}
 
+    def __init__(self):
+        self.is_dialling = True
+        self.agent = requests_left.Connection()
+
     def connection(self, name):
         """Return no connection."""
 
     def dial(self, instance):
-        """Return a Deferred that does not fire."""
-        return defer.Deferred()
+        """Return a Deferred that fires at once, or does not fire."""
+        return defer.Deferred() if self.is_dialling else defer.succeed(self.agent)
 
     def send(self, peer, message):
         """Drop a message."""
@@ -104,15 +112,22 @@
             ready=lambda now_s: True,
             configuration=plain_types.SimpleNamespace(table=table),
         )
-        daemon.peers = {"agent-1": object()}
+        daemon.peers = {"agent-1": object(), "agent-2": object()}
         daemon.serving.dispatcher = dispatcher.Dispatcher(
-            "entry", "entry/1", lambda route, now_s: "agent-1", daemon.rng
+            "entry",
+            "entry/1",
+            lambda route, now_s: f"agent-{1 + len(route.avoid)}",
+            daemon.rng,
         )
         daemon.serving.router = plain_types.SimpleNamespace(
             dispatched=lambda *arguments: None,
             finished=lambda *arguments: (),
             counts={},
         )
+        daemon.serving.limits = plain_types.SimpleNamespace(
+            tick=lambda now_s: (),
+            check_request=lambda *arguments: rate_limits.Admitted(),
+        )
         daemon.handlers[claims.Transact] = self._transact
         self.transactions = 0
         self.stopped_s = None
@@ -146,11 +161,29 @@
             call.path,
             call.body,
             daemon.now_s + 60.0,
-            repeatable=False,
+            repeatable=not call.once_key,
             once_key=call.once_key,
         )
         daemon.serving._start(wanted, daemon.now_s)
 
+    def message(self, message):
+        """Let the first agent send a message."""
+        connection = plain_types.SimpleNamespace(peer="agent-1")
+        self.daemon.serving.message(connection, message)
+
+    def answer_in(self, duration_s):
+        """Serve a request whose answer takes a time."""
+        self.daemon.hub.is_dialling = False
+        self.dispatch(self.call())
+        (work,) = self.daemon.hub.agent.sent
+        self.message(types.WorkAccepted(work.attempt))
+        self.reactor.advance(duration_s)
+        self.message(types.WorkData(work.attempt, 0, b"whole"))
+        self.message(types.WorkEnd(work.attempt, 200, 5, 0))
+        assert self.caller.status == 200, self.caller.body
+        self.daemon.hub.agent.sent.clear()
+        self.daemon.hub.is_dialling = True
+
     def stop(self):
         """Send the stop signal."""
         self.stopped_s = self.daemon.now_s
@@ -163,7 +196,7 @@
         while daemon.now_s < until_s - 1e-6 and not self.reactor.hasStopped:
             self.reactor.advance(STEP_S)
             daemon.carry_out(daemon.draining.tick(daemon.now_s, daemon.unfinished))
-            daemon.serving._dispatcher_tick()
+            daemon.serving.tick()
         if self.reactor.hasStopped:
             self.ended_s = daemon.now_s - self.stopped_s
 
@@ -239,3 +272,42 @@
 def step_ends_itself(context):
     assert context.entry.ended_s is not None
     context.connection.connectionLost(failure.Failure(error.ConnectionDone()))
+
+
+@behave.given("an entry instance whose answers take {known}")
+def step_known(context, known):
+    context.entry = Entry()
+    if known != "an unknown time":
+        context.entry.answer_in(float(known.removesuffix(" s")))
+
+
+@behave.when("the entry instance is stopped while a request {situation}")
+def step_unsent(context, situation):
+    entry = context.entry
+    if situation == "is being dialled":
+        entry.dispatch(entry.call())
+        entry.stop()
+    elif situation == "is refused by its agent at 9.5 s":
+        entry.daemon.hub.is_dialling = False
+        entry.dispatch(entry.call())
+        (work,) = entry.daemon.hub.agent.sent
+        entry.daemon.hub.agent.sent.clear()
+        entry.stop()
+        entry.run_until(9.5)
+        entry.message(types.WorkRefused(work.attempt, serving.BUSY_REASON))
+    else:
+        assert situation == "comes on an open connection", situation
+        entry.stop()
+        entry.caller = Caller(entry.reactor)
+        entry.daemon.serving.accept_request(entry.caller, entry.call())
+    entry.run_until(DRAIN_LIMIT_S + 5.0)
+
+
+@behave.then("its caller is sent elsewhere within {limit_s:g} s of the stop signal")
+def step_elsewhere(context, limit_s):
+    entry, caller = context.entry, context.entry.caller
+    assert caller.status == 503, (caller.status, caller.body)
+    assert caller.headers[frontend.VERDICT_HEADER] == "not_run", caller.headers
+    ended_s = caller.ended_s - entry.stopped_s
+    assert ended_s <= limit_s + 1e-6, ended_s
+    assert not entry.daemon.hub.agent.sent, "the request was sent"
--- a/features/steps/requests_left.py
+++ b/features/steps/requests_left.py
@@ -6,6 +6,7 @@
 import behave
 
 from cicadaplank.entry import frontend, serving
+from cicadaplank.members import draining
 from cicadaplank.reports import objectives
 from cicadaplank.requests import admission, answers, dispatcher, exchange
 from cicadaplank.world import contracts
@@ -46,9 +47,7 @@
         rng=random.Random(1),
         carry_out=actions.extend,
         reactor=plain_types.SimpleNamespace(callLater=lambda *arguments: None),
-        draining=plain_types.SimpleNamespace(
-            finished=lambda *arguments: (), started=lambda identifier: None
-        ),
+        draining=draining.Draining(),
         configuration=plain_types.SimpleNamespace(table=contracts.EMPTY.table),
     )
     made = serving.Serving(daemon, lambda *arguments: None)
