Close connections of callers during the planned stop of an entry instance

A caller that kept its connection sent request after request to an instance that refused each of them, and the last one could cross the end of the process and get no answer.

Cause: responses during a stop left their connections open.

Change: while the process stops, each response says Connection: close and ends its connection.

Proof: features/routing/draining.feature, 'A stopping entry instance holds a request that comes on an open connection', fails on: the response has no Connection header.

--- a/cicadaplank/entry/frontend.py
+++ b/cicadaplank/entry/frontend.py
@@ -199,6 +199,16 @@
     return answers.Answer(identifier, status, not_run, body, retry_after_s, code)
 
 
+def close_after_response(request):
+    """Let the connection of a request end with its response.
+
+    :param request: Twisted request.
+    """
+    request.setHeader("Connection", "close")
+    if request.channel is not None:
+        request.channel.persistent = False
+
+
 def write_answer(request, answer):
     """Write a complete response and end it.
 
--- a/cicadaplank/entry/serving.py
+++ b/cicadaplank/entry/serving.py
@@ -373,6 +373,8 @@
         if open_request is None:
             return
         now_s = self._daemon.now_s
+        if not open_request.tokens:
+            self._close_if_stopping(open_request)
         frontend.write_stream_part(
             open_request.request, action.data, open_request.tokens > 0
         )
@@ -394,12 +396,14 @@
         if not open_request.tokens:
             frontend.write_stream_part(open_request.request, b"", False)
         self._record_answer(open_request)
+        self._close_if_stopping(open_request)
         frontend.write_stream_end(open_request.request, action.total)
         self._observe(open_request, verdicts.Verdict.RAN, "answered")
 
     def _stream_error(self, action):
         open_request = self._close_request(action.request)
         if open_request is not None:
+            self._close_if_stopping(open_request)
             frontend.write_stream_error(open_request.request, action.body)
             self._observe(open_request, verdicts.Verdict.MAY_HAVE_RUN, "broken_stream")
 
@@ -408,6 +412,7 @@
         if open_request is not None:
             if not answer.code:
                 self._record_answer(open_request)
+            self._close_if_stopping(open_request)
             frontend.write_answer(open_request.request, answer)
             self._observe(open_request, answer.verdict, answer.code or "answered")
 
@@ -417,6 +422,11 @@
             longest = self._longest_answers[open_request.call.row]
             longest.record(now_s - open_request.started_s, now_s)
 
+    def _close_if_stopping(self, open_request):
+        """Let the connection of a response end with it during a planned stop."""
+        if self._daemon.draining.is_stopping:
+            frontend.close_after_response(open_request.request)
+
     def _close_request(self, identifier):
         open_request = self._open_requests.pop(identifier, None)
         self._request_ended(identifier)
--- a/features/routing/draining.feature
+++ b/features/routing/draining.feature
@@ -73,6 +73,7 @@
       | is being dialled                 | an unknown time | 0.2   |
       | is being dialled                 | 2 s             | 7.7   |
       | is refused by its agent at 9.5 s | 2 s             | 9.6   |
+      | comes on an open connection      | 2 s             | 0.0   |
 
   Scenario Outline: The answer to a caller that reads <when> is cut at the end
     Given an entry instance whose caller has 1 MB of an answer to read
--- a/features/steps/entry_stop.py
+++ b/features/steps/entry_stop.py
@@ -311,3 +311,5 @@
     ended_s = caller.ended_s - entry.stopped_s
     assert ended_s <= limit_s + 1e-6, ended_s
     assert not entry.daemon.hub.agent.sent, "the request was sent"
+    assert caller.headers.get("Connection") == "close", caller.headers
+    assert not caller.channel.persistent
