--- a/cicadaplank/agent/executions.py
+++ b/cicadaplank/agent/executions.py
@@ -10,6 +10,7 @@
 
 import automat
 
+from cicadaplank.members import draining
 from cicadaplank.messages import types
 from cicadaplank.requests import attempts, retries, verdicts
 
@@ -28,6 +29,8 @@
 LATE_RESULT_S = 30.0
 # An engine that does not respond to a probe within this time counts as crashed.
 PROBE_LIMIT_S = 2.0
+# Reasons of refusals by the planned stop.
+REFUSALS = {"leaving": "the endpoint is stopping", "busy": "the endpoint is full"}
 STATUS_OK = 200
 STATUS_BAD_GATEWAY = 502
 # The engine or a proxy in front of it did not complete the request.
@@ -91,6 +94,8 @@
 class CancelEngine:
     """Close the engine connection of an attempt, which cancels it at the engine.
 
+    It follows the reply of an attempt that has one: the agent forgets the attempt.
+
     :param attempt: identifier of the attempt.
     """
 
@@ -102,11 +107,6 @@
     """Probe the engine and report with :meth:`Executions.engine_probed`."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Drained:
-    """The drain is complete: no work is in progress; the process may exit."""
-
-
 class Execution:
     """State machine of one attempt; each event returns a tuple of actions.
 
@@ -232,9 +232,9 @@
         return bool(expected) and reported is not None and reported != expected
 
     def _abort(self, reason, now_s):
-        cancel = (CancelEngine(self.work.attempt),)
+        cancel = CancelEngine(self.work.attempt)
         may_have_run = verdicts.Verdict.MAY_HAVE_RUN
-        return cancel + self.fail(may_have_run, reason, False, now_s)
+        return (*self.fail(may_have_run, reason, False, now_s), cancel)
 
     def _forward(self, data, now_s):
         if self._is_error_response():
@@ -374,23 +374,24 @@
     """All attempts in progress at an agent.
 
     Every event method returns a tuple of :class:`Reply`, :class:`CallEngine`,
-    :class:`CancelEngine`, :class:`ProbeEngine` and :class:`Drained`. The caller carries
-    them out and calls :meth:`tick` at the time that :meth:`next_tick_s` returns.
+    :class:`CancelEngine` and :class:`ProbeEngine`. The caller carries them out and
+    calls :meth:`tick` at the time that :meth:`next_tick_s` returns.
 
     :param check: callable that takes the ``Work`` and ``now_s`` and returns a
         :class:`GrantDecision`, which tells whether this agent may run the work.
+    :param stop: :class:`cicadaplank.members.draining.Draining` of this process; None
+        for one with default limits.
     :ivar dropped_responses: number of engine events without an attempt in progress.
     :ivar refused: number of work messages that were refused.
     """
 
-    def __init__(self, check):
+    def __init__(self, check, stop=None):
         self._check = check
+        self._stop = stop or draining.Draining()
         self._executions = {}
         self._claim_generations = collections.OrderedDict()
         self._seen_attempts = collections.OrderedDict()
         self._probe_deadline_s = None
-        self._draining = False
-        self._drain_deadline_s = None
         self.dropped_responses = 0
         self.refused = 0
 
@@ -424,9 +425,15 @@
                 _may_have_run_reply(entry, work, "the claim was dispatched before"),
             )
         grant = self._check(work, now_s)
+        (offered,) = self._stop.offered(work.attempt, now_s)
+        if isinstance(offered, draining.Refuse):
+            reason = REFUSALS[offered.reason]
+            return self._refuse(entry, work, reason, offered.retry_after_s)
         refusal = self._refusal(work, grant)
         if refusal is not None:
+            self._stop.finished(work.attempt)
             return self._refuse(entry, work, *refusal)
+        self._stop.started(work.attempt)
         deadline_s = now_s + work.deadline_s
         if work.once_key:
             self._claim_generations[_claim_key(work)] = (work.generation, work.attempt)
@@ -456,8 +463,6 @@
 
     def _refusal(self, work, grant):
         """Return the reason and ``retry_after_s`` of a refusal, None to accept."""
-        if self._draining:
-            return "the endpoint is stopping", 0.0
         if work.deadline_s < retries.MIN_ATTEMPT_S:
             return "the deadline has passed", 0.0
         if not grant.allowed:
@@ -527,7 +532,7 @@
         if reason is not None:
             arguments = (verdicts.Verdict.MAY_HAVE_RUN, reason, False)
             failed = self._handle_event(attempt, "fail", arguments, now_s)
-            return (*actions, CancelEngine(attempt), *failed)
+            return (*actions, *failed, CancelEngine(attempt))
         return actions + self._handle_event(attempt, "data", (token + b"\n",), now_s)
 
     def engine_end(self, attempt, now_s, total=None, manifest_digest=None):
@@ -665,19 +670,19 @@
                 actions += self._handle_event(attempt, "stop", (), now_s)
         return actions
 
-    def drain(self, limit_s, now_s):
-        """Refuse new work and let the work in progress finish.
+    def abort(self, action, now_s):
+        """End work that exceeds the drain limit of a planned stop.
 
-        :param limit_s: seconds after which remaining work fails with its verdict.
+        :param action: :class:`cicadaplank.members.draining.Abort`.
         :param now_s: current time in seconds.
         :returns: tuple of actions.
         """
-        self._draining = True
-        self._drain_deadline_s = now_s + limit_s
-        return () if self._executions else (Drained(),)
+        if action.work not in self._executions:
+            return ()
+        return self._end_now(action.work, action.verdict, "the endpoint stopped", now_s)
 
     def tick(self, now_s):
-        """End work whose deadline, drain limit or probe time limit has passed.
+        """End work whose deadline or probe time limit has passed.
 
         :param now_s: current time in seconds.
         :returns: tuple of actions.
@@ -685,23 +690,19 @@
         actions = ()
         if self._probe_deadline_s is not None and now_s >= self._probe_deadline_s:
             actions += self.engine_crashed(now_s)
-        draining = (
-            self._drain_deadline_s is not None and now_s >= self._drain_deadline_s
-        )
+        verdict, reason = verdicts.Verdict.MAY_HAVE_RUN, "the deadline has passed"
         for attempt, execution in list(self._executions.items()):
-            late = now_s >= execution.deadline_s
-            if late or draining:
-                reason = "the deadline has passed" if late else "the endpoint stopped"
-                arguments = (verdicts.Verdict.MAY_HAVE_RUN, reason, False)
-                actions += (CancelEngine(attempt),)
-                actions += self._handle_event(attempt, "fail", arguments, now_s)
+            if now_s >= execution.deadline_s:
+                actions += self._end_now(attempt, verdict, reason, now_s)
         return actions
 
+    def _end_now(self, attempt, verdict, reason, now_s):
+        failed = self._handle_event(attempt, "fail", (verdict, reason, False), now_s)
+        return (*failed, CancelEngine(attempt))
+
     def next_tick_s(self):
         """Return the time at which :meth:`tick` is due, or None."""
         times = [execution.deadline_s for execution in self._executions.values()]
-        if self._drain_deadline_s is not None and times:
-            times.append(self._drain_deadline_s)
         if self._probe_deadline_s is not None:
             times.append(self._probe_deadline_s)
         return min(times, default=None)
@@ -714,8 +715,7 @@
         actions = getattr(execution, event)(*arguments, now_s)
         if execution.is_ended:
             del self._executions[attempt]
-            if self._draining and not self._executions:
-                actions += (Drained(),)
+            self._stop.finished(attempt)
         return actions
 
 
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -23,8 +23,9 @@
     staleness,
     waiting,
 )
+from cicadaplank.members import draining
 from cicadaplank.messages import types
-from cicadaplank.requests import crash_causes, crash_tracking
+from cicadaplank.requests import answer_times, crash_causes, crash_tracking
 from cicadaplank.world import buffers
 
 TIMEOUT_CHECK_INTERVAL_S = 0.05
@@ -56,6 +57,10 @@
 MAX_WISH_S = 5.0
 WISHES_PER_PERMIT = 4
 
+# Reasons of calls that end because this process stops or has too many of them.
+STOPPING = "this process stops"
+REFUSALS = {"leaving": STOPPING, "busy": "too many calls are in progress"}
+
 
 @dataclasses.dataclass(frozen=True)
 class Bounds:
@@ -84,11 +89,16 @@
     :param bounds: :class:`Bounds`.
     :param random: ``random.Random``.
     :param reporter: :class:`cicadaplank.gateway.reporting.Reporter`.
+    :param stop: :class:`cicadaplank.members.draining.Draining` of this process; None
+        for one with default limits.
     """
 
-    def __init__(self, reactor, dialect, data_centre, bounds, random, reporter):
+    def __init__(
+        self, reactor, dialect, data_centre, bounds, random, reporter, stop=None
+    ):
         self.dialect = dialect
         self.data_centre = data_centre
+        self.draining = stop or draining.Draining()
         self.endpoints = endpoints.Endpoints(random)
         self.buffers = buffers.BufferBudget(MAX_BUFFERED_BYTES)
         self.suspects = crash_tracking.CrashTracker(CRASH_LIMIT, SUSPICION_S)
@@ -116,6 +126,7 @@
         self._queues = collections.defaultdict(waiting.CallQueue)
         self._budgets = {}
         self.answer_times = collections.defaultdict(waiting.AnswerTimeAverage)
+        self._longest_answers = collections.defaultdict(answer_times.LongestAnswer)
         # Time of the last check of time-outs, and by how much it was late, in seconds.
         self._checked_s = None
         self._late_s = 0.0
@@ -359,12 +370,36 @@
         call = calls.Call(self, client, request, admitted, service, fingerprint)
         self._calls.add(call)
         now_s = self.now_s()
+        (offered,) = self.draining.offered(call, now_s, self._needed_s(call, now_s))
         if call.deadline_s - now_s < outcomes.MIN_ATTEMPT_S:
             call.refuse("deadline", now_s)
+        elif isinstance(offered, draining.Refuse):
+            call.refuse(REFUSALS[offered.reason], now_s, offered.retry_after_s)
         else:
             self.place(call, now_s)
         return None if call.phase is calls.Phase.ENDED else call
 
+    def _needed_s(self, call, now_s):
+        """Return the time in seconds that a call may take until its whole answer."""
+        longest = self._longest_answers[call.service]
+        return longest.needed_s(call.deadline_s - now_s, now_s)
+
+    def refuse_if_late(self, call, now_s, wait_s=0.0):
+        """Refuse a call that has not run and cannot end before this process stops.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        :param now_s: current time in seconds.
+        :param wait_s: expected time in seconds until it is sent.
+        :returns: whether the call was refused.
+        """
+        is_sent = call.phase in (calls.Phase.SENT, calls.Phase.STREAMING)
+        if is_sent or not call.may_be_refused:
+            return False
+        if self.draining.can_end(now_s, wait_s + self._needed_s(call, now_s)):
+            return False
+        call.terminate(STOPPING, now_s)
+        return True
+
     def _if_current(self, denied):
         """Return the denial for a client.
 
@@ -440,7 +475,7 @@
         :param call: :class:`cicadaplank.gateway.calls.Call`.
         :param now_s: current time in seconds.
         """
-        if not call.admit_again(now_s):
+        if not call.admit_again(now_s) or self.refuse_if_late(call, now_s):
             return
         blocked_s = self.crash_causes.blocked_for_s(call.shared_parts, now_s)
         if blocked_s > 0:
@@ -460,12 +495,14 @@
         if self._refuse_unservable(call, queue_entry, states, now_s):
             return
         expected_s = placement.permit_wait_s(states, demand, len(queue), now_s)
-        if expected_s is None:
-            expected_s = queue.expected_wait_s(now_s)
-            reason, is_told = queue.admit(queue_entry, now_s), False
+        is_told = expected_s is not None
+        if is_told:
+            longest_s = PERMIT_WAIT_MARGIN * expected_s
         else:
-            longest_s, is_told = PERMIT_WAIT_MARGIN * expected_s, True
-            reason = queue.admit(queue_entry, now_s, longest_s)
+            longest_s = expected_s = queue.expected_wait_s(now_s)
+        if self.refuse_if_late(call, now_s, longest_s):
+            return
+        reason = queue.admit(queue_entry, now_s, longest_s)
         if reason:
             call.refuse(reason, now_s, expected_s, is_told)
             return
@@ -656,8 +693,13 @@
         :param verdict: :class:`cicadaplank.requests.verdicts.Verdict`.
         """
         self._calls.discard(call)
-        if outcome == "answered" and call.fingerprint:
-            self.suspects.clear(call.fingerprint)
+        self.draining.finished(call)
+        if outcome == "answered":
+            now_s = self.now_s()
+            sent_s = call.request.arrived_s + call.sent_after_s
+            self._longest_answers[call.service].record(now_s - sent_s, now_s)
+            if call.fingerprint:
+                self.suspects.clear(call.fingerprint)
         self._reporter.ended(call, outcome, verdict, self.configuration_version)
         if call.phase is calls.Phase.ENDED and len(self._queues[call.service]):
             self._reactor.callLater(0, self.dispatch, call.service)
@@ -1118,7 +1160,8 @@
             self._late_s = now_s - self._checked_s - TIMEOUT_CHECK_INTERVAL_S
         self._checked_s = now_s
         for call in list(self._calls):
-            call.check_timeouts(now_s)
+            if not (self.draining.is_stopping and self.refuse_if_late(call, now_s)):
+                call.check_timeouts(now_s)
         self._update_permits(now_s)
         for service, queue in list(self._queues.items()):
             for queued_call in queue.pop_expired(now_s):
@@ -1135,13 +1178,9 @@
         else:
             call.refuse("waited too long", now_s, wait_s, True)
 
-    def abort_all(self, reason):
-        """End every call and close the connection pools; the process is stopping.
+    def abort(self, call):
+        """End a call that exceeds the time limit of a planned stop.
 
-        :param reason: text for the clients and the log.
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
         """
-        now_s = self.now_s()
-        for call in list(self._calls):
-            call.terminate(reason, now_s)
-        for pool in self._pools.values():
-            pool.close()
+        call.terminate(STOPPING, self.now_s())
--- a/features/routing/draining.feature
+++ b/features/routing/draining.feature
@@ -42,6 +42,49 @@
       | not started | NOT_RUN      |
       | started     | MAY_HAVE_RUN |
 
+  Scenario Outline: An agent leaves its entry in doubt when its engine <behaviour>
+    Given an agent with work in progress
+    When the agent is stopped and its engine <behaviour>
+    Then the entry is told before the connection closes that the work <outcome>
+    And the agent ends within <limit> s of the stop signal
+
+    Examples:
+      | behaviour                          | outcome      | limit |
+      | does not answer                    | may have run | 10.1  |
+      | answers during a freeze until 12 s | has run      | 12.2  |
+
+  Scenario: Work that is sent twice holds up the stop of its agent
+    Given an agent with work in progress
+    When the agent is sent that work twice, answers it and is stopped
+    Then the agent ends within 1.1 s of the stop signal
+
+  Scenario: An entry instance ends before its caller has the answer to a call
+    Given an entry instance with a call that may run once, held by its claim
+    When the entry instance is stopped and the table service is silent
+    Then its caller gets the verdict not_run before the process ends
+
+  Scenario Outline: A stopping entry instance holds a request that <situation>, answers take <known>
+    Given an entry instance whose answers take <known>
+    When the entry instance is stopped while a request <situation>
+    Then its caller is sent elsewhere within <limit> s of the stop signal
+
+    Examples:
+      | situation                        | known           | limit |
+      | is being dialled                 | an unknown time | 0.2   |
+      | is being dialled                 | 2 s             | 7.7   |
+      | is refused by its agent at 9.5 s | 2 s             | 9.6   |
+      | comes on an open connection      | 2 s             | 0.0   |
+
+  Scenario Outline: The answer to a caller that reads <when> is cut at the end
+    Given an entry instance whose caller has 1 MB of an answer to read
+    When the entry instance is stopped and the caller reads <when>
+    Then the entry instance ends <end>
+
+    Examples:
+      | when           | end                                |
+      | after 3 s more | once the caller has read all of it |
+      | nothing        | by itself                          |
+
   Scenario: A second stop request does not put the limit off
     Given a planned stop with a limit of 10 s and work that has started
     When the planned stop is requested again at 5 s
