Answer every whole request before its connection closes

Callers that sent requests ahead of their answers lost some of them. With two whole requests and a planned stop during the first, the second got nothing; with an invalid request behind them in the same read, the first one got the refusal of the invalid one and the second nothing; of 40 requests in one read none was answered but the first, with 400.

The end of a connection took effect at once or with the answer in progress, although whole requests were queued: `_closes_connection` looked only at the stop, `dataReceived` and `_response_sent` rejected before they looked at the queue, and a queue of more than 8 counted as an error.

An invalid request is now rejected when the queue before it is empty. During a stop the answer that leaves no request behind it announces the close, which then holds to its end. A client with 8 queued requests is not read until one of them is done, which bounds the queue by that and one read. Nothing is read behind a request with `Connection: close` or of HTTP/1.0, or behind an announced close (RFC 9112, 9.6); before, the parser's error for those bytes became the answer to the request itself. A request that is being read when the answer before it ends has the time for headers from then on, as docs/design.md said, not the idle time.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -9,7 +9,7 @@
 from cicadaplank.links import sockets
 from cicadaplank.world import buffers
 
-# Pipelined requests that a client may have queued behind the one in progress.
+# Pipelined requests behind the one in progress from which on a client is not read.
 MAX_PIPELINED = 8
 # Bytes of chunk sizes and trailers that a request may have for each byte of its body,
 # beyond the limit of its headers. Chunks of single bytes have 5 each.
@@ -43,6 +43,10 @@
         self._is_http_1_0 = False
         self._is_head_request = False
         self._is_reading = False
+        # Whether further requests are read: not behind the last one of a connection.
+        self._takes_requests = True
+        self._is_read_paused = False
+        self._is_close_announced = False
         # Bytes of the request being read that are not of its body.
         self._framing_bytes = 0
         self._target = b""
@@ -94,13 +98,15 @@
     @property
     def is_idle(self):
         """Whether no request is being read or answered."""
-        return not self._is_busy and not self._queue and not self._is_reading
+        is_waiting = self._is_busy or bool(self._queue) or self._error is not None
+        return not is_waiting and not self._is_reading
 
     def close_idle(self):
         """Close the connection if no request is being read or answered."""
-        if self.is_idle and not self._is_disconnected:
-            self._is_closing = True
-            self.transport.loseConnection()
+        if not self.is_idle or self._is_disconnected or self._is_closing:
+            return
+        self._is_closing = True
+        self.transport.loseConnection()
 
     def _start_timer(self, delay_s):
         self._stop_timer()
@@ -113,33 +119,33 @@
 
     def _timed_out(self):
         self._timer = None
-        if self._is_disconnected or self._is_busy:
+        if self._is_disconnected or self._is_busy or self._queue:
             return
         if self._is_reading:
             self._gateway.count("client_faults", kind="slow_request")
             self._reject(408, "the request took too long")
         else:
+            self._is_closing = True
             self.transport.loseConnection()
 
     # Requests.
 
     def dataReceived(self, data):
         """Parse received bytes, then start the next request or reject a bad one."""
-        if self._is_closing or self._error is not None:
+        if self._is_closing or self._error is not None or not self._takes_requests:
             return
         self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._gateway.count("client_faults", kind="not_http")
-            self._error = self._error or (400, f"the request is not HTTP: {error}")
+            # The parser also rejects what follows the last request.
+            if self._takes_requests:
+                self._gateway.count("client_faults", kind="not_http")
+                self._error = self._error or (400, f"the request is not HTTP: {error}")
         except dialects.BadRequestError as error:
             self._error = self._error or (error.status, str(error))
         if self._error is None:
             self._error = self._framing_error()
-        if self._error is not None and not self._is_busy:
-            self._reject(*self._error)
-            return
         self._start_next()
 
     def _framing_error(self):
@@ -214,7 +220,7 @@
         """Reject the request being read, as the bodies take too much memory."""
         self._error = (503, f"not run: {reason}; send it again later")
         self._body = []
-        if not self._is_busy:
+        if not self._is_busy and not self._queue:
             self._reject(*self._error)
 
     def on_message_complete(self):
@@ -224,15 +230,16 @@
         self._listener.bodies.release(self)
         if self._error is not None or self._head is None:
             return
-        keeps_open = self._parser.should_keep_alive()
+        version = self._parser.get_http_version()
+        keeps_open = version == "1.1" and self._parser.should_keep_alive()
+        self._takes_requests = keeps_open
         arrived_s = self._gateway.arrival_s()
         request = calls.Request(self._head, b"".join(self._body), arrived_s)
         self._body = []
-        self._queue.append((request, keeps_open, self._parser.get_http_version()))
-        if len(self._queue) > MAX_PIPELINED:
-            self._error = (400, "too many requests ahead of their answers")
+        self._queue.append((request, keeps_open, version))
 
     def _start_next(self):
+        """Start the next request; reject an invalid one when it is its turn."""
         while self._queue and not self._is_busy and not self._is_closing:
             request, self._keeps_open, version = self._queue.popleft()
             self._is_http_1_0 = version != "1.1"
@@ -244,6 +251,22 @@
             # The call may have ended within ``accept``, and the next one have begun.
             if call is not None and self._is_busy:
                 self._call = call
+        if self._is_disconnected or self._is_closing:
+            return
+        if self._error is not None and not self._is_busy and not self._queue:
+            self._reject(*self._error)
+        else:
+            self._pace_reading()
+
+    def _pace_reading(self):
+        """Stop reading while enough requests are queued."""
+        is_full = len(self._queue) >= MAX_PIPELINED
+        if is_full and not self._is_read_paused:
+            self._gateway.count("client_reads_paused")
+            self.transport.pauseProducing()
+        elif self._is_read_paused and not is_full:
+            self.transport.resumeProducing()
+        self._is_read_paused = is_full
 
     def _reject(self, status, message):
         """Refuse a request that cannot be read, and close the connection."""
@@ -304,10 +327,12 @@
 
         :param head: :class:`cicadaplank.gateway.dialects.ResponseHead`.
         """
-        closes = self._closes_connection()
+        closes = self._is_close_announced = self._closes_connection()
         head_bytes = self._gateway.dialect.write_response(
             head, None, closes, uses_chunks=not self._is_http_1_0
         )
+        # RFC 9112, 9.6: no request is processed behind an announced close.
+        self._takes_requests &= not closes
         self.transport.write(head_bytes)
 
     def stream(self, data):
@@ -321,7 +346,7 @@
 
     def end_stream(self):
         """Mark the stream as complete."""
-        closes = self._closes_connection()
+        closes = self._is_close_announced or self._closes_connection()
         if not self._is_http_1_0:
             self.transport.write(b"0\r\n\r\n")
         self._response_sent(closes)
@@ -334,7 +359,9 @@
         self.transport.abortConnection()
 
     def _closes_connection(self):
-        return not self._keeps_open or self._is_http_1_0 or self._listener.is_stopping
+        """Tell whether the connection ends with the answer to the current request."""
+        is_last = not self._queue and not self._is_reading and self._error is None
+        return not self._keeps_open or (self._listener.is_stopping and is_last)
 
     def _response_sent(self, closes):
         self._call = None
@@ -343,10 +370,13 @@
             self._is_closing = True
             self.transport.loseConnection()
             return
-        if self._error is not None:
+        if self._error is not None and not self._queue:
             self._reject(*self._error)
             return
-        self._start_timer(self._gateway.limits.idle_timeout_s)
+        limits = self._gateway.limits
+        self._start_timer(
+            limits.header_timeout_s if self._is_reading else limits.idle_timeout_s
+        )
         if self._queue:
             self._listener.reactor.callLater(0, self._start_next)
 
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -49,6 +49,8 @@
     """Transport in memory that tells how it was closed."""
 
     aborted = False
+    closed = False
+    half_closed = False
 
     def getHandle(self):
         """Return a socket that takes any option."""
@@ -57,6 +59,14 @@
     def setTcpNoDelay(self, enabled):
         """Take the option."""
 
+    def loseConnection(self):
+        """Note that the connection was closed."""
+        self.closed = self.disconnecting = True
+
+    def loseWriteConnection(self):
+        """Note that the sending side was closed, by which the connection ends."""
+        self.half_closed = self.disconnecting = True
+
     def abortConnection(self):
         """Note that the connection was broken off."""
         self.aborted = True
