Read what a client has sent before its idle connection is closed

A request that had reached the socket and was not read yet was dropped, and its connection reset, when the idle time-out or a planned stop closed the connection in the same turn of the event loop.

Both looked only at what was read. They now look into the socket first, without taking bytes from it, and leave the connection to the reader when some wait.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -105,8 +105,9 @@
         """Close the connection if no request is being read or answered."""
         if not self.is_idle or self._is_disconnected or self._is_closing:
             return
-        self._is_closing = True
-        self.transport.loseConnection()
+        if not sockets.has_unread(self.transport.getHandle()):
+            self._is_closing = True
+            self.transport.loseConnection()
 
     def _start_timer(self, delay_s):
         self._stop_timer()
@@ -124,6 +125,8 @@
         if self._is_reading:
             self._gateway.count("client_faults", kind="slow_request")
             self._reject(408, "the request took too long")
+        elif sockets.has_unread(self.transport.getHandle()):
+            self._start_timer(self._gateway.limits.header_timeout_s)
         else:
             self._is_closing = True
             self.transport.loseConnection()
--- a/cicadaplank/links/sockets.py
+++ b/cicadaplank/links/sockets.py
@@ -18,3 +18,14 @@
         return True
     except OSError:
         return False
+
+
+def has_unread(sock):
+    """Tell whether bytes of the peer wait to be read.
+
+    :param sock: socket of the connection.
+    """
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
--- a/features/gateway/pipelining.feature
+++ b/features/gateway/pipelining.feature
@@ -65,3 +65,14 @@
       | a request that closes      |
       | a request of HTTP/1.0      |
       | a kept request of HTTP/1.0 |
+
+  @always_2
+  Scenario Outline: A connection is not closed by <closing> before its bytes are read
+    Given a gateway with 2 endpoints and a route that may repeat
+    When <closing> comes while bytes of the client wait to be read
+    Then its request is answered
+
+    Examples: closings
+      | closing           |
+      | the idle time-out |
+      | a planned stop    |
--- a/features/steps/gateway_pipelining.py
+++ b/features/steps/gateway_pipelining.py
@@ -167,3 +167,32 @@
     assert got.count(b"\r\n0\r\n\r\n") == 2, got
     assert re.findall(rb"X-Attempt-Id: (\S+)", got) == [b"a-1", b"a-2"], got
     assert context.world.client_transport.disconnecting
+
+
+class Socket(gateway_steps.Socket):
+    """Socket of a client whose bytes have come and were not read yet."""
+
+    def recv(self, size, flags):
+        """Return the first bytes."""
+        return b"GET"[:size]
+
+
+@behave.when("{closing} comes while bytes of the client wait to be read")
+def step_unread(context, closing):
+    world = context.world
+    world.served = []
+    world.client_transport.getHandle = Socket
+    if closing == "the idle time-out":
+        world.run(world.gateway.limits.idle_timeout_s + 0.1)
+    else:
+        world.listener.is_stopping = True
+        world.listener.close_idle()
+    world.client_transport.getHandle = gateway_steps.Socket
+    if not world.client_transport.disconnecting:
+        world.client.dataReceived(request(world, 1))
+        serve(world)
+
+
+@behave.then("its request is answered")
+def step_answered(context):
+    assert answers(context.world) == [(200, b"a-1")], answers(context.world)
