Close connections behind answers that are longer than the send buffer

A connection whose last answer was longer than what the transport buffers (64 KB) and was read slowly stayed open for ever: a caller of HTTP/1.0, to whom the end of the connection is the end of the stream, waited for it, and a planned stop waited for the whole grace period.

The connection registers itself as a producer, so that endpoints are not read faster than the client reads. Twisted does not close a transport whose producer is registered and paused: when the buffer is empty it asks the producer for more instead.

The producer is unregistered before the close. Four copies of the same few lines have become `_close`.

On the code before: A connection is closed behind an answer that is longer than the buffers: error TimeoutError: timed out (5 s, on a real socket) The scenario passes now.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -106,8 +106,7 @@
         if not self.is_idle or self._is_disconnected or self._is_closing:
             return
         if not sockets.has_unread(self.transport.getHandle()):
-            self._is_closing = True
-            self.transport.loseConnection()
+            self._close()
 
     def _start_timer(self, delay_s):
         self._stop_timer()
@@ -128,8 +127,7 @@
         elif sockets.has_unread(self.transport.getHandle()):
             self._start_timer(self._gateway.limits.header_timeout_s)
         else:
-            self._is_closing = True
-            self.transport.loseConnection()
+            self._close()
 
     # Requests.
 
@@ -277,8 +275,6 @@
             return
         self._listener.bodies.release(self)
         self._listener.rejected(status, message)
-        self._is_closing = True
-        self._stop_timer()
         self.transport.write(
             self._gateway.dialect.write_refusal(
                 status,
@@ -288,6 +284,14 @@
                 True,
             )
         )
+        self._close()
+
+    def _close(self):
+        """Close the connection behind what was written."""
+        self._is_closing = True
+        self._stop_timer()
+        # The transport does not close while it expects more of a paused producer.
+        self.transport.unregisterProducer()
         self.transport.loseConnection()
 
     # Responses.
@@ -370,8 +374,7 @@
         self._call = None
         self._is_busy = False
         if closes:
-            self._is_closing = True
-            self.transport.loseConnection()
+            self._close()
             return
         if self._error is not None and not self._queue:
             self._reject(*self._error)
