Close connections of clients in stages

A client that was still sending when its connection was closed (413, 431, 400, a request with Connection: close or of HTTP/1.0, an idle connection at a stop) got a reset behind the answer. A reset that arrives before the answer was read destroys it, and a client that writes its whole request first never reads it.

`loseConnection` closes the socket; the kernel answers unread and later bytes by a reset. RFC 9112, 9.6, asks for a close in stages: the answer, the end of the sending side, reading until the client has closed, the close.

`ClientConnection._close` does that. Bytes that arrive are dropped; after 1 s the connection is closed in any case, and when 256 connections linger further ones are closed at once and counted (`clients_closed_at_once`). An answer that is still being written is written to its end, as before.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -18,6 +18,10 @@
 MAX_BODIES_BYTES = 48 * 1024 * 1024
 # Retry time of a client whose request was dropped for memory.
 MEMORY_RETRY_AFTER_S = 1.0
+# Time for which a closed connection is still read, until the client closes it, and the
+# number of such connections. Further ones are closed at once.
+LINGER_S = 1.0
+MAX_LINGERING = 256
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Separates the headers of a message from its body.
 HEAD_END = b"\r\n\r\n"
@@ -287,12 +291,26 @@
         self._close()
 
     def _close(self):
-        """Close the connection behind what was written."""
+        """Close the connection behind what was written, in stages (RFC 9112, 9.6).
+
+        A close with unread bytes of the client resets the connection, which may destroy
+        the answer on its way. So only the sending side is closed at first, and what
+        still arrives is dropped until the client closes or :data:`LINGER_S` has passed.
+        """
         self._is_closing = True
         self._stop_timer()
         # The transport does not close while it expects more of a paused producer.
         self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        if not self._listener.may_linger(self):
+            self._gateway.count("clients_closed_at_once")
+            self.transport.loseConnection()
+            return
+        if self._is_read_paused:
+            self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
+        self._timer = self._listener.reactor.callLater(
+            LINGER_S, self.transport.loseConnection
+        )
 
     # Responses.
 
@@ -420,6 +438,7 @@
         self.is_stopping = False
         self.bodies = buffers.BufferBudget(MAX_BODIES_BYTES)
         self._connections = set()
+        self._lingering = set()
 
     def buildProtocol(self, addr):
         """Return the protocol of a new connection."""
@@ -437,6 +456,17 @@
     def disconnected(self, connection):
         """Remove a connection that was closed."""
         self._connections.discard(connection)
+        self._lingering.discard(connection)
+
+    def may_linger(self, connection):
+        """Tell whether a closed connection may still be read for a while.
+
+        :param connection: :class:`ClientConnection`, counted from now on if it may.
+        """
+        if len(self._lingering) >= MAX_LINGERING:
+            return False
+        self._lingering.add(connection)
+        return True
 
     def close_idle(self):
         """Close every connection that is neither reading nor answering a request."""
