End exactly the call whose handling meets an unexpected error

An error in the handling of one request left callers without an answer. Where it was raised while the request was started, its connection was closed with nothing written. Where it was raised between the end of a call and its answer (a report, a retry time), nobody owned the call any more and no timer looked after it, so that its client waited until it gave up. In `check_timeouts`, `check_calls`, `dispatch`, `set_endpoints` and `abort_all` the same error also ended the loop, so that the calls after it got neither their time-out nor the end of a stop: in `check_timeouts` again at each turn.

`_finish` took a call out of the gateway before its client was told, and nothing between the callbacks of Twisted and the calls caught an error.

- A call answers its client first and is reported after that.
- `call_errors` guards the methods of calls and attempts that are called from outside, and the bodies of the loops over calls.
After an error the client is told by what the call itself knows: 503 with Retry-After when it was never sent, 502 when it may have run, a reset when its stream had begun.
Then its attempts are cancelled and it leaves the queues.
Errors that are no call's are recorded, and the loop goes on (`Gateway.run`).
- `ClientConnection._start_next` guards `Gateway.accept` in the same way.
An error of ours while a request is read is answered 503; it was 400, which no client sends again.
One while an answer is read is logged as ours, not as "not HTTP".
- A call counts as sent when its bytes are there to be written, not before they are encoded, and a connection that was opened for it is closed with it.
- `unexpected_errors` counts these errors, and `unexpected_error` has the request's identifier and the end of the traceback.

Looked for and not found: a real one. Shares that are empty or negative raise in `_choose_service`, but the decoder of the platform lets none through.

--- a/cicadaplank/gateway/attempts.py
+++ b/cicadaplank/gateway/attempts.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from cicadaplank.external import event_streams
-from cicadaplank.gateway import framing, outcomes, placement, routes
+from cicadaplank.gateway import call_errors, framing, outcomes, placement, routes
 
 # An endpoint that crashes under a part of a prompt does so as it begins to answer. A
 # stream that has gone on for this time shows that its prompt is sound.
@@ -100,13 +100,16 @@
             self._opened, self._dial_failed, may_reuse, identifier
         )
 
+    @call_errors.ends_call
     def _opened(self, connection):
         if self.is_ended:
             self._gateway.release_connection(connection)
             return
         self._dial = None
+        self._connection = connection
         self._call.attempt_opened(self, connection)
 
+    @call_errors.ends_call
     def _dial_failed(self, reason):
         if self.is_ended:
             return
@@ -135,7 +138,6 @@
         :param is_paused: whether the client reads too slowly to read from the endpoint.
         :param now_s: current time in seconds.
         """
-        self._connection = connection
         self._permit = None
         self.is_resumed = is_resumed
         self.sent_s = self.last_activity_s = now_s
@@ -148,6 +150,7 @@
 
     # Answer of the endpoint.
 
+    @call_errors.ends_call
     def response_started(self, head):
         """Handle the status and headers of the answer.
 
@@ -183,6 +186,7 @@
             return head.attempt == self._call.request.head.attempt
         return self._connection.is_first_response
 
+    @call_errors.ends_call
     def response_data(self, data):
         """Handle a part of the body: buffer it, or pass its complete events on.
 
@@ -208,6 +212,7 @@
         elif not self.is_ended:
             self._gateway.buffers.set_held(self, self.splitter.rest_bytes)
 
+    @call_errors.ends_call
     def response_ended(self, end):
         """Handle the end of a complete answer.
 
@@ -217,6 +222,7 @@
         self.end()
         self._call.attempt_answered(self)
 
+    @call_errors.ends_call
     def response_failed(self, end, reason):
         """Handle the loss of the connection before the end of the answer.
 
@@ -230,6 +236,10 @@
 
     # End.
 
+    def handling_failed(self):
+        """End the call after an unexpected error, while that is being handled."""
+        self._call.handling_failed()
+
     def break_off(self, reason):
         """Give up an attempt whose answer is invalid.
 
@@ -238,6 +248,7 @@
         self.cancel()
         self._call.attempt_ended(self, outcomes.Ending.BROKEN, reason)
 
+    @call_errors.ends_call
     def drop_buffer(self, reason):
         """Give up the attempt, as the incomplete answers take too much memory.
 
--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -18,6 +18,7 @@
 from cicadaplank.gateway import (
     admittance,
     attempts,
+    call_errors,
     framing,
     outcomes,
     placement,
@@ -124,6 +125,7 @@
         self._attempts = []
         self._reply = None
         self._body = b""
+        self._is_client_told = False
         self._stream_began = False
         # Whether the last event that was forwarded has an id.
         self._is_place_known = False
@@ -139,6 +141,7 @@
         """Return the parts of the prompt that other requests may share."""
         return self.request.head.shared_parts
 
+    @call_errors.ends_call
     def block(self, after_s, now_s):
         """End the call unless a part of its answer was forwarded.
 
@@ -171,6 +174,7 @@
             return self.account.priority
         return self.route.priority
 
+    @call_errors.ends_call
     def configuration_changed(self, now_s):
         """Apply a newer configuration, unless the call is at an endpoint.
 
@@ -217,12 +221,13 @@
             self.fail(502, f"not sent again: {denied.reason}", now_s)
             return
         self.reason = denied.reason
-        self._finish("denied", verdicts.Verdict.NOT_RUN)
         after_s = None
         if denied.status == 503:
             left_s = self.deadline_s - now_s
             after_s = self._gateway.retry_after_s(0.0, left_s)
-        self._client.refuse(denied.status, f"not run: {denied.reason}", after_s)
+        text = f"not run: {denied.reason}"
+        answer = (self._client.refuse, denied.status, text, after_s)
+        self._finish("denied", verdicts.Verdict.NOT_RUN, *answer)
 
     # Placement.
 
@@ -301,6 +306,7 @@
         :param connection: :class:`cicadaplank.gateway.connections.EndpointConnection`.
         """
         if self._client.has_left:
+            attempt.end()
             self._gateway.release_connection(connection)
             self.client_left()
             return
@@ -311,8 +317,8 @@
         if attempt.is_hedge:
             may_send = may_send and self._gateway.may_be_sent_again(self, now_s)
         if left_s < outcomes.MIN_ATTEMPT_S or not may_send:
-            self._gateway.release_connection(connection)
             attempt.end()
+            self._gateway.release_connection(connection)
             self.attempt_ended(
                 attempt,
                 outcomes.Ending.UNREACHABLE,
@@ -324,11 +330,11 @@
             self.phase = Phase.SENT
         if self.sent_after_s is None:
             self.sent_after_s = now_s - self.request.arrived_s
-        self.history.sends += 1
         state = attempt.state
         attempt.weights_version = state.endpoint.weights.get(self._model)
         self._show_attempt(attempt)
         data = self._gateway.encode_call(self, state, left_s)
+        self.history.sends += 1
         attempt.send(connection, data, self._stream_began, self._is_paused, now_s)
 
     def _is_second(self, attempt):
@@ -493,8 +499,8 @@
                 self._observe_answer(attempt, now_s)
                 if head.is_valid_success:
                     self._record_sound(attempt)
-                self._finish("answered", verdicts.Verdict.RAN)
-                self._client.reply(head, bytes(attempt.body))
+                answer = (self._client.reply, head, bytes(attempt.body))
+                self._finish("answered", verdicts.Verdict.RAN, *answer)
                 return
         ending = broken
         if head.status >= 500 and head.is_signed and not head.claims_not_run:
@@ -515,8 +521,7 @@
         self._record_sound(attempt)
         if rest or not self._stream_began:
             self._forward(attempt, rest, now_s)
-        self._finish("answered", verdicts.Verdict.RAN)
-        self._client.end_stream()
+        self._finish("answered", verdicts.Verdict.RAN, self._client.end_stream)
 
     def _record_sound(self, attempt):
         """Record a whole answer, as evidence that its prompt crashes no endpoint.
@@ -542,12 +547,14 @@
             return "the stream ended before its first event"
         return ""
 
+    @call_errors.ends_call
     def pause(self):
         """Stop reading from endpoints because the client reads too slowly."""
         self._is_paused = True
         for attempt in self._attempts:
             attempt.pause()
 
+    @call_errors.ends_call
     def resume(self):
         """Resume reading from endpoints."""
         self._is_paused = False
@@ -602,8 +609,8 @@
         elif action is outcomes.Action.REFUSE:
             self.refuse(self.reason, now_s)
         elif action is outcomes.Action.PASS:
-            self._finish("passed_failure", verdicts.Verdict.RAN)
-            self._client.reply(self._reply, self._body)
+            answer = (self._client.reply, self._reply, self._body)
+            self._finish("passed_failure", verdicts.Verdict.RAN, *answer)
         else:
             self.fail(502, reason, now_s)
 
@@ -647,8 +654,9 @@
         else:
             left_s = self.deadline_s - now_s
             after_s = self._gateway.retry_after_s(expected_s, left_s)
-        self._finish("refused", verdicts.Verdict.NOT_RUN)
-        self._client.refuse(503, f"not run: {reason}; send it again later", after_s)
+        text = f"not run: {reason}; send it again later"
+        answer = (self._client.refuse, 503, text, after_s)
+        self._finish("refused", verdicts.Verdict.NOT_RUN, *answer)
 
     def fail(self, status, reason, now_s):
         """End the call and tell the client that it may have run.
@@ -661,8 +669,8 @@
             self.abort(reason)
             return
         self.reason = f"{self.reason} {reason}".strip()
-        self._finish("failed", self.history.verdict)
-        self._client.refuse(status, f"may have run: {reason}", None)
+        answer = (self._client.refuse, status, f"may have run: {reason}", None)
+        self._finish("failed", self.history.verdict, *answer)
 
     def abort(self, reason):
         """Abort a stream without its end, so that it is not taken for complete.
@@ -670,22 +678,56 @@
         :param reason: text for the log.
         """
         self.reason = reason
-        self._finish("broken_off", verdicts.Verdict.MAY_HAVE_RUN)
-        self._client.abort()
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
+        self._finish("broken_off", verdict, self._client.abort)
+
+    def _finish(self, outcome, verdict, answer, *args):
+        """End the call: answer its client, then take the call out of the gateway.
 
-    def _finish(self, outcome, verdict):
+        :param outcome: how it ended, for log and metrics.
+        :param verdict: :class:`cicadaplank.requests.verdicts.Verdict`.
+        :param answer: callable that answers the client, with its arguments.
+        """
         self.phase = Phase.ENDED
         self._attempts = []
+        answer(*args)
+        self._is_client_told = True
         self._gateway.call_ended(self, outcome, verdict)
 
+    def handling_failed(self):
+        """End the call after an unexpected error, while that is being handled.
+
+        The client is told first, by what the call itself knows: a call that was never
+        sent has not run.
+        """
+        self._gateway.record_error(self.name)
+        is_told, self._is_client_told = self._is_client_told, True
+        self.phase = Phase.ENDED
+        if not is_told:
+            self._client.handling_failed(self.history.sends > 0)
+        left, self._attempts = self._attempts, []
+        for attempt in left:
+            self._gateway.run(attempt.cancel)
+        self._gateway.drop(self)
+        if not is_told:
+            if self.history.sends > 0:
+                self.history.ended(outcomes.Ending.SILENT)
+            self.reason = "internal error"
+            self._gateway.run(
+                self._gateway.call_ended, self, "failed", self.history.verdict
+            )
+
+    @call_errors.ends_call
     def client_left(self):
         """Cancel the call because its client has closed the connection."""
         if self.phase is Phase.ENDED:
             return
         self.reason = f"{self.reason} in phase {self.phase.value}".strip()
+        self._is_client_told = True
         self._stop()
-        self._finish("client_left", self.history.verdict)
+        self._finish("client_left", self.history.verdict, lambda: None)
 
+    @call_errors.ends_call
     def terminate(self, reason, now_s):
         """End the call because the process is shutting down.
 
@@ -705,12 +747,12 @@
     def _stop(self):
         if self.phase is Phase.WAITING:
             self._gateway.withdraw(self)
-        stopped, self._attempts = self._attempts, []
-        for attempt in stopped:
-            attempt.cancel()
+        while self._attempts:
+            self._attempts.pop(0).cancel()
 
     # Time.
 
+    @call_errors.ends_call
     def check_timeouts(self, now_s):
         """Abandon an attempt that timed out, or end the call at its deadline.
 
--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -16,8 +16,9 @@
 MAX_FRAMING_SHARE = 8
 # Limit on the incomplete request bodies of all clients together.
 MAX_BODIES_BYTES = 48 * 1024 * 1024
-# Retry time of a client whose request was dropped for memory.
-MEMORY_RETRY_AFTER_S = 1.0
+# Retry time of a client whose request was dropped for memory or met an error.
+RETRY_AFTER_S = 1.0
+NOT_RUN_ERROR = "not run: internal error; send it again later"
 # Time for which a closed connection is still read, until the client closes it, and the
 # number of such connections. Further ones are closed at once.
 LINGER_S = 1.0
@@ -40,6 +41,8 @@
         self._queue = collections.deque()
         self._call = None
         self._is_busy = False
+        # Whether a part of the answer to the request in progress was written.
+        self._has_begun = False
         self._is_closing = False
         self._is_broken_off = False
         self._is_disconnected = False
@@ -79,12 +82,12 @@
         self._listener.bodies.release(self)
         self._listener.disconnected(self)
         call, self._call = self._call, None
+        if call is not None:
+            call.client_left()
         if self._queue:
             unanswered = [request.head.attempt for request, _, _ in self._queue]
             self._queue.clear()
             self._gateway.record_unanswered(unanswered, self._close_cause())
-        if call is not None:
-            call.client_left()
 
     def _close_cause(self):
         """Return who ended the connection, and how, for the log."""
@@ -142,6 +145,9 @@
         self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            self._gateway.record_error()
+            self._error = self._error or (503, NOT_RUN_ERROR)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # The parser also rejects what follows the last request.
             if self._takes_requests:
@@ -250,9 +256,15 @@
             self._is_http_1_0 = version != "1.1"
             self._is_head_request = request.head.method == b"HEAD"
             self._is_busy = True
+            self._has_begun = False
             self._stop_timer()
             self._attempt_id = request.head.attempt
-            call = self._gateway.accept(self, request)
+            call = None
+            try:
+                call = self._gateway.accept(self, request)
+            except Exception:
+                self._gateway.record_error(request.head.attempt.decode("latin-1"))
+                self.handling_failed(False)
             # The call may have ended within ``accept``, and the next one have begun.
             if call is not None and self._is_busy:
                 self._call = call
@@ -284,7 +296,7 @@
                 status,
                 b"",
                 message,
-                MEMORY_RETRY_AFTER_S if status == 503 else None,
+                RETRY_AFTER_S if status == 503 else None,
                 True,
             )
         )
@@ -325,6 +337,7 @@
         if self._is_head_request:
             length, body = head.length or 0, b""
         head_bytes = self._gateway.dialect.write_response(head, length, closes)
+        self._has_begun = True
         self.transport.write(head_bytes + body)
         self._response_sent(closes)
 
@@ -341,6 +354,7 @@
         )
         if self._is_head_request:
             data = data[: data.index(HEAD_END) + len(HEAD_END)]
+        self._has_begun = True
         self.transport.write(data)
         self._response_sent(closes)
 
@@ -358,6 +372,7 @@
         )
         # RFC 9112, 9.6: no request is processed behind an announced close.
         self._takes_requests &= not closes
+        self._has_begun = True
         self.transport.write(head_bytes)
 
     def stream(self, data):
@@ -376,6 +391,25 @@
             self.transport.write(b"0\r\n\r\n")
         self._response_sent(closes)
 
+    def handling_failed(self, may_have_run):
+        """End the request in progress after an unexpected error in its handling.
+
+        :param may_have_run: whether it was sent to an endpoint.
+        """
+        if self._is_disconnected or not self._is_busy:
+            return
+        if self._has_begun:
+            self.abort()
+            return
+        try:
+            if may_have_run:
+                self.refuse(502, "may have run: internal error", None)
+            else:
+                self.refuse(503, NOT_RUN_ERROR, RETRY_AFTER_S)
+        except Exception:
+            self._gateway.record_error(self._attempt_id.decode("latin-1"))
+            self.abort()
+
     def abort(self):
         """Reset the connection, so that a partial response cannot pass for complete."""
         self._is_closing = self._is_broken_off = True
--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -5,10 +5,14 @@
 import typing
 
 import httptools
+from twisted import logger
 from twisted.internet import error, protocol
+from twisted.python import failure
 
 from cicadaplank.gateway import framing
 
+_log = logger.Logger()
+
 # A packet reaches any endpoint within 10 ms, or about 100 ms when it queues behind
 # other traffic. An endpoint that does not accept a connection within this time is
 # unreachable or overloaded.
@@ -167,6 +171,11 @@
             return
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as callback_error:
+            cause = failure.Failure(callback_error.__context__ or callback_error)
+            _log.failure("an answer could not be read: internal error", cause)
+            self._fail("internal error while the answer was read")
+            return
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as parse_error:
             if not self._is_complete:
                 self._fail(f"not HTTP: {parse_error}")
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -8,14 +8,19 @@
 
 import collections
 import dataclasses
+import traceback
+
+from twisted import logger
 
 from cicadaplank.gateway import (
     admittance,
     budget,
+    call_errors,
     calls,
     connections,
     dialects,
     endpoints,
+    guarded_calls,
     named_versions,
     outcomes,
     placement,
@@ -27,6 +32,8 @@
 from cicadaplank.requests import crash_causes, crash_tracking
 from cicadaplank.world import buffers
 
+_log = logger.Logger()
+
 TIMEOUT_CHECK_INTERVAL_S = 0.05
 # Delay of the event loop from which on requests count as having arrived before it.
 LATE_LOOP_S = 0.1
@@ -153,6 +160,31 @@
         """Add one to a counter."""
         self._reporter.count(name, **labels)
 
+    # Unexpected errors.
+
+    def record_error(self, request=""):
+        """Count and log the exception that is being handled.
+
+        :param request: client's identifier of the attempt that met it, empty when it
+            concerns no single one.
+        """
+        detail = traceback.format_exc().strip().replace("\n", " | ")
+        detail = detail[-guarded_calls.MAX_DETAIL_CHARS :]
+        try:
+            self._reporter.count("unexpected_errors")
+            self._reporter.event(
+                "unexpected_error", "error", request=request, detail=detail
+            )
+        except Exception:
+            _log.failure("an unexpected error could not be reported: {d}", d=detail)
+
+    def run(self, function, *args):
+        """Call a function whose errors concern no single call; they are recorded."""
+        try:
+            function(*args)
+        except Exception:
+            self.record_error()
+
     # State of the deployment.
 
     def set_configuration(self, configuration):
@@ -231,17 +263,20 @@
         now_s = self.now_s()
         changes = self.endpoints.update(listed, now_s, keep_missing, self.unix_s())
         for state in changes.removed:
-            name = state.endpoint.name
-            self._reporter.event("endpoint_gone", endpoint=name)
-            self._broken_attempts.pop(state, None)
-            self._wished_until_s.pop(name, None)
-            pool = self._pools.pop(state.endpoint.identity, None)
-            if pool is not None:
-                pool.close()
+            self.run(self._remove_endpoint, state)
         for state in changes.leaving:
-            self._report_leaving(state, now_s, "")
+            self.run(self._report_leaving, state, now_s, "")
         for service in list(self._queues):
-            self.dispatch(service)
+            self.run(self.dispatch, service)
+
+    def _remove_endpoint(self, state):
+        name = state.endpoint.name
+        self._broken_attempts.pop(state, None)
+        self._wished_until_s.pop(name, None)
+        pool = self._pools.pop(state.endpoint.identity, None)
+        if pool is not None:
+            pool.close()
+        self._reporter.event("endpoint_gone", endpoint=name)
 
     def set_member_count(self, count, is_known=True):
         """Set the number of entry instances, this one included.
@@ -360,9 +395,9 @@
         self._calls.add(call)
         now_s = self.now_s()
         if call.deadline_s - now_s < outcomes.MIN_ATTEMPT_S:
-            call.refuse("deadline", now_s)
+            call_errors.run(call, call.refuse, "deadline", now_s)
         else:
-            self.place(call, now_s)
+            call_errors.run(call, self.place, call, now_s)
         return None if call.phase is calls.Phase.ENDED else call
 
     def _if_current(self, denied):
@@ -547,7 +582,9 @@
         states = self.endpoints.of_service(service)
         for queued_call in queue.by_urgency(now_s):
             call = queued_call.call
-            self._refuse_unservable(call, queued_call, states, now_s)
+            call_errors.run(
+                call, self._refuse_unservable, call, queued_call, states, now_s
+            )
             if call.phase is calls.Phase.ENDED:
                 queue.withdraw(call)
 
@@ -566,13 +603,27 @@
             return
         for queued_call in queue.by_urgency(now_s):
             call = queued_call.call
-            state = placement.choose(states, call.demand(), now_s, self._random)
-            if state is not None:
-                queue.dequeue(queued_call, now_s)
-                call.send(state, now_s)
-            elif not call.excluded:
+            if call.phase is not calls.Phase.WAITING:
+                continue
+            is_sent = call_errors.run(
+                call, self._send_waiting, queue, queued_call, states, now_s
+            )
+            if is_sent is False and not call.excluded:
                 break
 
+    def _send_waiting(self, queue, queued_call, states, now_s):
+        """Send a waiting call to an endpoint with a free slot.
+
+        :returns: False when there is none.
+        """
+        call = queued_call.call
+        state = placement.choose(states, call.demand(), now_s, self._random)
+        if state is None:
+            return False
+        queue.dequeue(queued_call, now_s)
+        call.send(state, now_s)
+        return True
+
     def withdraw(self, call):
         """Remove a call from the queue of its service."""
         self._queues[call.service].withdraw(call)
@@ -662,6 +713,15 @@
         if call.phase is calls.Phase.ENDED and len(self._queues[call.service]):
             self._reactor.callLater(0, self.dispatch, call.service)
 
+    def drop(self, call):
+        """Remove a call that has ended, also from the queues.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        """
+        self._calls.discard(call)
+        for queue in self._queues.values():
+            queue.withdraw(call)
+
     def record_first_event(self, call, latency_s):
         """Record the latency of a stream's first event.
 
@@ -826,9 +886,13 @@
         self._reporter.state_event("prompt_parts_blocked", parts=",".join(blocked))
         now_s = self.now_s()
         for call in list(self._calls):
-            blocked_s = self.crash_causes.blocked_for_s(call.shared_parts, now_s)
-            if blocked_s > 0:
-                call.block(blocked_s, now_s)
+            call_errors.run(call, self._block, call, now_s)
+
+    def _block(self, call, now_s):
+        """End a call if its prompt is blocked."""
+        blocked_s = self.crash_causes.blocked_for_s(call.shared_parts, now_s)
+        if blocked_s > 0:
+            call.block(blocked_s, now_s)
 
     def record_withdrawal(self, call, version, bound):
         """Report an attempt that is withdrawn from an endpoint with older weights.
@@ -1111,19 +1175,23 @@
         It is called every :data:`TIMEOUT_CHECK_INTERVAL_S`.
         """
         now_s = self.now_s()
-        for action in self.crash_causes.tick(now_s):
-            self.broadcast(action.message, "")
-        self._apply_blocked_parts()
+        self.run(self._tick_crash_causes, now_s)
         if self._checked_s is not None:
             self._late_s = now_s - self._checked_s - TIMEOUT_CHECK_INTERVAL_S
         self._checked_s = now_s
         for call in list(self._calls):
             call.check_timeouts(now_s)
-        self._update_permits(now_s)
+        self.run(self._update_permits, now_s)
         for service, queue in list(self._queues.items()):
             for queued_call in queue.pop_expired(now_s):
-                self._refuse_expired(queued_call.call, now_s)
-            self.dispatch(service)
+                call = queued_call.call
+                call_errors.run(call, self._refuse_expired, call, now_s)
+            self.run(self.dispatch, service)
+
+    def _tick_crash_causes(self, now_s):
+        for action in self.crash_causes.tick(now_s):
+            self.broadcast(action.message, "")
+        self._apply_blocked_parts()
 
     def _refuse_expired(self, call, now_s):
         """Refuse a call that has waited too long in a queue."""
@@ -1144,4 +1212,4 @@
         for call in list(self._calls):
             call.terminate(reason, now_s)
         for pool in self._pools.values():
-            pool.close()
+            self.run(pool.close)
