Do not send a call again that may have run once its route forbids it

A call that had broken at an endpoint, and waited for another one to be free, was sent again although a newer configuration had made its route one whose calls run once at most.

`outcomes.decide` looks at the route when the attempt ends. `Call.admit_again`, which checks a waiting call against a newer configuration, took over the new route and did not look at what had been sent.

`admit_again` ends such a call: with 502, or with a reset when its stream has begun.

On the code before, both: A call on a route that may repeat, which may have run and waits, is not sent: ASSERT FAILED: sent again A call on a route that streams and resumes, which may have run and waits, is not sent: ASSERT FAILED: sent again They pass now; a change that keeps the route's kind still lets the call be sent.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -204,6 +204,11 @@
             self._deny(found, now_s)
             return False
         admitted, service = found
+        has_not_run = self.history.verdict is verdicts.Verdict.NOT_RUN
+        if admitted.route.retry_policy is routes.RetryPolicy.NEVER and not has_not_run:
+            self._stop()
+            self.fail(502, "not sent again: the route no longer repeats calls", now_s)
+            return False
         if service != self.service:
             self._stop()
             self.phase = Phase.RECEIVED
--- a/features/gateway/silences.feature
+++ b/features/gateway/silences.feature
@@ -90,3 +90,19 @@
     When a call's endpoint is silent after event 2 for 1.5 s while the other endpoint takes no dial
     Then its caller gets the whole answer, once
     And no retry was taken from the budget
+
+  @always_2
+  Scenario Outline: A call on a route that <kind>, which may have run and waits, is not sent
+    Given two endpoints and a route with 6 s that <kind>
+    When a call waits to be sent again and its route no longer repeats
+    Then it is not sent again, and its client gets <end>
+
+    Examples: routes
+      | kind                | end     |
+      | may repeat          | 502     |
+      | streams and resumes | a reset |
+
+  Scenario: A call that waits to be sent again is sent when its route still repeats
+    Given two endpoints and a route with 6 s that may repeat
+    When a call waits to be sent again and its route has another time-out
+    Then it is sent again
--- a/features/steps/gateway_silences.py
+++ b/features/steps/gateway_silences.py
@@ -221,3 +221,47 @@
 def step_no_retry(context):
     budget = context.world.gateway.budget(gateway_steps.SERVICE)
     assert not budget._retries, budget._retries
+
+
+@behave.when("a call waits to be sent again and its route {change}")
+def step_waits_again(context, change):
+    world = context.world
+    world.client.dataReceived(world.request(body=b"call"))
+    protocol, transport = world.accept_call()
+    transport.take()
+    first = world.sent[-1][0]
+    other = next(n for n, e in world.listed.items() if e.host != first)
+    context.full = world.gateway.endpoints.get(other)
+    context.full.call_started()
+    if policy_of(world)[1]:
+        data = gateway_steps.stream_head() + gateway_steps.chunk(EVENTS[0])
+        protocol.dataReceived(data)
+    gateway_steps.reset(protocol)
+    world.run(0.1)
+    assert world.gateway.open_calls == 1
+    fields = {
+        "no longer repeats": {"retry_policy": routes.RetryPolicy.NEVER},
+        "has another time-out": {"timeout_s": 5.0},
+    }[change]
+    world.gateway.set_configuration(changed(world, 2, **fields))
+    context.full.call_ended()
+    world.run(0.2)
+
+
+@behave.then("it is sent again")
+def step_sent_again(context):
+    _, transport = context.world.accept_call()
+    assert transport.value().endswith(b"call")
+
+
+@behave.then("it is not sent again, and its client gets {end}")
+def step_not_sent_again(context, end):
+    world, transport = context.world, context.world.client_transport
+    while world.has_dial:
+        assert not world.accept()[1].value(), "sent again"
+    if end == "a reset":
+        assert transport.aborted
+    else:
+        got = transport.value()
+        assert gateway_steps.status_of(got) == int(end), got
+    assert world.gateway.open_calls == 0
