Say that a client which closes its sending side counts as one that left

A client that has sent a whole request, closed its sending side and waits gets no answer: Twisted reports the end of reading as the loss of the connection, and `has_peer_left` takes an empty read for it.

An answer that waits for its endpoint sends none, so that serving half-closed clients means to go on for all that have really left, which GONE forbids: servers would work for them until the first byte of the answer. RFC 9112 lets either side close at any time and obliges no server to serve a half-closed client. PROTOCOL.md has no client that closes one side only.

--- a/cicadaplank/links/sockets.py
+++ b/cicadaplank/links/sockets.py
@@ -7,7 +7,8 @@
     """Tell whether the peer has closed or reset a connection.
 
     The end of a connection is reported after all bytes before it were read. While the
-    event loop runs late, it waits in the socket. No bytes are taken from it.
+    event loop runs late, it waits in the socket. No bytes are taken from it. A peer
+    that has closed only its sending side cannot be told from one that has left.
 
     :param sock: socket of the connection.
     :returns: False also when bytes wait to be read before the end.
