Give back an endpoint's slot first when an attempt ends

An error while the buffer of an attempt was released left the slot of its endpoint in use for good, and the connection open with the endpoint at work: the calls that waited for that slot were refused or waited to their limit.

`Attempt.end` marked the attempt as ended, released the buffer, and gave the slot and the permit back after that; `cancel` closed the connection after `end`. A second call of `end` does nothing.

Slot and permit come first now, and `cancel` closes the connection in any case.

The test plays two calls in each of seven situations, again and again, and lets the 1st, 2nd, 3rd .. call of a collaborator (reporter, dialect, buffers, random, crash causes, endpoints) raise, until no call is left to raise: each caller has its end, and no call, slot or connection is left.

--- a/cicadaplank/gateway/attempts.py
+++ b/cicadaplank/gateway/attempts.py
@@ -263,11 +263,16 @@
     def cancel(self):
         """End the attempt; the closed connection tells the endpoint to stop."""
         connection, dial = self._connection, self._dial
-        self.end()
-        if connection is not None:
-            self._record_end(connection.cancel())
-        if dial is not None:
-            dial.disconnect()
+        response_end = None
+        try:
+            self.end()
+        finally:
+            if connection is not None:
+                response_end = connection.cancel()
+            if dial is not None:
+                dial.disconnect()
+        if response_end is not None:
+            self._record_end(response_end)
 
     def end(self):
         """Give back the endpoint's slot and detach from its connection."""
@@ -276,10 +281,10 @@
         self.is_ended = True
         permit, self._permit = self._permit, None
         self._connection = self._dial = None
-        self._gateway.buffers.release(self)
         self.state.call_ended()
         if permit is not None:
             self.state.allowance.give_back(permit)
+        self._gateway.buffers.release(self)
 
     def _record_end(self, end):
         self.response_end = end
--- a/features/gateway/handling_errors.feature
+++ b/features/gateway/handling_errors.feature
@@ -91,3 +91,28 @@
       | kind           | end |
       | may repeat     | 200 |
       | runs once only | 502 |
+
+  @always_2
+  Scenario Outline: An error at any call of a collaborator while calls are <situation>, <kind>
+    Then each of two calls that are <situation> on a route that <kind> has its end
+
+    Examples: situations
+      | situation | kind                |
+      | served    | may repeat          |
+      | served    | runs once only      |
+      | served    | streams and resumes |
+      | served    | streams once        |
+      | broken    | may repeat          |
+      | broken    | runs once only      |
+      | broken    | streams and resumes |
+      | broken    | streams once        |
+      | refused   | may repeat          |
+      | silent    | may repeat          |
+      | silent    | runs once only      |
+      | silent    | streams and resumes |
+      | stopped   | may repeat          |
+      | stopped   | streams once        |
+      | left      | runs once only      |
+      | queued    | may repeat          |
+      | queued    | runs once only      |
+      | queued    | streams once        |
--- a/features/steps/gateway_handling_errors.py
+++ b/features/steps/gateway_handling_errors.py
@@ -94,6 +94,14 @@
     feed(world.client, data)
 
 
+def apply(function, *args):
+    """Apply a change; one that fails is repeated, as by ``GuardedCalls``."""
+    try:
+        function(*args)
+    except InjectedError:
+        function(*args)
+
+
 def feed(protocol, data):
     """Deliver bytes; an error closes the connection, as Twisted does."""
     try:
@@ -166,9 +174,9 @@
     if situation == "is not known":
         open_client(context, OWN, path=b"/x/1", key="unknown")
     elif situation == "meets no endpoint":
-        world.gateway.set_endpoints({}, False)
+        apply(world.gateway.set_endpoints, {}, False)
         open_client(context, OWN)
-        world.gateway.set_endpoints(world.listed, False)
+        apply(world.gateway.set_endpoints, world.listed, False)
     else:
         open_client(context, OWN)
     open_client(context, OTHER, path=b"/x/2")
@@ -189,9 +197,8 @@
             gateway_steps.lose(context.clients[OWN], error.ConnectionDone())
         except InjectedError:
             pass
-        (context.left,) = (
-            transport for _, _, transport in world.sent if transport.disconnecting
-        )
+        closed = [t for _, _, t in world.sent if t.disconnecting]
+        context.left = closed[0] if len(closed) == 1 else None
         for _, protocol, transport in world.sent:
             if not transport.disconnecting:
                 answer_well(context, protocol, OTHER)
@@ -199,7 +206,7 @@
         change(context)
     elif situation == "waits while endpoints come":
         add_endpoints(context)
-    if is_held and "without" not in situation:
+    if is_held and "without" not in situation and world.sent:
         answer_well(context, world.sent[0][1], b"attempt-0")
     serve(context)
 
@@ -208,10 +215,7 @@
     """Put a newer configuration in force that allows the same."""
     world = context.world
     newer = dataclasses.replace(world.configuration, version=2)
-    try:
-        world.gateway.set_configuration(newer)
-    except InjectedError:
-        pass
+    apply(world.gateway.set_configuration, newer)
 
 
 def add_endpoints(context):
@@ -224,12 +228,8 @@
         for n, name in enumerate(["u", "v"], 1)
     }
     gone = endpoints.Endpoint("w", "gone", "10.0.1.9", 80, "a", 1, False, {})
-    try:
-        world.gateway.set_endpoints(world.listed | listed, False)
-        world.gateway.set_endpoints(world.listed | listed | {"w": gone}, False)
-        world.gateway.set_endpoints(world.listed | listed, False)
-    except InjectedError:
-        pass
+    for more in (listed, listed | {"w": gone}, listed):
+        apply(world.gateway.set_endpoints, world.listed | more, False)
 
 
 @behave.given("one endpoint and a route with {timeout_s:d} s that {kind}")
@@ -284,7 +284,7 @@
 
 @behave.then("no endpoint works for it, and the other one's client gets {other}")
 def step_left(context, other):
-    assert context.left.aborted
+    assert context.left is not None and context.left.aborted
     assert end_of(context, OTHER) == other, end_of(context, OTHER)
 
 
@@ -315,3 +315,110 @@
     assert gateway.open_calls == 0, gateway.open_calls
     assert not gateway.loads(), gateway.loads()
     assert all(not len(queue) for queue in gateway._queues.values())
+
+
+class Countdown:
+    """Lets one of the calls of several methods raise.
+
+    :param index: number of the call that raises.
+    :ivar count: number of calls so far.
+    """
+
+    def __init__(self, index):
+        self.index = index
+        self.count = 0
+        self.failed = ""
+
+    def watch(self, owner, *names):
+        """Count the calls of some methods of an object."""
+        for name in names:
+            setattr(owner, name, self._counted(getattr(owner, name), name))
+
+    def _counted(self, method, name):
+        def counted(*args, **kwargs):
+            self.count += 1
+            if self.count == self.index:
+                self.failed = name
+                raise InjectedError(name)
+            return method(*args, **kwargs)
+
+        return counted
+
+    def watch_all(self, world):
+        """Count the calls of what the gateway uses."""
+        gateway = world.gateway
+        self.watch(world.reporter, "count", "event", "state_event", "waiting")
+        self.watch(world.reporter, "ended", "attempt_failed", "record_first_event")
+        self.watch(world.reporter, "turned_away", "unix_s")
+        self.watch(gateway.dialect, "read_request", "write_request", "read_response")
+        self.watch(gateway.dialect, "write_response", "write_refusal")
+        self.watch(gateway.crash_causes, "blocked_for_s", "tick")
+        self.watch(gateway.suspects, "record_crash", "blocked_for_s")
+        self.watch(gateway._random, "uniform")
+        self.watch(gateway.buffers, "set_held", "release")
+        self.watch(gateway.answer_times[gateway_steps.SERVICE], "record_answer")
+        self.watch(gateway, "stop_reason", "is_current", "broadcast")
+        self.watch(gateway.endpoints, "of_service", "may_eject")
+        for state in gateway.endpoints.all():
+            self.watch(state, "record_answer", "record_failure")
+
+
+def play_countdown(context, situation, index):
+    """Play two calls while one call of the gateway's raises.
+
+    :returns: the :class:`Countdown`.
+    """
+    world = context.world
+    context.clients = {}
+    countdown = Countdown(index)
+    countdown.watch_all(world)
+    play(context, situation)
+    run(world, 0.5)
+    return countdown
+
+
+def dangling(world):
+    """Return the connections to endpoints that are neither idle nor closed."""
+    idle = [c for pool in world.gateway._pools.values() for c in pool._idle]
+    return [
+        transport
+        for _, protocol, transport in world.sent
+        if protocol not in idle and not protocol.is_broken
+    ]
+
+
+@behave.then(
+    "each of two calls that are {situation} on a route that {kind} has its end"
+)
+def step_each_ends(context, situation, kind):
+    situation = {
+        "served": "is served",
+        "broken": "breaks",
+        "refused": "meets no endpoint",
+        "silent": "stays without an answer",
+        "stopped": "is at an endpoint at the end of a stop",
+        "left": "is left by its client",
+        "queued": "waits beside a change",
+    }[situation]
+    context.errors = 0
+    index, countdown = 0, None
+    while countdown is None or countdown.failed:
+        index += 1
+        count = 1 if situation.startswith("waits") else 2
+        world = context.world = gateway_steps.World(count, kind)
+        world.configuration = gateway_silences.changed(world, timeout_s=6.0)
+        if situation != "stays without an answer":
+            world.gateway.set_configuration(world.configuration)
+        countdown = play_countdown(context, situation, index)
+        case = situation, index, countdown.failed
+        ends = {}
+        for attempt in context.clients:
+            if attempt != OWN or situation != "is left by its client":
+                ends[attempt] = end_of(context, attempt)
+        assert "nothing" not in ends.values(), (case, ends)
+        if situation == "is served":
+            assert "200" in ends.values(), (case, ends)
+        step_nothing_left(context)
+        assert not dangling(world), case
+        context.errors += bool(countdown.failed)
+    assert context.errors > 20, context.errors
