Let a replay of limits fail on an unexpected error

The stand-in of a caller in `bench/limited.py` had no `handling_failed`, so that an error of the gateway in a replay would have shown as a missing method.

--- a/bench/limited.py
+++ b/bench/limited.py
@@ -224,6 +224,10 @@
         """Take the loss of a stream."""
         self._outcomes["broken_off"] += 1
 
+    def handling_failed(self, may_have_run):
+        """Fail the replay, while the error is being handled."""
+        raise AssertionError("the handling of a call failed in the replay")
+
 
 class Reporter:
     """Takes what a gateway reports."""
--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -82,8 +82,8 @@
     """One call of a client, over all its attempts at endpoints.
 
     :param gateway: :class:`cicadaplank.gateway.gateway.Gateway`.
-    :param client: connection of the client, with ``has_left``, ``reply``,
-        ``begin_stream``, ``stream``, ``end_stream`` and ``abort``.
+    :param client: connection of the client, with ``has_left``, ``reply``, ``refuse``,
+        ``begin_stream``, ``stream``, ``end_stream``, ``abort`` and ``handling_failed``.
     :param request: :class:`Request`.
     :param admitted: :class:`cicadaplank.gateway.admittance.Admitted`.
     :param service: service name.
