Merge the client side of the gateway with the planned stop

The start of a call and the end of those that are late for a stop are guarded like the rest. A call that ends by an unexpected error is no longer in progress for the stop. A gateway without a process takes work during a stop, as one with a process does.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -9,15 +9,20 @@
 from cicadaplank.links import sockets
 from cicadaplank.world import buffers
 
-# Pipelined requests that a client may have queued behind the one in progress.
+# Pipelined requests behind the one in progress from which on a client is not read.
 MAX_PIPELINED = 8
 # Bytes of chunk sizes and trailers that a request may have for each byte of its body,
 # beyond the limit of its headers. Chunks of single bytes have 5 each.
 MAX_FRAMING_SHARE = 8
 # Limit on the incomplete request bodies of all clients together.
 MAX_BODIES_BYTES = 48 * 1024 * 1024
-# Retry time of a client whose request was dropped for memory.
-MEMORY_RETRY_AFTER_S = 1.0
+# Retry time of a client whose request was dropped for memory or met an error.
+RETRY_AFTER_S = 1.0
+NOT_RUN_ERROR = "not run: internal error; send it again later"
+# Time for which a closed connection is still read, until the client closes it, and the
+# number of such connections. Further ones are closed at once.
+LINGER_S = 1.0
+MAX_LINGERING = 256
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Separates the headers of a message from its body.
 HEAD_END = b"\r\n\r\n"
@@ -36,6 +41,8 @@
         self._queue = collections.deque()
         self._call = None
         self._is_busy = False
+        # Whether a part of the answer to the request in progress was written.
+        self._has_begun = False
         self._is_closing = False
         self._is_broken_off = False
         self._is_disconnected = False
@@ -43,6 +50,10 @@
         self._is_http_1_0 = False
         self._is_head_request = False
         self._is_reading = False
+        # Whether further requests are read: not behind the last one of a connection.
+        self._takes_requests = True
+        self._is_read_paused = False
+        self._is_close_announced = False
         # Bytes of the request being read that are not of its body.
         self._framing_bytes = 0
         self._target = b""
@@ -71,12 +82,12 @@
         self._listener.bodies.release(self)
         self._listener.disconnected(self)
         call, self._call = self._call, None
+        if call is not None:
+            call.client_left()
         if self._queue:
             unanswered = [request.head.attempt for request, _, _ in self._queue]
             self._queue.clear()
             self._gateway.record_unanswered(unanswered, self._close_cause())
-        if call is not None:
-            call.client_left()
 
     def _close_cause(self):
         """Return who ended the connection, and how, for the log."""
@@ -94,13 +105,15 @@
     @property
     def is_idle(self):
         """Whether no request is being read or answered."""
-        return not self._is_busy and not self._queue and not self._is_reading
+        is_waiting = self._is_busy or bool(self._queue) or self._error is not None
+        return not is_waiting and not self._is_reading
 
     def close_idle(self):
         """Close the connection if no request is being read or answered."""
-        if self.is_idle and not self._is_disconnected:
-            self._is_closing = True
-            self.transport.loseConnection()
+        if not self.is_idle or self._is_disconnected or self._is_closing:
+            return
+        if not sockets.has_unread(self.transport.getHandle()):
+            self._close()
 
     def _start_timer(self, delay_s):
         self._stop_timer()
@@ -113,33 +126,37 @@
 
     def _timed_out(self):
         self._timer = None
-        if self._is_disconnected or self._is_busy:
+        if self._is_disconnected or self._is_busy or self._queue:
             return
         if self._is_reading:
             self._gateway.count("client_faults", kind="slow_request")
             self._reject(408, "the request took too long")
+        elif sockets.has_unread(self.transport.getHandle()):
+            self._start_timer(self._gateway.limits.header_timeout_s)
         else:
-            self.transport.loseConnection()
+            self._close()
 
     # Requests.
 
     def dataReceived(self, data):
         """Parse received bytes, then start the next request or reject a bad one."""
-        if self._is_closing or self._error is not None:
+        if self._is_closing or self._error is not None or not self._takes_requests:
             return
         self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            self._gateway.record_error()
+            self._error = self._error or (503, NOT_RUN_ERROR)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._gateway.count("client_faults", kind="not_http")
-            self._error = self._error or (400, f"the request is not HTTP: {error}")
+            # The parser also rejects what follows the last request.
+            if self._takes_requests:
+                self._gateway.count("client_faults", kind="not_http")
+                self._error = self._error or (400, f"the request is not HTTP: {error}")
         except dialects.BadRequestError as error:
             self._error = self._error or (error.status, str(error))
         if self._error is None:
             self._error = self._framing_error()
-        if self._error is not None and not self._is_busy:
-            self._reject(*self._error)
-            return
         self._start_next()
 
     def _framing_error(self):
@@ -214,7 +231,7 @@
         """Reject the request being read, as the bodies take too much memory."""
         self._error = (503, f"not run: {reason}; send it again later")
         self._body = []
-        if not self._is_busy:
+        if not self._is_busy and not self._queue:
             self._reject(*self._error)
 
     def on_message_complete(self):
@@ -224,26 +241,49 @@
         self._listener.bodies.release(self)
         if self._error is not None or self._head is None:
             return
-        keeps_open = self._parser.should_keep_alive()
+        version = self._parser.get_http_version()
+        keeps_open = version == "1.1" and self._parser.should_keep_alive()
+        self._takes_requests = keeps_open
         arrived_s = self._gateway.arrival_s()
         request = calls.Request(self._head, b"".join(self._body), arrived_s)
         self._body = []
-        self._queue.append((request, keeps_open, self._parser.get_http_version()))
-        if len(self._queue) > MAX_PIPELINED:
-            self._error = (400, "too many requests ahead of their answers")
+        self._queue.append((request, keeps_open, version))
 
     def _start_next(self):
+        """Start the next request; reject an invalid one when it is its turn."""
         while self._queue and not self._is_busy and not self._is_closing:
             request, self._keeps_open, version = self._queue.popleft()
             self._is_http_1_0 = version != "1.1"
             self._is_head_request = request.head.method == b"HEAD"
             self._is_busy = True
+            self._has_begun = False
             self._stop_timer()
             self._attempt_id = request.head.attempt
-            call = self._gateway.accept(self, request)
+            call = None
+            try:
+                call = self._gateway.accept(self, request)
+            except Exception:
+                self._gateway.record_error(request.head.attempt.decode("latin-1"))
+                self.handling_failed(False)
             # The call may have ended within ``accept``, and the next one have begun.
             if call is not None and self._is_busy:
                 self._call = call
+        if self._is_disconnected or self._is_closing:
+            return
+        if self._error is not None and not self._is_busy and not self._queue:
+            self._reject(*self._error)
+        else:
+            self._pace_reading()
+
+    def _pace_reading(self):
+        """Stop reading while enough requests are queued."""
+        is_full = len(self._queue) >= MAX_PIPELINED
+        if is_full and not self._is_read_paused:
+            self._gateway.count("client_reads_paused")
+            self.transport.pauseProducing()
+        elif self._is_read_paused and not is_full:
+            self.transport.resumeProducing()
+        self._is_read_paused = is_full
 
     def _reject(self, status, message):
         """Refuse a request that cannot be read, and close the connection."""
@@ -251,18 +291,38 @@
             return
         self._listener.bodies.release(self)
         self._listener.rejected(status, message)
-        self._is_closing = True
-        self._stop_timer()
         self.transport.write(
             self._gateway.dialect.write_refusal(
                 status,
                 b"",
                 message,
-                MEMORY_RETRY_AFTER_S if status == 503 else None,
+                RETRY_AFTER_S if status == 503 else None,
                 True,
             )
         )
-        self.transport.loseConnection()
+        self._close()
+
+    def _close(self):
+        """Close the connection behind what was written, in stages (RFC 9112, 9.6).
+
+        A close with unread bytes of the client resets the connection, which may destroy
+        the answer on its way. So only the sending side is closed at first, and what
+        still arrives is dropped until the client closes or :data:`LINGER_S` has passed.
+        """
+        self._is_closing = True
+        self._stop_timer()
+        # The transport does not close while it expects more of a paused producer.
+        self.transport.unregisterProducer()
+        if not self._listener.may_linger(self):
+            self._gateway.count("clients_closed_at_once")
+            self.transport.loseConnection()
+            return
+        if self._is_read_paused:
+            self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
+        self._timer = self._listener.reactor.callLater(
+            LINGER_S, self.transport.loseConnection
+        )
 
     # Responses.
 
@@ -277,6 +337,7 @@
         if self._is_head_request:
             length, body = head.length or 0, b""
         head_bytes = self._gateway.dialect.write_response(head, length, closes)
+        self._has_begun = True
         self.transport.write(head_bytes + body)
         self._response_sent(closes)
 
@@ -293,6 +354,7 @@
         )
         if self._is_head_request:
             data = data[: data.index(HEAD_END) + len(HEAD_END)]
+        self._has_begun = True
         self.transport.write(data)
         self._response_sent(closes)
 
@@ -304,10 +366,13 @@
 
         :param head: :class:`cicadaplank.gateway.dialects.ResponseHead`.
         """
-        closes = self._closes_connection()
+        closes = self._is_close_announced = self._closes_connection()
         head_bytes = self._gateway.dialect.write_response(
             head, None, closes, uses_chunks=not self._is_http_1_0
         )
+        # RFC 9112, 9.6: no request is processed behind an announced close.
+        self._takes_requests &= not closes
+        self._has_begun = True
         self.transport.write(head_bytes)
 
     def stream(self, data):
@@ -321,11 +386,30 @@
 
     def end_stream(self):
         """Mark the stream as complete."""
-        closes = self._closes_connection()
+        closes = self._is_close_announced or self._closes_connection()
         if not self._is_http_1_0:
             self.transport.write(b"0\r\n\r\n")
         self._response_sent(closes)
 
+    def handling_failed(self, may_have_run):
+        """End the request in progress after an unexpected error in its handling.
+
+        :param may_have_run: whether it was sent to an endpoint.
+        """
+        if self._is_disconnected or not self._is_busy:
+            return
+        if self._has_begun:
+            self.abort()
+            return
+        try:
+            if may_have_run:
+                self.refuse(502, "may have run: internal error", None)
+            else:
+                self.refuse(503, NOT_RUN_ERROR, RETRY_AFTER_S)
+        except Exception:
+            self._gateway.record_error(self._attempt_id.decode("latin-1"))
+            self.abort()
+
     def abort(self):
         """Reset the connection, so that a partial response cannot pass for complete."""
         self._is_closing = self._is_broken_off = True
@@ -334,19 +418,23 @@
         self.transport.abortConnection()
 
     def _closes_connection(self):
-        return not self._keeps_open or self._is_http_1_0 or self._listener.is_stopping
+        """Tell whether the connection ends with the answer to the current request."""
+        is_last = not self._queue and not self._is_reading and self._error is None
+        return not self._keeps_open or (self._listener.is_stopping and is_last)
 
     def _response_sent(self, closes):
         self._call = None
         self._is_busy = False
         if closes:
-            self._is_closing = True
-            self.transport.loseConnection()
+            self._close()
             return
-        if self._error is not None:
+        if self._error is not None and not self._queue:
             self._reject(*self._error)
             return
-        self._start_timer(self._gateway.limits.idle_timeout_s)
+        limits = self._gateway.limits
+        self._start_timer(
+            limits.header_timeout_s if self._is_reading else limits.idle_timeout_s
+        )
         if self._queue:
             self._listener.reactor.callLater(0, self._start_next)
 
@@ -382,6 +470,7 @@
         self.rejected = rejected
         self.bodies = buffers.BufferBudget(MAX_BODIES_BYTES)
         self._connections = set()
+        self._lingering = set()
 
     def buildProtocol(self, addr):
         """Return the protocol of a new connection."""
@@ -404,6 +493,17 @@
     def disconnected(self, connection):
         """Remove a connection that was closed."""
         self._connections.discard(connection)
+        self._lingering.discard(connection)
+
+    def may_linger(self, connection):
+        """Tell whether a closed connection may still be read for a while.
+
+        :param connection: :class:`ClientConnection`, counted from now on if it may.
+        """
+        if len(self._lingering) >= MAX_LINGERING:
+            return False
+        self._lingering.add(connection)
+        return True
 
     def close_idle(self):
         """Close every connection that is neither reading nor answering a request."""
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -8,14 +8,19 @@
 
 import collections
 import dataclasses
+import traceback
+
+from twisted import logger
 
 from cicadaplank.gateway import (
     admittance,
     budget,
+    call_errors,
     calls,
     connections,
     dialects,
     endpoints,
+    guarded_calls,
     named_versions,
     outcomes,
     placement,
@@ -28,6 +33,8 @@
 from cicadaplank.requests import answer_times, crash_causes, crash_tracking
 from cicadaplank.world import buffers
 
+_log = logger.Logger()
+
 TIMEOUT_CHECK_INTERVAL_S = 0.05
 # Delay of the event loop from which on requests count as having arrived before it.
 LATE_LOOP_S = 0.1
@@ -90,7 +97,7 @@
     :param random: ``random.Random``.
     :param reporter: :class:`cicadaplank.gateway.reporting.Reporter`.
     :param stop: :class:`cicadaplank.members.draining.Draining` of this process; None
-        for one with default limits.
+        for one that takes work and has default limits.
     """
 
     def __init__(
@@ -98,7 +105,7 @@
     ):
         self.dialect = dialect
         self.data_centre = data_centre
-        self.draining = stop or draining.Draining()
+        self.draining = stop or draining.Draining(draining.StopLimits(takes_work=True))
         self.endpoints = endpoints.Endpoints(random)
         self.buffers = buffers.BufferBudget(MAX_BUFFERED_BYTES)
         self.suspects = crash_tracking.CrashTracker(CRASH_LIMIT, SUSPICION_S)
@@ -164,6 +171,31 @@
         """Add one to a counter."""
         self._reporter.count(name, **labels)
 
+    # Unexpected errors.
+
+    def record_error(self, request=""):
+        """Count and log the exception that is being handled.
+
+        :param request: client's identifier of the attempt that met it, empty when it
+            concerns no single one.
+        """
+        detail = traceback.format_exc().strip().replace("\n", " | ")
+        detail = detail[-guarded_calls.MAX_DETAIL_CHARS :]
+        try:
+            self._reporter.count("unexpected_errors")
+            self._reporter.event(
+                "unexpected_error", "error", request=request, detail=detail
+            )
+        except Exception:
+            _log.failure("an unexpected error could not be reported: {d}", d=detail)
+
+    def run(self, function, *args):
+        """Call a function whose errors concern no single call; they are recorded."""
+        try:
+            function(*args)
+        except Exception:
+            self.record_error()
+
     # State of the deployment.
 
     def set_configuration(self, configuration):
@@ -242,17 +274,20 @@
         now_s = self.now_s()
         changes = self.endpoints.update(listed, now_s, keep_missing, self.unix_s())
         for state in changes.removed:
-            name = state.endpoint.name
-            self._reporter.event("endpoint_gone", endpoint=name)
-            self._broken_attempts.pop(state, None)
-            self._wished_until_s.pop(name, None)
-            pool = self._pools.pop(state.endpoint.identity, None)
-            if pool is not None:
-                pool.close()
+            self.run(self._remove_endpoint, state)
         for state in changes.leaving:
-            self._report_leaving(state, now_s, "")
+            self.run(self._report_leaving, state, now_s, "")
         for service in list(self._queues):
-            self.dispatch(service)
+            self.run(self.dispatch, service)
+
+    def _remove_endpoint(self, state):
+        name = state.endpoint.name
+        self._broken_attempts.pop(state, None)
+        self._wished_until_s.pop(name, None)
+        pool = self._pools.pop(state.endpoint.identity, None)
+        if pool is not None:
+            pool.close()
+        self._reporter.event("endpoint_gone", endpoint=name)
 
     def set_member_count(self, count, is_known=True):
         """Set the number of entry instances, this one included.
@@ -369,6 +404,11 @@
                 return None
         call = calls.Call(self, client, request, admitted, service, fingerprint)
         self._calls.add(call)
+        call_errors.run(call, self._start, call)
+        return None if call.phase is calls.Phase.ENDED else call
+
+    def _start(self, call):
+        """Place a new call, or refuse it when its time is over or does not suffice."""
         now_s = self.now_s()
         (offered,) = self.draining.offered(call, now_s, self._needed_s(call, now_s))
         if call.deadline_s - now_s < outcomes.MIN_ATTEMPT_S:
@@ -377,7 +417,6 @@
             call.refuse(REFUSALS[offered.reason], now_s, offered.retry_after_s)
         else:
             self.place(call, now_s)
-        return None if call.phase is calls.Phase.ENDED else call
 
     def _needed_s(self, call, now_s):
         """Return the time in seconds that a call may take until its whole answer."""
@@ -584,7 +623,9 @@
         states = self.endpoints.of_service(service)
         for queued_call in queue.by_urgency(now_s):
             call = queued_call.call
-            self._refuse_unservable(call, queued_call, states, now_s)
+            call_errors.run(
+                call, self._refuse_unservable, call, queued_call, states, now_s
+            )
             if call.phase is calls.Phase.ENDED:
                 queue.withdraw(call)
 
@@ -603,13 +644,27 @@
             return
         for queued_call in queue.by_urgency(now_s):
             call = queued_call.call
-            state = placement.choose(states, call.demand(), now_s, self._random)
-            if state is not None:
-                queue.dequeue(queued_call, now_s)
-                call.send(state, now_s)
-            elif not call.excluded:
+            if call.phase is not calls.Phase.WAITING:
+                continue
+            is_sent = call_errors.run(
+                call, self._send_waiting, queue, queued_call, states, now_s
+            )
+            if is_sent is False and not call.excluded:
                 break
 
+    def _send_waiting(self, queue, queued_call, states, now_s):
+        """Send a waiting call to an endpoint with a free slot.
+
+        :returns: False when there is none.
+        """
+        call = queued_call.call
+        state = placement.choose(states, call.demand(), now_s, self._random)
+        if state is None:
+            return False
+        queue.dequeue(queued_call, now_s)
+        call.send(state, now_s)
+        return True
+
     def withdraw(self, call):
         """Remove a call from the queue of its service."""
         self._queues[call.service].withdraw(call)
@@ -704,6 +759,16 @@
         if call.phase is calls.Phase.ENDED and len(self._queues[call.service]):
             self._reactor.callLater(0, self.dispatch, call.service)
 
+    def drop(self, call):
+        """Remove a call that has ended, also from the queues.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        """
+        self._calls.discard(call)
+        self.draining.finished(call)
+        for queue in self._queues.values():
+            queue.withdraw(call)
+
     def record_first_event(self, call, latency_s):
         """Record the latency of a stream's first event.
 
@@ -868,9 +933,13 @@
         self._reporter.state_event("prompt_parts_blocked", parts=",".join(blocked))
         now_s = self.now_s()
         for call in list(self._calls):
-            blocked_s = self.crash_causes.blocked_for_s(call.shared_parts, now_s)
-            if blocked_s > 0:
-                call.block(blocked_s, now_s)
+            call_errors.run(call, self._block, call, now_s)
+
+    def _block(self, call, now_s):
+        """End a call if its prompt is blocked."""
+        blocked_s = self.crash_causes.blocked_for_s(call.shared_parts, now_s)
+        if blocked_s > 0:
+            call.block(blocked_s, now_s)
 
     def record_withdrawal(self, call, version, bound):
         """Report an attempt that is withdrawn from an endpoint with older weights.
@@ -1153,20 +1222,29 @@
         It is called every :data:`TIMEOUT_CHECK_INTERVAL_S`.
         """
         now_s = self.now_s()
-        for action in self.crash_causes.tick(now_s):
-            self.broadcast(action.message, "")
-        self._apply_blocked_parts()
+        self.run(self._tick_crash_causes, now_s)
         if self._checked_s is not None:
             self._late_s = now_s - self._checked_s - TIMEOUT_CHECK_INTERVAL_S
         self._checked_s = now_s
         for call in list(self._calls):
-            if not (self.draining.is_stopping and self.refuse_if_late(call, now_s)):
-                call.check_timeouts(now_s)
-        self._update_permits(now_s)
+            call_errors.run(call, self._check_time, call, now_s)
+        self.run(self._update_permits, now_s)
         for service, queue in list(self._queues.items()):
             for queued_call in queue.pop_expired(now_s):
-                self._refuse_expired(queued_call.call, now_s)
-            self.dispatch(service)
+                call = queued_call.call
+                call_errors.run(call, self._refuse_expired, call, now_s)
+            self.run(self.dispatch, service)
+
+    def _check_time(self, call, now_s):
+        """End a call that is late for a stop, or handle its own time-outs."""
+        if self.draining.is_stopping and self.refuse_if_late(call, now_s):
+            return
+        call.check_timeouts(now_s)
+
+    def _tick_crash_causes(self, now_s):
+        for action in self.crash_causes.tick(now_s):
+            self.broadcast(action.message, "")
+        self._apply_blocked_parts()
 
     def _refuse_expired(self, call, now_s):
         """Refuse a call that has waited too long in a queue."""
--- a/features/steps/gateway_grace.py
+++ b/features/steps/gateway_grace.py
@@ -42,7 +42,15 @@
 
     def loseConnection(self):
         """Close the connection when the client has read all that was written."""
-        self.disconnecting = True
+        super().loseConnection()
+        self._end_when_read()
+
+    def loseWriteConnection(self):
+        """Let the client close when it has read all that was written."""
+        super().loseWriteConnection()
+        self._end_when_read()
+
+    def _end_when_read(self):
         if not self.is_slow:
             self._world.reactor.callLater(0, self.end, error.ConnectionDone())
 
