Count what planned stops refuse and abort in the metrics

The gauge stop_decisions has them by kind, in all processes.

Proof: features/gateway/stop.feature, the rows '503 at once', which now look at the metrics page, fail without it. features/gateway/stop, calls and silences, routing/draining, requests, reports/metrics, platform/process and members: 409 passed, 0 failed.

--- a/cicadaplank/daemons/base.py
+++ b/cicadaplank/daemons/base.py
@@ -437,6 +437,8 @@
         gauge("ready", int(self.is_ready))
         gauge("peers", len(self.hub.peers))
         gauge("in_progress", self.draining.in_progress)
+        for kind, count in self.draining.counts.items():
+            gauge("stop_decisions", count, kind=kind)
         for name, value in self.hub.counters.items():
             gauge("stream_counter", value, counter=name)
         for name, value in self.table_calls.items():
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -213,6 +213,8 @@
             metrics.set_gauge(
                 "repeats_rejected", retry_budget.rejected, service=service
             )
+        for kind, count in self.draining.counts.items():
+            metrics.set_gauge("stop_decisions", count, kind=kind)
         metrics.set_gauge("answers_buffered_bytes", self.buffers.total_bytes)
         metrics.set_gauge("answers_dropped_for_memory", self.buffers.dropped)
         ejected = sum(1 for s in self.endpoints.all() if now_s < s.ejected_until_s)
--- a/cicadaplank/members/draining.py
+++ b/cicadaplank/members/draining.py
@@ -17,10 +17,11 @@
 # A longer gap between two ticks shows that the process was paused. Answers may then be
 # waiting in its sockets, so that the drain limit is extended to read them first.
 MIN_PAUSE_S = 2.0
-FLUSH_S = 2.0
 PAUSE_EXTENSION_S = 1.0
 MAX_PAUSE_EXTENSIONS = 3
 MAX_WORK = 10_000
+# Longer than the release of a claim at an entry instance, which the answer waits for.
+FLUSH_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/features/steps/gateway_grace.py
+++ b/features/steps/gateway_grace.py
@@ -243,6 +243,13 @@
     elif outcome == "503 at once":
         assert_refused(got)
         assert context.answered_s == context.asked_s, context.answered_s
+        refused = world.process.gateway.draining.counts["refused_leaving"]
+        assert refused == 1, refused
+        world.gateway.update_metrics(world.process.metrics)
+        page = world.process.metrics.render()[0].decode()
+        assert re.search(
+            rf"stop_decisions{{[^}}]*refused_leaving[^}}]*}} {refused}", page
+        )
         assert not world.has_call, "the request was sent"
     else:
         assert outcome == "503 before it is too late for others", outcome
