Take a silent engine for paused, not for crashed

Callers of attempts that ran on a sound engine or plain service got an error, or an error event in the middle of a stream, and a request beside them was blamed for a crash.

Cause: when one connection to the engine broke, the agent probed the engine, and a probe without a response in PROBE_TIMEOUT_S (1 s; also a connection that is not made in 1 s) counted as a crash, on which every attempt in progress at the agent failed. Class: silence is taken for the end of what is silent.

Change: a probe has three results. Refused or closed connections and lost weights are a crash, as before. After silence only the attempts whose own connection broke fail, not as crashed; the others end as their own connections do. Silences are counted as engine_silences.

--- a/bench/inmemory.py
+++ b/bench/inmemory.py
@@ -330,8 +330,10 @@
             elif isinstance(action, executions.CancelEngine):
                 self.runs.pop(action.attempt, None)
             elif isinstance(action, executions.ProbeEngine):
-                alive = self._engine_up
-                self._after(LATENCY_S, lambda: self.executions.engine_probed, alive)
+                result = executions.ProbeResult.CRASHED
+                if self._engine_up:
+                    result = executions.ProbeResult.ALIVE
+                self._after(LATENCY_S, lambda: self.executions.engine_probed, result)
         due_s = self.executions.next_tick_s()
         if due_s is not None:
             delay_s = max(0.0, due_s - self._fleet.now_s)
--- a/cicadaplank/agent/executions.py
+++ b/cicadaplank/agent/executions.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import enum
 
 import automat
 
@@ -26,7 +27,7 @@
 # records the result, so that it can answer a repeated request. Must equal the constant
 # in ``cicadaplank.requests.exchange``.
 LATE_RESULT_S = 30.0
-# An engine that does not respond to a probe within this time counts as crashed.
+# Attempts whose connection broke fail after this time when the probe has no result.
 PROBE_LIMIT_S = 2.0
 STATUS_OK = 200
 STATUS_BAD_GATEWAY = 502
@@ -97,6 +98,18 @@
     attempt: str
 
 
+class ProbeResult(enum.Enum):
+    """Result of a probe of an engine or plain service.
+
+    A process that does not respond may be paused and go on, so that only a refused or
+    closed connection or lost weights count as a crash.
+    """
+
+    ALIVE = "alive"
+    SILENT = "silent"
+    CRASHED = "crashed"
+
+
 @dataclasses.dataclass(frozen=True)
 class ProbeEngine:
     """Probe the engine and report with :meth:`Executions.engine_probed`."""
@@ -182,7 +195,7 @@
 
     @_machine.input()
     def survive(self, now_s):
-        """The probe found that the engine has not crashed."""
+        """The probe did not find that the engine has crashed."""
 
     @_machine.input()
     def fail(self, verdict, reason, crashed, now_s):
@@ -608,15 +621,17 @@
         self._probe_deadline_s = now_s + PROBE_LIMIT_S
         return actions
 
-    def engine_probed(self, alive, now_s):
+    def engine_probed(self, result, now_s):
         """Handle the result of a probe.
 
-        :param alive: False when the engine does not respond or has restarted.
+        Unless the engine crashed, only the attempts whose connection broke fail.
+
+        :param result: :class:`ProbeResult`.
         :param now_s: current time in seconds.
         :returns: tuple of actions.
         """
         self._probe_deadline_s = None
-        if not alive:
+        if result is ProbeResult.CRASHED:
             return self.engine_crashed(now_s)
         actions = ()
         for attempt in list(self._executions):
@@ -684,7 +699,7 @@
         """
         actions = ()
         if self._probe_deadline_s is not None and now_s >= self._probe_deadline_s:
-            actions += self.engine_crashed(now_s)
+            actions += self.engine_probed(ProbeResult.SILENT, now_s)
         draining = (
             self._drain_deadline_s is not None and now_s >= self._drain_deadline_s
         )
--- a/cicadaplank/agent/work.py
+++ b/cicadaplank/agent/work.py
@@ -152,13 +152,15 @@
     def _probe(self, action):
         """Find out whether the engine crashed or only one response was lost."""
 
-        def probed(alive):
-            if not alive:
+        def probed(result):
+            if result is executions.ProbeResult.CRASHED:
                 self.counts["engine_crashes"] += 1
                 self._backend.check_engine()
-            self._carry_out(self.executions.engine_probed(alive, self._daemon.now_s))
+            elif result is executions.ProbeResult.SILENT:
+                self.counts["engine_silences"] += 1
+            self._carry_out(self.executions.engine_probed(result, self._daemon.now_s))
 
-        self._backend.is_alive().addCallback(probed).addErrback(
+        self._backend.probe().addCallback(probed).addErrback(
             self._daemon.report_failure
         )
 
@@ -280,15 +282,19 @@
         total = end.total if completion.stream else len(end.body)
         work_task.response_ended(attempt, total)
 
-    def is_alive(self):
-        """Return a Deferred of whether the engine responds and holds its weights."""
+    def probe(self):
+        """Find out whether the engine still runs and holds its weights.
+
+        :returns: Deferred of :class:`executions.ProbeResult`.
+        """
         probing = self._client.state().addTimeout(PROBE_TIMEOUT_S, self._daemon.reactor)
-        probing.addCallback(self._holds_served_rows)
-        return probing.addErrback(lambda failure: False)
+        return probing.addCallbacks(self._probe_result, _failed_probe_result)
 
-    def _holds_served_rows(self, state):
+    def _probe_result(self, state):
         rows = self._weights.serving_rows()
-        return all(state.model(row) is not None for row in rows)
+        if all(state.model(row) is not None for row in rows):
+            return executions.ProbeResult.ALIVE
+        return executions.ProbeResult.CRASHED
 
     def check_engine(self):
         """Compare the engine's state with the expected one, after a failed call."""
@@ -341,12 +347,24 @@
         work_task.data_received(call.attempt, end.body)
         work_task.response_ended(call.attempt, len(end.body))
 
-    def is_alive(self):
-        """Return a Deferred of whether the service responds."""
+    def probe(self):
+        """Find out whether the service still runs.
+
+        :returns: Deferred of :class:`executions.ProbeResult`.
+        """
         probing = self._client.load_report().addTimeout(
             PROBE_TIMEOUT_S, self._daemon.reactor
         )
-        return probing.addCallbacks(lambda report: True, lambda failure: False)
+        return probing.addCallbacks(
+            lambda report: executions.ProbeResult.ALIVE, _failed_probe_result
+        )
 
     def check_engine(self):
         """Do nothing: a plain service has no weights to check."""
+
+
+def _failed_probe_result(failure):
+    """Return the result of a probe that failed."""
+    if failure.check(defer.TimeoutError, errors.ConnectTimedOut):
+        return executions.ProbeResult.SILENT
+    return executions.ProbeResult.CRASHED
--- a/cicadaplank/external/errors.py
+++ b/cicadaplank/external/errors.py
@@ -27,6 +27,10 @@
         self.retry_after_s = retry_after_s
 
 
+class ConnectTimedOut(Unavailable):
+    """No connection was made in time; the server may still be running."""
+
+
 class AnswerLost(PlatformError):
     """The call may have taken effect; read the state before retrying it."""
 
--- a/cicadaplank/external/http.py
+++ b/cicadaplank/external/http.py
@@ -35,6 +35,7 @@
     error.TimeoutError,
     error.ConnectingCancelledError,
 )
+CONNECT_TIMEOUTS = (error.TimeoutError, error.ConnectingCancelledError)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -409,6 +410,8 @@
     if failure.check(errors.PlatformError, defer.CancelledError):
         return failure
     cause = f"{failure.type.__name__}: {failure.getErrorMessage()}"
+    if failure.check(*CONNECT_TIMEOUTS):
+        raise errors.ConnectTimedOut(f"no connection: {cause}") from failure.value
     if failure.check(*CONNECT_ERRORS):
         raise errors.Unavailable(f"no connection: {cause}") from failure.value
     raise errors.AnswerLost(cause) from failure.value
--- /dev/null
+++ b/features/steps/requests_silences.py
@@ -0,0 +1,213 @@
+"""Steps for engines and services that fall silent, at an agent without sockets."""
+
+import types as plain_types
+
+import behave
+from twisted.internet import defer, error, task
+from twisted.python import failure
+from twisted.web import client as web_client
+
+from cicadaplank.agent import work
+from cicadaplank.external import engines, errors, http, services
+from cicadaplank.messages import types
+
+DIGEST = "digest-1"
+ROW = "m"
+BODY = b"an answer"
+STATUS_OK = 200
+LOADED = engines.LoadedModel(ROW, "model", "1", "", DIGEST, "content")
+LOAD = services.LoadReport(1, 0, 4, 5.0)
+# Errors of a connection that is not made, or is closed without a response.
+CONNECTION_ERRORS = {
+    "refuses connections": error.ConnectionRefusedError(),
+    "closes connections": web_client.ResponseNeverReceived(
+        [failure.Failure(error.ConnectionDone())]
+    ),
+    "takes no connection": error.TimeoutError(),
+}
+
+
+def failed(cause):
+    """Return a Deferred that fails as a read by the HTTP client does."""
+    result = defer.fail(cause).addErrback(http._translate_failure)
+    return result.addErrback(http._convert_to_unavailable)
+
+
+class Server:
+    """Engine or service whose calls end when the scenario says so.
+
+    :param clock: :class:`twisted.internet.task.Clock`.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.calls = {}
+        self.course = ""
+        self.until_s = 0.0
+
+    def complete(self, completion, on_event=None, on_open=None):
+        """Start a completion."""
+        on_open(DIGEST)
+        return self._start(completion.attempt)
+
+    def call(self, call):
+        """Start a call of a service."""
+        return self._start(call.attempt)
+
+    def _start(self, attempt):
+        self.calls[attempt] = defer.Deferred()
+        return self.calls[attempt]
+
+    def state(self):
+        """Read the state of an engine."""
+        models = () if self.course == "has lost its weights" else (LOADED,)
+        return self._read(engines.EngineState("both", 1, models, {}, ()))
+
+    def load_report(self):
+        """Read the load of a service."""
+        return self._read(LOAD)
+
+    def _read(self, value):
+        left_s = self.until_s - self._clock.seconds()
+        if left_s <= 0 or self.course == "has lost its weights":
+            return defer.succeed(value)
+        if self.course != "is silent":
+            delay_s = 0.0
+            if self.course == "takes no connection":
+                delay_s = http.CONNECT_TIMEOUT_S - 0.01
+            cause = CONNECTION_ERRORS[self.course]
+            return task.deferLater(self._clock, delay_s, failed, cause)
+        return task.deferLater(self._clock, left_s, lambda: value)
+
+
+class Agent:
+    """Work of an agent, with one connection to an entry instance.
+
+    :param kind: ``engine`` or ``service``.
+    """
+
+    def __init__(self, kind):
+        self.clock = task.Clock()
+        self.server = Server(self.clock)
+        self.sent = []
+        self.failures = []
+        self.name = "connection-1"
+        daemon = plain_types.SimpleNamespace(
+            reactor=self.clock,
+            name="agent",
+            carry_out=self._carry_out,
+            report_failure=self.failures.append,
+            draining=plain_types.SimpleNamespace(
+                offered=lambda *arguments: None, finished=lambda *arguments: ()
+            ),
+            distribution=plain_types.SimpleNamespace(ready=lambda now_s: True),
+            configuration=plain_types.SimpleNamespace(
+                table=plain_types.SimpleNamespace(grants=lambda *arguments: True)
+            ),
+            settings=plain_types.SimpleNamespace(
+                endpoint=plain_types.SimpleNamespace(row=ROW, resumes_streams=True)
+            ),
+        )
+        type_name = "EngineBackend" if kind == "engine" else "ServiceBackend"
+        weights = plain_types.SimpleNamespace(
+            serving=lambda row: DIGEST,
+            serving_rows=lambda: {ROW: DIGEST},
+            work_started=lambda *arguments: None,
+            work_ended=lambda *arguments: None,
+            record_latency=lambda elapsed_s: None,
+            check_engine=lambda: None,
+        )
+        caches = plain_types.SimpleNamespace(request_completed=lambda *arguments: None)
+        parts = (weights, caches) if kind == "engine" else ()
+        backend = getattr(work, type_name)(daemon, self.server, *parts)
+        self._daemon = daemon
+        self._set_time()
+        self.work = work.Work(daemon, backend)
+
+    def _set_time(self):
+        self._daemon.now_s = self.clock.seconds()
+
+    def _carry_out(self, wanted):
+        for action in wanted:
+            self.work.handlers()[type(action)](action)
+
+    def send(self, message):
+        """Keep a message to the entry instance."""
+        self.sent.append((self.clock.seconds(), message))
+
+    def advance(self, duration_s):
+        """Let time pass in steps of 10 ms."""
+        for _ in range(round(duration_s / 0.01)):
+            self._daemon.now_s = self.clock.seconds() + 0.01
+            self.clock.advance(0.01)
+        assert not self.failures, self.failures
+
+    def end_of(self, attempt):
+        """Return the time and the final message of an attempt, or None."""
+        finals = (types.WorkEnd, types.WorkFailed, types.WorkRefused)
+        found = [
+            (time_s, message)
+            for time_s, message in self.sent
+            if isinstance(message, finals) and message.attempt == attempt
+        ]
+        assert len(found) <= 1, found
+        return found[0] if found else None
+
+
+@behave.given("an agent beside one {kind} that runs {count:d} attempts")
+def step_agent(context, kind, count):
+    context.kind = kind
+    context.agent = Agent(kind)
+    context.attempts = [f"r{number}.1" for number in range(1, count + 1)]
+    for attempt in context.attempts:
+        wanted = types.Work(attempt, ROW, "client", "POST", "/", b"{}", deadline_s=30.0)
+        context.agent.work.message(context.agent, wanted)
+    context.agent.advance(0.1)
+
+
+@behave.when(
+    "the connection of attempt 1 breaks and the {kind} {course} for {silence:g} s"
+)
+def step_break(context, kind, course, silence):
+    agent = context.agent
+    context.broken_s = agent.clock.seconds()
+    agent.server.course = course
+    agent.server.until_s = context.broken_s + silence
+    agent.server.calls[context.attempts[0]].errback(errors.AnswerLost("reset"))
+
+
+@behave.when("the other attempts end {later:g} s after the break")
+def step_end_others(context, later):
+    agent = context.agent
+    agent.advance(later)
+    for attempt in context.attempts[1:]:
+        if context.kind == "engine":
+            end = engines.CompletionEnd(attempt, len(BODY), DIGEST, BODY)
+        else:
+            end = services.ServiceEnd(attempt, STATUS_OK, BODY)
+        ending = agent.server.calls[attempt]
+        if not ending.called:
+            ending.callback(end)
+    agent.advance(3.0)
+
+
+@behave.then("the agent ends attempt 1 as failed without a crash")
+def step_failed(context):
+    _, message = context.agent.end_of(context.attempts[0])
+    assert isinstance(message, types.WorkFailed) and not message.crashed, message
+
+
+@behave.then("the agent ends attempts 2 and 3 with the whole answer")
+def step_whole(context):
+    for attempt in context.attempts[1:]:
+        _, message = context.agent.end_of(attempt)
+        assert isinstance(message, types.WorkEnd), message
+        assert message.total == len(BODY), message
+
+
+@behave.then("the agent ends all attempts as crashed within {limit:g} s")
+def step_crashed(context, limit):
+    context.agent.advance(limit)
+    for attempt in context.attempts:
+        _, message = context.agent.end_of(attempt)
+        assert isinstance(message, types.WorkFailed) and message.crashed, message
