Keep attempts at an agent that is silent for a moment

When an agent stood still for 1.5 s, or the entry process itself did, every request in progress at that agent ended: a stream with an error event, a call that may not be repeated with 502, a repeatable one with 503 (may_have_run) unless another agent was free, though the agent and its engine went on.

Cause: an entry ended all attempts at an agent when membership suspected it, after 2 s since its last message, of which 1.2 s are the interval of its heartbeats. After a pause of the entry, its timers ran before the messages that waited in its sockets were read, so that it suspected every agent. Class: silence is taken for the end of what is silent.

Change: a suspected agent gets no work, as before, but its attempts go on. They end after 4.3 s of silence on the agent's own connection, on which it reports every 2 s. Time in which the entry did not run does not count. A sound agent that is paused for 2 s is heard before; attempts at a mute one end 2.3 s later than before, also where only this entry cannot hear it.

--- a/cicadaplank/entry/process.py
+++ b/cicadaplank/entry/process.py
@@ -15,6 +15,12 @@
 WATCHED_REMOTE = 16
 DIAL_INTERVAL_S = 1.0
 SILENT_STATES = ("suspected", "gone")
+# Attempts at an agent end after this silence on its connection: it reports every 2 s
+# and may be paused for 2 s.
+SILENCE_LIMIT_S = 4.3
+# Time between two ticks that counts as silence of the agents; in a longer one this
+# process was paused and has not read what they sent.
+MAX_TICK_GAP_S = 0.5
 SERVICE_PATH = re.compile(r"^/services/([^/]+)(/.*)?$")
 SERVICE_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 # Outcome in the metrics by outcome or error code of a request; any other code counts as
@@ -48,6 +54,11 @@
         self.handlers[draining.Abort] = lambda action: self.serving.stop()
         self.entry_names = ()
         self.watched = ()
+        # Seconds for which this process has run, and the value of it at which each
+        # agent was last heard.
+        self._awake_s = 0.0
+        self._heard_s = {}
+        self._last_tick_s = self.now_s
         self._next_dial_s = 0.0
         for path in frontend.MODEL_PATHS:
             self._add_route(path, ["POST"], self._create_model_handler(path))
@@ -131,6 +142,8 @@
 
     def peer_message_received(self, connection, message):
         """Handle a message from an agent or another entry instance."""
+        if connection.hello.role == "agent":
+            self._heard_s[connection.peer] = self._awake_s
         self.serving.message(connection, message)
 
     def peer_connected(self, connection):
@@ -141,6 +154,7 @@
     def connection_ended(self, connection):
         """End the attempts on a closed connection to an agent; they may have run."""
         if connection.hello.role == "agent":
+            self._heard_s.pop(connection.peer, None)
             self.serving.endpoint_lost(connection.peer, "the connection was lost")
 
     def configuration_changed(self, configuration):
@@ -152,9 +166,10 @@
         self.serving.start_waiting_of_all_rows()
 
     def members_changed(self, view):
-        """Update routing and limits from the members and end attempts on silent agents.
+        """Update routing and limits from the members.
 
-        An agent is silent when membership takes it as ``suspected`` or ``gone``.
+        An agent is silent when membership takes it as ``suspected`` or ``gone``. It
+        gets no work; its attempts go on, see ``SILENCE_LIMIT_S``.
         """
         now_s = self.now_s
         instances = base.usable_instances(view)
@@ -165,8 +180,7 @@
         self.carry_out(self.serving.limits.entries_listed(self.entry_names, now_s))
         for member in view.members:
             if member.instance.role == "agent" and member.state in SILENT_STATES:
-                name = member.instance.name
-                self.serving.endpoint_lost(name, f"the endpoint is {member.state}")
+                self.serving.endpoint_silent(member.instance.name)
         self._update_watched()
 
     def _update_watched(self):
@@ -194,6 +208,7 @@
         """Apply time limits, and connect to the watched endpoints once a second."""
         self.serving.tick()
         now_s = self.now_s
+        self._check_silence(now_s)
         if now_s < self._next_dial_s:
             return
         self._next_dial_s = now_s + DIAL_INTERVAL_S
@@ -202,6 +217,15 @@
             if instance is not None and self.hub.connection(name) is None:
                 self.hub.dial(instance)
 
+    def _check_silence(self, now_s):
+        """End the attempts at agents that have been silent for too long."""
+        self._awake_s += min(now_s - self._last_tick_s, MAX_TICK_GAP_S)
+        self._last_tick_s = now_s
+        for name, heard_s in list(self._heard_s.items()):
+            if self._awake_s - heard_s >= SILENCE_LIMIT_S:
+                self._heard_s[name] = self._awake_s
+                self.serving.endpoint_lost(name, "the endpoint is silent")
+
     def update_metrics(self):
         """Set the gauges of queues, request states and counters."""
         super().update_metrics()
--- a/cicadaplank/entry/serving.py
+++ b/cicadaplank/entry/serving.py
@@ -464,6 +464,13 @@
         """
         self._daemon.carry_out(self.limits.peer_connected(name, self._daemon.now_s))
 
+    def endpoint_silent(self, name):
+        """Send an endpoint no work until its next report; its attempts go on.
+
+        :param name: instance name.
+        """
+        self._daemon.carry_out(self.router.endpoint_lost(name, self._daemon.now_s))
+
     def endpoint_lost(self, name, reason):
         """Record that an endpoint cannot be reached and end the attempts on it.
 
--- a/features/requests/silences.feature
+++ b/features/requests/silences.feature
@@ -37,3 +37,33 @@
       | engine  | has lost its weights    |
       | service | refuses connections     |
       | service | closes connections      |
+
+  Scenario Outline: A <kind> request while its <process> stands still for <pause> s
+    Given an entry instance with a <kind> request that runs at an agent
+    When the <process> stands still for <pause> s at any time between its reports
+    Then the caller gets the whole answer of the first attempt
+
+    Examples: standstills
+      | kind   | process             | pause |
+      | stream | agent               | 1.0   |
+      | stream | agent               | 1.5   |
+      | stream | agent               | 2.0   |
+      | whole  | agent               | 1.0   |
+      | whole  | agent               | 1.5   |
+      | whole  | agent               | 2.0   |
+      | stream | agent and all peers | 1.5   |
+      | whole  | agent and all peers | 2.0   |
+      | stream | entry               | 1.5   |
+      | whole  | entry               | 2.0   |
+      | whole  | entry               | 4.0   |
+
+  Scenario Outline: A <kind> request whose agent is silent for good, <known>
+    Given an entry instance with a <kind> request that runs at an agent
+    When the agent falls silent for good, <known>
+    Then the caller gets the whole answer of another agent within 5.0 s
+
+    Examples: mute agents
+      | kind   | known             |
+      | stream | to all its peers  |
+      | whole  | to all its peers  |
+      | whole  | to this entry only |
--- a/features/steps/requests_silences.py
+++ b/features/steps/requests_silences.py
@@ -10,6 +10,7 @@
 from cicadaplank.agent import work
 from cicadaplank.external import engines, errors, http, services
 from cicadaplank.messages import types
+from features import entry_daemons
 
 DIGEST = "digest-1"
 ROW = "m"
@@ -211,3 +212,110 @@
     for attempt in context.attempts:
         _, message = context.agent.end_of(attempt)
         assert isinstance(message, types.WorkFailed) and message.crashed, message
+
+
+TOKENS = (b'{"t":0}\n', b'{"t":1}\n')
+PHASES_S = (0.0, 0.3, 0.6, 0.9, 1.15)
+CYCLE_S = 6.0
+
+
+class Run:
+    """A request that runs at the first agent of an entry instance.
+
+    :param kind: ``stream`` or ``whole``.
+    :param phase_s: time after a heartbeat and a report of the agent.
+    """
+
+    def __init__(self, kind, phase_s):
+        self.is_stream = kind == "stream"
+        self.entry = entry_daemons.Entry()
+        # Heartbeats and reports of all agents come at the same time once in a cycle.
+        for times_s in (self.entry._heartbeat_s, self.entry._report_s):
+            times_s.update(dict.fromkeys(times_s, self.entry.now_s))
+        self.entry.run(CYCLE_S + 2 * entry_daemons.STEP_S)
+        self.caller = self.entry.call(self.is_stream)
+        ((self.agent, self.work),) = self.entry.works()
+        self.accept(self.agent, self.work)
+        if self.is_stream:
+            data = types.WorkData(self.work.attempt, 0, TOKENS[0])
+            self.entry.receive(self.agent, data)
+        self.entry.run(phase_s)
+
+    def accept(self, agent, attempt):
+        """Report that an agent passes the work to its engine."""
+        digest = entry_daemons.DIGEST if self.is_stream else ""
+        self.entry.receive(agent, types.WorkAccepted(attempt.attempt, digest))
+
+    def finish(self, agent, attempt):
+        """Send the rest of the answer."""
+        if not self.is_stream:
+            self.entry.answer(agent, attempt, BODY)
+            return
+        data = types.WorkData(attempt.attempt, 1, TOKENS[1])
+        self.entry.receive(agent, data)
+        self.entry.receive(agent, types.WorkEnd(attempt.attempt, STATUS_OK, 2, 0))
+
+    def check_whole(self):
+        """Check the answer that the caller got."""
+        caller = self.caller
+        assert caller.is_finished and caller.status in (0, STATUS_OK), caller.body
+        if self.is_stream:
+            expected = b"".join(b"data: " + line + b"\n" for line in TOKENS)
+            assert caller.body.startswith(expected), caller.body
+            assert b"event: end" in caller.body, caller.body
+        else:
+            assert caller.body == BODY, caller.body
+
+
+@behave.given("an entry instance with a {kind} request that runs at an agent")
+def step_run(context, kind):
+    context.runs = [Run(kind, phase_s) for phase_s in PHASES_S]
+
+
+@behave.when(
+    "the {process} stands still for {pause:g} s at any time between its reports"
+)
+def step_still(context, process, pause):
+    for run in context.runs:
+        entry = run.entry
+        if process == "entry":
+            entry.is_frozen = True
+        elif process == "agent":
+            entry.paused.add(run.agent)
+        else:
+            entry.paused.update(entry.connections)
+        entry.run(pause)
+        if process == "entry":
+            # The answer waits in the socket when the process goes on.
+            run.finish(run.agent, run.work)
+            entry.resume()
+        else:
+            entry.paused.clear()
+            run.finish(run.agent, run.work)
+
+
+@behave.then("the caller gets the whole answer of the first attempt")
+def step_first_attempt(context):
+    for run in context.runs:
+        run.check_whole()
+        assert len(run.entry.works()) == 1, run.entry.works()
+
+
+@behave.when("the agent falls silent for good, {known}")
+def step_mute(context, known):
+    for run in context.runs:
+        run.entry.paused.add(run.agent)
+        run.entry.is_confirmed = known == "to all its peers"
+
+
+@behave.then("the caller gets the whole answer of another agent within {limit:g} s")
+def step_other_agent(context, limit):
+    for run in context.runs:
+        end_s = run.entry.now_s + limit
+        while len(run.entry.works()) == 1 and run.entry.now_s < end_s:
+            run.entry.run(entry_daemons.STEP_S)
+        _, (agent, attempt) = run.entry.works()
+        assert agent != run.agent
+        run.accept(agent, attempt)
+        run.finish(agent, attempt)
+        run.check_whole()
