Tell the entry that an attempt was given up before it is cancelled

A request whose attempt an agent gave up (a token of its engine is missing or belongs elsewhere, another number of bytes, other weights, the deadline, the limit of a planned stop) got no answer before its deadline, though it could have been sent to another agent at once, and a stream stood still as long.

Class: an event is given up before its owner has been told.

Change: CancelEngine follows the last reply of its attempt.

--- a/cicadaplank/agent/executions.py
+++ b/cicadaplank/agent/executions.py
@@ -92,6 +92,8 @@
 class CancelEngine:
     """Close the engine connection of an attempt, which cancels it at the engine.
 
+    Follows the last :class:`Reply` of the attempt, after which none can be sent.
+
     :param attempt: identifier of the attempt.
     """
 
@@ -245,9 +247,9 @@
         return bool(expected) and reported is not None and reported != expected
 
     def _abort(self, reason, now_s):
-        cancel = (CancelEngine(self.work.attempt),)
         may_have_run = verdicts.Verdict.MAY_HAVE_RUN
-        return cancel + self.fail(may_have_run, reason, False, now_s)
+        failed = self.fail(may_have_run, reason, False, now_s)
+        return (*failed, CancelEngine(self.work.attempt))
 
     def _forward(self, data, now_s):
         if self._is_error_response():
@@ -540,7 +542,7 @@
         if reason is not None:
             arguments = (verdicts.Verdict.MAY_HAVE_RUN, reason, False)
             failed = self._handle_event(attempt, "fail", arguments, now_s)
-            return (*actions, CancelEngine(attempt), *failed)
+            return (*actions, *failed, CancelEngine(attempt))
         return actions + self._handle_event(attempt, "data", (token + b"\n",), now_s)
 
     def engine_end(self, attempt, now_s, total=None, manifest_digest=None):
@@ -708,8 +710,8 @@
             if late or draining:
                 reason = "the deadline has passed" if late else "the endpoint stopped"
                 arguments = (verdicts.Verdict.MAY_HAVE_RUN, reason, False)
-                actions += (CancelEngine(attempt),)
                 actions += self._handle_event(attempt, "fail", arguments, now_s)
+                actions += (CancelEngine(attempt),)
         return actions
 
     def next_tick_s(self):
--- a/features/steps/requests_silences.py
+++ b/features/steps/requests_silences.py
@@ -43,12 +43,15 @@
     def __init__(self, clock):
         self._clock = clock
         self.calls = {}
+        self.tokens = {}
+        self.digest = DIGEST
         self.course = ""
         self.until_s = 0.0
 
     def complete(self, completion, on_event=None, on_open=None):
         """Start a completion."""
-        on_open(DIGEST)
+        self._clock.callLater(0, on_open, self.digest)
+        self.tokens[completion.attempt] = on_event
         return self._start(completion.attempt)
 
     def call(self, call):
