Let an error in a callback cost its own request only

One unexpected error in a handler (metrics, log, router, a write to a caller) left other requests, and often its own, without an answer or a refusal; a stream whose one part could not be written went on without it and ended as complete; an error in one step of the periodic timer stopped that timer for good, and with it the limits of time.

Cause: carry_out stopped at the first action whose handler raised, and dropped the later ones, among them the final answers of other requests; the dispatcher and the executions lost what they had collected for others when one machine raised; LoopingCall ends with the first error. Class: a list of independent work in which one part can end all.

Change: one guard in daemons/base.py (guarded) is around each action, each step of a tick, each row and the shared part of a received message. Errors are logged and counted as internal_errors, also when the log or the metrics are at fault. Dispatcher._advance and Executions._handle_event end the machine that raised by a final answer (internal_error, 500) or WorkFailed, and report with actions.ReportError. A final answer is written before anything else that can fail; a part of a stream that cannot be written ends the stream with an error event. An agent whose call cannot be made refuses the work, and one that cannot read an answer ends the attempt at once.

--- a/cicadaplank/agent/executions.py
+++ b/cicadaplank/agent/executions.py
@@ -11,6 +11,7 @@
 
 import automat
 
+from cicadaplank.messages import actions as process_actions
 from cicadaplank.messages import types
 from cicadaplank.requests import attempts, retries, verdicts
 
@@ -23,6 +24,8 @@
 MAX_LINE_BYTES = 256 * 1024
 MAX_PART_BYTES = 1024 * 1024
 BUSY_RETRY_S = 0.2
+# Reason of an attempt that an unexpected error has ended.
+INTERNAL_ERROR = "internal error"
 # Calls with a once key may run this long after their deadline: the entry instance
 # records the result, so that it can answer a repeated request. Must equal the constant
 # in ``cicadaplank.requests.exchange``.
@@ -361,6 +364,15 @@
         self._set_ended()
         return (CancelEngine(self.work.attempt),)
 
+    def break_off(self):
+        """End the attempt after an unexpected error, whatever its state.
+
+        :returns: tuple of actions.
+        """
+        self._set_ended()
+        failed = _may_have_run_reply(self.entry, self.work, INTERNAL_ERROR)
+        return (failed, CancelEngine(self.work.attempt))
+
     _join = attempts.concatenate_actions
     _calling.upon(headers, _answering, [_check_headers], _join)
     _calling.upon(refuse, _ended, [_send_refusal], _join)
@@ -438,7 +450,11 @@
             return (
                 _may_have_run_reply(entry, work, "the claim was dispatched before"),
             )
-        grant = self._check(work, now_s)
+        try:
+            grant = self._check(work, now_s)
+        except Exception as error:
+            refused = self._refuse(entry, work, INTERNAL_ERROR, 0.0)
+            return (process_actions.ReportError(error), *refused)
         refusal = self._refusal(work, grant)
         if refusal is not None:
             return self._refuse(entry, work, *refusal)
@@ -728,7 +744,10 @@
         if execution is None:
             self.dropped_responses += 1
             return ()
-        actions = getattr(execution, event)(*arguments, now_s)
+        try:
+            actions = getattr(execution, event)(*arguments, now_s)
+        except Exception as error:
+            actions = (process_actions.ReportError(error), *execution.break_off())
         if execution.is_ended:
             del self._executions[attempt]
             if self._draining and not self._executions:
--- a/cicadaplank/agent/process.py
+++ b/cicadaplank/agent/process.py
@@ -169,6 +169,10 @@
         if self.lease is not None:
             self._carry_out_lease(self.lease.release(self.now_s))
 
+    def action_failed(self, action):
+        """Refuse work whose call could not be made."""
+        self.work.action_failed(action)
+
     # Reports to entry instances.
 
     def readiness_changed(self):
--- a/cicadaplank/agent/work.py
+++ b/cicadaplank/agent/work.py
@@ -13,6 +13,7 @@
 PROBE_TIMEOUT_S = 1.0
 # HTTP status of an engine that has not loaded the row.
 STATUS_NO_MODEL = 404
+INTERNAL_ERROR = executions.INTERNAL_ERROR
 
 
 class Work:
@@ -123,9 +124,26 @@
         call = self._backend.call(self, work, digest, action.timeout_s)
         self._calls[work.attempt] = call
         call.addErrback(self._call_failed, work)
+        call.addErrback(self._call_broke, work)
         call.addErrback(self._daemon.report_failure)
         call.addBoth(lambda _: self._calls.pop(work.attempt, None))
 
+    def action_failed(self, action):
+        """Refuse work whose call could not be made; it did not reach the engine."""
+        if isinstance(action, executions.CallEngine):
+            attempt, now_s = action.work.attempt, self._daemon.now_s
+            self._carry_out(
+                self.executions.engine_failed(attempt, False, INTERNAL_ERROR, now_s)
+            )
+
+    def _call_broke(self, failure, work):
+        """End an attempt after an unexpected error; the engine may have run it."""
+        self._daemon.report_failure(failure)
+        now_s = self._daemon.now_s
+        self._carry_out(
+            self.executions.engine_failed(work.attempt, True, INTERNAL_ERROR, now_s)
+        )
+
     def _cancel(self, action):
         call = self._calls.pop(action.attempt, None)
         if call is not None:
@@ -263,8 +281,8 @@
         start_s = self._daemon.now_s
 
         def opened(digest):
-            self._weights.record_latency(self._daemon.now_s - start_s)
             work_task.response_started(attempt, 200, attempt, digest, completion.offset)
+            self._weights.record_latency(self._daemon.now_s - start_s)
 
         def received(event):
             work_task.token_received(event)
@@ -276,11 +294,11 @@
                 raise
             # The row was loaded before, so the engine has restarted.
             raise errors.Unavailable(error.reason) from error
-        self._caches.request_completed(prefix, end.prefix_block, self._daemon.now_s)
         if not completion.stream:
             work_task.data_received(attempt, end.body)
         total = end.total if completion.stream else len(end.body)
         work_task.response_ended(attempt, total)
+        self._caches.request_completed(prefix, end.prefix_block, self._daemon.now_s)
 
     def probe(self):
         """Find out whether the engine still runs and holds its weights.
--- a/cicadaplank/daemons/base.py
+++ b/cicadaplank/daemons/base.py
@@ -5,6 +5,7 @@
 readiness, status and metrics.
 """
 
+import contextlib
 import dataclasses
 import json
 import random
@@ -14,6 +15,7 @@
 import klein
 from twisted import logger
 from twisted.internet import defer, task
+from twisted.python import failure
 
 from cicadaplank.daemons import http_requests, table_requests
 from cicadaplank.external import errors, http, instances, tables
@@ -87,6 +89,9 @@
         self.handlers = {
             actions.Send: lambda action: self.send(action.peer, action.message),
             actions.Alert: lambda action: self.alert(action.kind, action.detail),
+            actions.ReportError: lambda action: self.report_failure(
+                failure.Failure(action.error)
+            ),
             membership.MembersChanged: self._members_changed,
             membership.ReadInstances: self._read_instances,
             membership.RejectPeer: self._reject_peer,
@@ -139,6 +144,9 @@
     def closing(self):
         """Handle the end of a planned stop, just before connections are closed."""
 
+    def action_failed(self, action):
+        """Handle an action whose handler raised an exception."""
+
     def status(self):
         """Return the content of ``/status`` as a dict of JSON values."""
         return {
@@ -222,25 +230,52 @@
         self.leaving()
 
     def _tick(self):
+        for step in (
+            self._tick_membership,
+            lambda: self.carry_out(self.distribution.tick(self.now_s)),
+            lambda: self.carry_out(self.draining.tick(self.now_s)),
+            self.tick,
+        ):
+            self.guarded(step)
+
+    def _tick_membership(self):
         now_s = self.now_s
         if self.membership.state == "starting" and self.distribution.ready(now_s):
             self.carry_out(self.membership.ready(now_s))
             self.events.log("ready", table_version=self.distribution.version)
         self.membership.poll_age_s = self.distribution.poll_age_s(now_s)
         self.carry_out(self.membership.tick(now_s))
-        self.carry_out(self.distribution.tick(now_s))
-        self.carry_out(self.draining.tick(now_s))
-        self.tick()
 
     # Actions and messages.
 
     def carry_out(self, wanted):
         """Carry out actions in order, each with its handler in :attr:`handlers`.
 
+        An action whose handler fails does not keep the later ones from being carried
+        out, as these may belong to other requests.
+
         :param wanted: iterable of actions that a state machine returned.
         """
         for action in wanted:
-            self.handlers[type(action)](action)
+            if not self.guarded(self._handle, action):
+                self.guarded(self.action_failed, action)
+
+    def _handle(self, action):
+        self.handlers[type(action)](action)
+
+    def guarded(self, function, *arguments):
+        """Call a function; an error is reported and costs this call only.
+
+        :param function: callable.
+        :param arguments: its arguments.
+        :returns: False after an error.
+        """
+        try:
+            function(*arguments)
+        except Exception:
+            self.report_failure(failure.Failure())
+            return False
+        return True
 
     def send(self, peer, message):
         """Send a message to a peer, after dialling it when there is no connection.
@@ -262,11 +297,17 @@
 
     def message_received(self, connection, envelope):
         """Handle a peer's message; see :class:`cicadaplank.links.streams.Listener`."""
-        peer, message, now_s = connection.peer, envelope.message, self.now_s
+        peer, message = connection.peer, envelope.message
         if isinstance(message, types.Hello):
             self.peer_connected(connection)
             if peer not in self.peers and message.role in ("entry", "agent"):
                 self._schedule_list_read()
+        self.guarded(self._process_message, connection, envelope)
+        self.peer_message_received(connection, message)
+
+    def _process_message(self, connection, envelope):
+        """Pass a message to the tasks that entry processes and agents share."""
+        peer, message, now_s = connection.peer, envelope.message, self.now_s
         self.membership.poll_age_s = self.distribution.poll_age_s(now_s)
         self.carry_out(self.membership.heard(peer, now_s))
         self.carry_out(
@@ -280,7 +321,6 @@
         elif isinstance(message, types.MetricsRequest):
             self.update_metrics()
             connection.send(types.MetricsReply(self.metrics.render()[0].decode()))
-        self.peer_message_received(connection, message)
 
     def connection_lost(self, connection):
         """Handle the end of a connection; see ``streams.Listener``."""
@@ -296,15 +336,20 @@
         self.metrics.count("alerts", kind=kind)
         self.events.log("alert", "error", kind=kind, detail=detail)
 
-    def report_failure(self, failure):
+    def report_failure(self, reason):
         """Log and count an unexpected error, and print its traceback to stderr.
 
-        :param failure: :class:`twisted.python.failure.Failure`.
+        Does not fail, also when the error came from the log or the metrics.
+
+        :param reason: :class:`twisted.python.failure.Failure`.
         """
-        self.metrics.count("internal_errors")
-        text = failure.getErrorMessage()
-        self.events.log("internal_error", "error", error=text)
-        failure.printTraceback(sys.stderr)
+        text = reason.getErrorMessage()
+        with contextlib.suppress(Exception):
+            self.metrics.count("internal_errors")
+        with contextlib.suppress(Exception):
+            self.events.log("internal_error", "error", error=text)
+        with contextlib.suppress(Exception):
+            reason.printTraceback(sys.stderr)
 
     def _members_changed(self, change):
         self.view = change.view
--- a/cicadaplank/entry/frontend.py
+++ b/cicadaplank/entry/frontend.py
@@ -217,6 +217,21 @@
     request.finish()
 
 
+def break_off(request, answer, is_stream):
+    """End a response after an error, visibly incomplete if it has begun.
+
+    :param request: Twisted request.
+    :param answer: :class:`cicadaplank.requests.answers.Answer` with the error.
+    :param is_stream: whether the response is a stream, which ends with an error event.
+    """
+    if not request.startedWriting:
+        write_answer(request, answer)
+    elif is_stream:
+        write_stream_error(request, answer.body)
+    else:
+        request.transport.abortConnection()
+
+
 def write_stream_part(request, data, started):
     """Write tokens as server-sent events.
 
--- a/cicadaplank/entry/process.py
+++ b/cicadaplank/entry/process.py
@@ -217,6 +217,10 @@
             if instance is not None and self.hub.connection(name) is None:
                 self.hub.dial(instance)
 
+    def action_failed(self, action):
+        """End the request of an action that could not be carried out."""
+        self.serving.action_failed(action)
+
     def _check_silence(self, now_s):
         """End the attempts at agents that have been silent for too long."""
         self._awake_s += min(now_s - self._last_tick_s, MAX_TICK_GAP_S)
--- a/cicadaplank/entry/serving.py
+++ b/cicadaplank/entry/serving.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import dataclasses
 
 from cicadaplank.entry import claimcalls, frontend
 from cicadaplank.links import sockets
@@ -25,6 +26,7 @@
 # must equal the texts that :mod:`cicadaplank.agent.executions` sends.
 BUSY_REASON = "the endpoint is full"
 LEAVING_REASON = "the endpoint is stopping"
+INTERNAL_ERROR = answers.ERROR_KINDS["internal_error"]
 RETRY_LATER_ADVICE = "Send the request again after the time in Retry-After."
 GRANT_ADVICE = "Ask the operator for a grant in the table."
 # Limits the waiting requests of one row that are dispatched in one call, so that the
@@ -127,6 +129,10 @@
         open_request = OpenRequest(request, call, now_s)
         self._open_requests[identifier] = open_request
         request.notifyFinish().addErrback(self._caller_disconnected, identifier)
+        if not self._daemon.guarded(self._admit, identifier, call, now_s):
+            self._abandon(identifier)
+
+    def _admit(self, identifier, call, now_s):
         rejection = self._rejection(identifier, call, now_s)
         if rejection is not None:
             self._answer(rejection)
@@ -210,7 +216,8 @@
             return
         now_s = self._daemon.now_s
         self.counts["callers_gone"] += 1
-        self._observe(open_request, verdicts.Verdict.MAY_HAVE_RUN, "cancelled")
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
+        self._daemon.guarded(self._observe, open_request, verdict, "cancelled")
         self._queued_requests.pop(identifier, None)
         self._daemon.carry_out(self.admission.withdrawn(identifier, now_s))
         self._daemon.carry_out(self.dispatcher.caller_gone(identifier, now_s))
@@ -258,7 +265,7 @@
         """Dispatch the waiting requests of every row that an endpoint can take."""
         # Rows that the table no longer has are included: their requests are rejected.
         for row in self.admission.rows_with_requests():
-            self._start_waiting(row)
+            self._daemon.guarded(self._start_waiting, row)
 
     def _shed(self, action):
         self._queued_requests.pop(action.request, None)
@@ -306,6 +313,7 @@
             return
         dialled = self._daemon.hub.dial(instance)
         dialled.addCallback(self._write_work, action.work)
+        dialled.addErrback(self._work_failed, attempt)
         dialled.addErrback(self._daemon.report_failure)
 
     def _write_work(self, connection, work):
@@ -323,6 +331,16 @@
             if work is not None:
                 connection.send(work)
 
+    def _work_failed(self, failure, attempt):
+        self._daemon.report_failure(failure)
+        self._attempt_lost(attempt)
+
+    def _attempt_lost(self, attempt):
+        now_s = self._daemon.now_s
+        lost = self.dispatcher.attempt_lost(attempt, exchange.INTERNAL_ERROR, now_s)
+        self._daemon.carry_out(lost)
+        self._schedule()
+
     def _undelivered(self, attempt, reason):
         now_s = self._daemon.now_s
         self._daemon.carry_out(self.dispatcher.undelivered(attempt, reason, now_s))
@@ -367,7 +385,10 @@
         frontend.write_stream_part(
             open_request.request, action.data, open_request.tokens > 0
         )
-        tokens = action.data.count(b"\n")
+        self._daemon.guarded(self._part_written, open_request, action.data, now_s)
+
+    def _part_written(self, open_request, data, now_s):
+        tokens = data.count(b"\n")
         if open_request.first_token_s is None:
             open_request.first_token_s = now_s
             elapsed_s = now_s - open_request.started_s
@@ -379,30 +400,73 @@
         self.limits.tokens_generated(call.row, call.client, tokens, now_s)
 
     def _stream_end(self, action):
-        open_request = self._close_request(action.request)
-        if open_request is None:
-            return
-        if not open_request.tokens:
-            frontend.write_stream_part(open_request.request, b"", False)
-        frontend.write_stream_end(open_request.request, action.total)
-        self._observe(open_request, verdicts.Verdict.RAN, "answered")
+        def write(open_request):
+            if not open_request.tokens:
+                frontend.write_stream_part(open_request.request, b"", False)
+            frontend.write_stream_end(open_request.request, action.total)
+
+        self._end_request(action.request, write, verdicts.Verdict.RAN, "answered")
 
     def _stream_error(self, action):
-        open_request = self._close_request(action.request)
-        if open_request is not None:
+        def write(open_request):
             frontend.write_stream_error(open_request.request, action.body)
-            self._observe(open_request, verdicts.Verdict.MAY_HAVE_RUN, "broken_stream")
+
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
+        self._end_request(action.request, write, verdict, "broken_stream")
 
     def _answer(self, answer):
-        open_request = self._close_request(answer.request)
-        if open_request is not None:
+        def write(open_request):
             frontend.write_answer(open_request.request, answer)
-            self._observe(open_request, answer.verdict, answer.code or "answered")
 
-    def _close_request(self, identifier):
+        outcome = answer.code or "answered"
+        self._end_request(answer.request, write, answer.verdict, outcome)
+
+    def _end_request(self, identifier, write, verdict, outcome):
+        """End a request by its final answer.
+
+        :param identifier: identifier of the request.
+        :param write: called with the :class:`OpenRequest`, to write the answer.
+        :param verdict: :class:`cicadaplank.requests.verdicts.Verdict`, for metrics.
+        :param outcome: outcome for metrics.
+        """
         open_request = self._open_requests.pop(identifier, None)
+        if open_request is not None:
+            if not self._daemon.guarded(write, open_request):
+                self._break_off(open_request, identifier)
+            self._daemon.guarded(self._observe, open_request, verdict, outcome)
         self._request_ended(identifier)
-        return open_request
+
+    def _break_off(self, open_request, identifier):
+        """End a response after an error of its handler."""
+        answer = frontend.error_answer(
+            identifier,
+            INTERNAL_ERROR.code,
+            INTERNAL_ERROR.status,
+            INTERNAL_ERROR.message,
+            INTERNAL_ERROR.advice,
+        )
+        answer = dataclasses.replace(answer, verdict=verdicts.Verdict.MAY_HAVE_RUN)
+        request, is_stream = open_request.request, open_request.call.stream
+        if not self._daemon.guarded(frontend.break_off, request, answer, is_stream):
+            self._daemon.guarded(request.transport.abortConnection)
+
+    def action_failed(self, action):
+        """End the request or attempt of an action that could not be carried out.
+
+        :param action: action that a decision object returned.
+        """
+        if isinstance(action, exchange.SendWork):
+            self._attempt_lost(action.work.attempt)
+        elif isinstance(action, answers.StreamPart):
+            # A stream must not go on without a part.
+            self._abandon(action.request)
+
+    def _abandon(self, identifier):
+        """End a request with an error, and its attempt."""
+        open_request = self._open_requests.get(identifier)
+        if open_request is not None:
+            self._break_off(open_request, identifier)
+            self._caller_disconnected(None, identifier)
 
     # Claims.
 
@@ -478,7 +542,7 @@
         :param reason: short text, which the attempts end with.
         """
         now_s = self._daemon.now_s
-        self._daemon.carry_out(self.router.endpoint_lost(name, now_s))
+        self._daemon.guarded(self.endpoint_silent, name)
         self._daemon.carry_out(self.dispatcher.connection_lost(name, reason, now_s))
         self._schedule()
 
@@ -503,10 +567,13 @@
         ``TICK_S`` is that of :mod:`cicadaplank.daemons.base`.
         """
         now_s = self._daemon.now_s
-        self._daemon.carry_out(self.limits.tick(now_s))
-        self._daemon.carry_out(self.admission.tick(now_s))
-        self.start_waiting_of_all_rows()
-        self._dispatcher_tick()
+        for step in (
+            lambda: self._daemon.carry_out(self.limits.tick(now_s)),
+            lambda: self._daemon.carry_out(self.admission.tick(now_s)),
+            self.start_waiting_of_all_rows,
+            self._dispatcher_tick,
+        ):
+            self._daemon.guarded(step)
 
     def _dispatcher_tick(self):
         self._daemon.carry_out(self.dispatcher.tick(self._daemon.now_s))
@@ -544,7 +611,11 @@
         return routing.Outcome.BUSY
     if action.reason == LEAVING_REASON:
         return routing.Outcome.LEAVING
-    cancel_reasons = ("the caller has gone", "the answer is too large")
+    cancel_reasons = (
+        "the caller has gone",
+        "the answer is too large",
+        exchange.INTERNAL_ERROR,
+    )
     if action.reason in cancel_reasons:
         return routing.Outcome.CANCELLED
     return routing.Outcome.FAILED
--- a/cicadaplank/messages/actions.py
+++ b/cicadaplank/messages/actions.py
@@ -15,6 +15,16 @@
     message: object
 
 
+@dataclasses.dataclass(frozen=True)
+class ReportError:
+    """Log and count an unexpected error; a decision object has gone on without it.
+
+    :param error: the exception, with its traceback.
+    """
+
+    error: Exception
+
+
 @dataclasses.dataclass(frozen=True)
 class Alert:
     """Log and count a condition that requires an operator's attention.
--- a/cicadaplank/requests/answers.py
+++ b/cicadaplank/requests/answers.py
@@ -147,6 +147,12 @@
             "Discard what was received. Correct the request if the reason names it;"
             " otherwise send it again.",
         ),
+        ErrorKind(
+            "internal_error",
+            500,
+            "An unexpected error in this entry instance ended the request.",
+            "Discard what was received. Send the request again if it may be repeated.",
+        ),
         ErrorKind(
             "answer_too_large",
             502,
--- a/cicadaplank/requests/dispatcher.py
+++ b/cicadaplank/requests/dispatcher.py
@@ -3,6 +3,7 @@
 import dataclasses
 import heapq
 
+from cicadaplank.messages import actions as process_actions
 from cicadaplank.messages import types
 from cicadaplank.requests import (
     answers,
@@ -103,7 +104,7 @@
             return (answer,)
         machine = exchange.Exchange(request, self._shared)
         self._exchanges[request.identifier] = machine
-        return self._apply(machine, machine.start(now_s), now_s)
+        return self._advance(machine, machine.start, now_s)
 
     def begin_write(self, work, now_s):
         """Record that an attempt may run, immediately before its work is written.
@@ -176,6 +177,16 @@
             result += self._attempt_event(attempt, "lost", (reason,), now_s)
         return result
 
+    def attempt_lost(self, attempt, reason, now_s):
+        """Handle an attempt that was perhaps not written and gets no response.
+
+        :param attempt: identifier of the attempt.
+        :param reason: short text.
+        :param now_s: current time in seconds.
+        :returns: tuple of actions.
+        """
+        return self._attempt_event(attempt, "lost", (reason,), now_s)
+
     def caller_gone(self, request, now_s):
         """Handle a caller that closed its connection before the final answer.
 
@@ -186,7 +197,7 @@
         machine = self._exchanges.get(request)
         if machine is None:
             return ()
-        return self._apply(machine, machine.caller_gone(now_s), now_s)
+        return self._advance(machine, machine.caller_gone, now_s)
 
     def stop(self, now_s):
         """Give every request its final answer at the time limit of a planned stop.
@@ -199,7 +210,7 @@
         """
         result = ()
         for machine in list(self._exchanges.values()):
-            result += self._apply(machine, machine.stop(now_s), now_s)
+            result += self._advance(machine, machine.stop, now_s)
         return result
 
     def suspect_report(self, sender, report, now_s):
@@ -251,7 +262,7 @@
             _, request = heapq.heappop(self._wake_times)
             machine = self._exchanges.get(request)
             if machine is not None:
-                result += self._apply(machine, machine.wake(now_s), now_s)
+                result += self._advance(machine, machine.wake, now_s)
         return result
 
     def next_tick_s(self):
@@ -268,8 +279,29 @@
         machine = self._attempts.get(attempt)
         if machine is None:
             return ()
-        outcome = getattr(machine.attempt, event)(*arguments, now_s)
-        return self._apply(machine, machine.attempt_event(outcome, now_s), now_s)
+
+        def handle(now_s):
+            outcome = getattr(machine.attempt, event)(*arguments, now_s)
+            return machine.attempt_event(outcome, now_s)
+
+        return self._advance(machine, handle, now_s)
+
+    def _advance(self, machine, event, *arguments):
+        """Pass an event to an exchange; an error ends its request only.
+
+        :param machine: :class:`exchange.Exchange`.
+        :param event: callable that returns its actions.
+        :param arguments: arguments of the event; the last one is the time.
+        :returns: tuple of the actions for the network layer.
+        """
+        try:
+            return self._apply(machine, event(*arguments), arguments[-1])
+        except Exception as error:
+            actions = machine.break_off()
+            if machine.attempt is not None:
+                self._attempts.pop(machine.attempt.identifier, None)
+            self._exchanges.pop(machine.request.identifier, None)
+            return (process_actions.ReportError(error), *actions)
 
     def _apply(self, machine, actions, now_s):
         """Apply internal actions of an exchange.
@@ -306,13 +338,13 @@
             if isinstance(action, (claims.Held, claims.Recorded, claims.Denied)):
                 machine = self._exchanges.get(action.claim)
                 if machine is not None:
-                    outcome = machine.claim_result(action, now_s)
-                    result += self._apply(machine, outcome, now_s)
+                    result += self._advance(
+                        machine, machine.claim_result, action, now_s
+                    )
             elif isinstance(action, claims.Released):
                 machine = self._exchanges.get(action.claim)
                 if machine is not None:
-                    outcome = machine.claim_released(now_s)
-                    result += self._apply(machine, outcome, now_s)
+                    result += self._advance(machine, machine.claim_released, now_s)
             elif isinstance(action, crash_tracking.Broadcast):
                 result += (action,)
                 result += self._block_requests(action.message.digest, now_s)
@@ -327,7 +359,7 @@
         result = ()
         for machine in list(self._exchanges.values()):
             if machine.digest == digest:
-                result += self._apply(machine, machine.suspected(now_s), now_s)
+                result += self._advance(machine, machine.suspected, now_s)
         return result
 
     def _suspect_endpoints(self, digest, now_s):
--- a/cicadaplank/requests/exchange.py
+++ b/cicadaplank/requests/exchange.py
@@ -149,6 +149,8 @@
 # Longest wait for the release of a claim before a NOT_RUN answer. Until the release
 # takes effect, a repeated call with the same key is told that the first may have run.
 RELEASE_TIMEOUT_S = 1.0
+# Reason of an attempt that an unexpected error of this process has ended.
+INTERNAL_ERROR = "internal error"
 
 
 class Buffer:
@@ -863,6 +865,22 @@
             failure.code,
         )
 
+    def break_off(self):
+        """End the request after an unexpected error, whatever its state.
+
+        :returns: tuple of actions. A dispatched call with a claim is not cancelled.
+        """
+        self.is_finished = True
+        result = ()
+        attempt = self.attempt
+        if attempt is not None and attempt.state() not in ("complete", "broken"):
+            cancelled = self._cancel(INTERNAL_ERROR)
+            result = cancelled[1:] if self._generation else cancelled
+        self._drop_parts()
+        if self._caller_gone:
+            return result
+        return (*result, self._final_action(_Error("internal_error", "", 0.0)))
+
     _join = attempts.concatenate_actions
     _new.upon(start, _new, [_begin], _join)
     _new.upon(_claim, _claiming, [_request_claim], _join)
--- a/features/entry_daemons.py
+++ b/features/entry_daemons.py
@@ -99,6 +99,7 @@
     """An entry process, two agents and another entry process.
 
     :ivar paused: names of the peers that send nothing.
+    :ivar uncaught: exceptions that only Twisted or the hub would catch.
     :ivar is_confirmed: whether the others have not heard from a paused peer either.
     """
 
@@ -130,6 +131,7 @@
         self._heartbeat_s = dict.fromkeys(self.connections, 0.0)
         self._report_s = dict.fromkeys(self.connections, 0.0)
         self._answered = set()
+        self.uncaught = []
         self._start()
 
     def _start(self):
@@ -150,6 +152,9 @@
             for name, each in self.connections.items()
         ]
         daemon.hub.send = self._send
+        daemon.hub._connect = lambda instance: daemon.hub._settle_dial(
+            instance.name, None
+        )
         daemon.carry_out(daemon.membership.listed(listed, self.now_s))
         daemon.carry_out(daemon.membership.start(self.now_s))
         self.configure(row())
@@ -180,7 +185,31 @@
             self._waiting.append((peer, message))
             return
         envelope = codec.Envelope(peer, 1, message)
-        self.daemon.hub.deliver(self.connections[peer], envelope)
+        connection = self.connections[peer]
+        self._catch(self.daemon.message_received, connection, envelope)
+
+    def _catch(self, function, *arguments):
+        try:
+            function(*arguments)
+        except Exception as error:
+            self.uncaught.append(error)
+
+    def lose(self, name):
+        """Lose the connection to a peer."""
+        connection = self.daemon.hub._connections.pop(name)[0]
+        self.paused.add(name)
+        self._catch(self.daemon.connection_lost, connection)
+
+    def reconnect(self, name):
+        """Get a new connection to a peer, which reports at once."""
+        role = self.connections[name].hello.role
+        sent = self.connections[name].sent
+        self.connections[name] = Connection(name, role)
+        self.connections[name].sent = sent
+        self.daemon.hub._connections[name] = [self.connections[name]]
+        self.paused.discard(name)
+        self.receive(name, self.connections[name].hello)
+        self._report_s[name] = 0.0
 
     def _peers_send(self):
         for name, connection in self.connections.items():
@@ -205,8 +234,8 @@
             if self.is_frozen:
                 self.clock.rightNow += STEP_S
             else:
-                self.clock.advance(STEP_S)
-                self.daemon._tick()
+                self._catch(self.clock.advance, STEP_S)
+                self._catch(self.daemon._tick)
             self._peers_send()
 
     def resume(self):
@@ -225,7 +254,7 @@
         call = frontend.Call(
             ROW, CLIENT, "POST", path, b"{}", is_stream, None, deadline_s
         )
-        self.daemon.serving.accept_request(caller, call)
+        self._catch(self.daemon.serving.accept_request, caller, call)
         return caller
 
     def works(self):
--- a/features/steps/requests_aborted.py
+++ b/features/steps/requests_aborted.py
@@ -14,7 +14,7 @@
     wanted = types.Work(
         STREAM, silences.ROW, "client", "POST", "/", b"{}", True, deadline_s=30.0
     )
-    agent.work.message(agent, wanted)
+    agent.receive(wanted)
     agent.advance(0.1)
 
 
--- a/features/steps/requests_left.py
+++ b/features/steps/requests_left.py
@@ -45,6 +45,7 @@
         now_s=10.0,
         rng=random.Random(1),
         carry_out=actions.extend,
+        guarded=lambda function, *arguments: function(*arguments) or True,
         reactor=plain_types.SimpleNamespace(callLater=lambda *arguments: None),
         draining=plain_types.SimpleNamespace(
             finished=lambda *arguments: (), started=lambda identifier: None
--- a/features/steps/requests_silences.py
+++ b/features/steps/requests_silences.py
@@ -1,5 +1,6 @@
 """Steps for engines and services that fall silent, at an agent without sockets."""
 
+import contextlib
 import types as plain_types
 
 import behave
@@ -7,9 +8,9 @@
 from twisted.python import failure
 from twisted.web import client as web_client
 
-from cicadaplank.agent import work
+from cicadaplank.agent import process, work
 from cicadaplank.external import engines, errors, http, services
-from cicadaplank.messages import types
+from cicadaplank.messages import actions, types
 from features import entry_daemons
 
 DIGEST = "digest-1"
@@ -34,6 +35,16 @@
     return result.addErrback(http._convert_to_unavailable)
 
 
+class Daemon(process.AgentDaemon):
+    """Agent process of which only the parts that work needs are made.
+
+    :param parts: attributes.
+    """
+
+    def __init__(self, **parts):
+        vars(self).update(parts)
+
+
 class Server:
     """Engine or service whose calls end when the scenario says so.
 
@@ -96,17 +107,18 @@
         self.sent = []
         self.failures = []
         self.name = "connection-1"
-        daemon = plain_types.SimpleNamespace(
+        self.daemon = daemon = Daemon(
             reactor=self.clock,
             name="agent",
-            carry_out=self._carry_out,
             report_failure=self.failures.append,
             draining=plain_types.SimpleNamespace(
                 offered=lambda *arguments: None, finished=lambda *arguments: ()
             ),
-            distribution=plain_types.SimpleNamespace(ready=lambda now_s: True),
-            configuration=plain_types.SimpleNamespace(
-                table=plain_types.SimpleNamespace(grants=lambda *arguments: True)
+            distribution=plain_types.SimpleNamespace(
+                ready=lambda now_s: True,
+                configuration=plain_types.SimpleNamespace(
+                    table=plain_types.SimpleNamespace(grants=lambda *arguments: True)
+                ),
             ),
             settings=plain_types.SimpleNamespace(
                 endpoint=plain_types.SimpleNamespace(row=ROW, resumes_streams=True)
@@ -124,27 +136,25 @@
         caches = plain_types.SimpleNamespace(request_completed=lambda *arguments: None)
         parts = (weights, caches) if kind == "engine" else ()
         backend = getattr(work, type_name)(daemon, self.server, *parts)
-        self._daemon = daemon
-        self._set_time()
-        self.work = work.Work(daemon, backend)
-
-    def _set_time(self):
-        self._daemon.now_s = self.clock.seconds()
+        self.work = daemon.work = work.Work(daemon, backend)
+        daemon.handlers = self.work.handlers()
+        daemon.handlers[actions.ReportError] = self.failures.append
 
-    def _carry_out(self, wanted):
-        for action in wanted:
-            self.work.handlers()[type(action)](action)
+    def receive(self, message):
+        """Deliver a message of the entry instance, as the hub does."""
+        with contextlib.suppress(Exception):
+            self.work.message(self, message)
 
     def send(self, message):
         """Keep a message to the entry instance."""
         self.sent.append((self.clock.seconds(), message))
 
-    def advance(self, duration_s):
+    def advance(self, duration_s, may_fail=False):
         """Let time pass in steps of 10 ms."""
         for _ in range(round(duration_s / 0.01)):
-            self._daemon.now_s = self.clock.seconds() + 0.01
-            self.clock.advance(0.01)
-        assert not self.failures, self.failures
+            with contextlib.suppress(Exception):
+                self.clock.advance(0.01)
+        assert may_fail or not self.failures, self.failures
 
     def end_of(self, attempt):
         """Return the time and the final message of an attempt, or None."""
@@ -165,7 +175,7 @@
     context.attempts = [f"r{number}.1" for number in range(1, count + 1)]
     for attempt in context.attempts:
         wanted = types.Work(attempt, ROW, "client", "POST", "/", b"{}", deadline_s=30.0)
-        context.agent.work.message(context.agent, wanted)
+        context.agent.receive(wanted)
     context.agent.advance(0.1)
 
 
