End only the attempts of the connection that was lost

When an entry instance and an agent had two connections (both had dialled, or the link was lost and regained) and one ended, the callers of all requests at that agent got an error, though the agent went on with those of the other connection and answered them. And a caller that left did not end its work at the agent, if a newer connection had been made since.

Cause: the entry knew attempts by the agent's name only. It ended all of them with any connection, and sent a cancellation on the newest connection, while the agent knows work by the connection on which it came and ignores others.

Change: the entry keeps the connection of each attempt: it ends what was written on the lost one, and cancels on it. The router drops the agent only with its last connection. SendCancel comes before AttemptEnded, with which the connection is forgotten.

--- a/cicadaplank/entry/process.py
+++ b/cicadaplank/entry/process.py
@@ -154,8 +154,9 @@
     def connection_ended(self, connection):
         """End the attempts on a closed connection to an agent; they may have run."""
         if connection.hello.role == "agent":
-            self._heard_s.pop(connection.peer, None)
-            self.serving.endpoint_lost(connection.peer, "the connection was lost")
+            if self.hub.connection(connection.peer) is None:
+                self._heard_s.pop(connection.peer, None)
+            self.serving.connection_lost(connection)
 
     def configuration_changed(self, configuration):
         """Apply a configuration to routing and limits and choose watched endpoints."""
--- a/cicadaplank/entry/serving.py
+++ b/cicadaplank/entry/serving.py
@@ -84,6 +84,9 @@
         self._open_requests = {}
         self._queued_requests = {}
         self._prefixes = {}
+        # Connection on which the work of each attempt was written. An agent may have
+        # several, and answers and takes a cancellation on that one.
+        self._connections = {}
         self._sequence = 0
         self._process = process
         self._timer = None
@@ -329,6 +332,7 @@
         else:
             work = self.dispatcher.begin_write(work, self._daemon.now_s)
             if work is not None:
+                self._connections[work.attempt] = connection
                 connection.send(work)
 
     def _work_failed(self, failure, attempt):
@@ -347,9 +351,12 @@
         self._schedule()
 
     def _send_cancel(self, action):
-        self._daemon.hub.send(action.endpoint, action.cancel)
+        connection = self._connections.get(action.cancel.attempt)
+        if connection is not None:
+            connection.send(action.cancel)
 
     def _attempt_ended(self, action):
+        self._connections.pop(action.attempt, None)
         now_s = self._daemon.now_s
         pause_s = action.retry_after_s or routing.RETRY_AFTER_FULL_S
         ended = self.router.finished(
@@ -546,6 +553,21 @@
         self._daemon.carry_out(self.dispatcher.connection_lost(name, reason, now_s))
         self._schedule()
 
+    def connection_lost(self, lost):
+        """End the attempts on one of the connections to an agent; they may have run.
+
+        :param lost: :class:`cicadaplank.links.streams.PeerConnection`.
+        """
+        now_s, reason = self._daemon.now_s, "the connection was lost"
+        if self._daemon.hub.connection(lost.peer) is None:
+            self.endpoint_lost(lost.peer, reason)
+            return
+        for attempt, connection in list(self._connections.items()):
+            if connection is lost:
+                ended = self.dispatcher.attempt_lost(attempt, reason, now_s)
+                self._daemon.carry_out(ended)
+        self._schedule()
+
     def stop(self):
         """Give every request its final answer, at the time limit of a planned stop."""
         now_s = self._daemon.now_s
--- a/cicadaplank/requests/exchange.py
+++ b/cicadaplank/requests/exchange.py
@@ -629,12 +629,13 @@
         The attempt of a call with a claim is not cancelled.
         """
         attempt = self.attempt
-        result = self._attempt_ended(
-            broken.verdict, broken.reason, broken.crashed, broken.retry_after_s
-        )
+        result = ()
         if broken.running and not self._generation:
             cancel = types.WorkCancel(attempt.identifier)
-            result += (SendCancel(attempt.endpoint, cancel),)
+            result = (SendCancel(attempt.endpoint, cancel),)
+        result += self._attempt_ended(
+            broken.verdict, broken.reason, broken.crashed, broken.retry_after_s
+        )
         if broken.crashed:
             result += self._shared.suspects.record_crash(
                 self.digest, attempt.endpoint, now_s
--- a/features/entry_daemons.py
+++ b/features/entry_daemons.py
@@ -200,6 +200,19 @@
         self.paused.add(name)
         self._catch(self.daemon.connection_lost, connection)
 
+    def connect_again(self, name):
+        """Get a second connection to a peer; return the first one."""
+        first = self.connections[name]
+        self.connections[name] = Connection(name, first.hello.role)
+        self.daemon.hub._connections[name].append(self.connections[name])
+        self.receive(name, first.hello)
+        return first
+
+    def lose_one(self, connection):
+        """Lose one of the connections to a peer."""
+        self.daemon.hub._connections[connection.peer].remove(connection)
+        self._catch(self.daemon.connection_lost, connection)
+
     def reconnect(self, name):
         """Get a new connection to a peer, which reports at once."""
         role = self.connections[name].hello.role
