--- a/features/steps/requests_silences.py
+++ b/features/steps/requests_silences.py
@@ -99,11 +99,13 @@
     """Work of an agent, with one connection to an entry instance.
 
     :param kind: ``engine`` or ``service``.
+    :param clock: clock, or None for a stepped one.
+    :param server: client of the engine or service, or None for :class:`Server`.
     """
 
-    def __init__(self, kind):
-        self.clock = task.Clock()
-        self.server = Server(self.clock)
+    def __init__(self, kind, clock=None, server=None):
+        self.clock = clock or task.Clock()
+        self.server = server or Server(self.clock)
         self.sent = []
         self.failures = []
         self.name = "connection-1"
