--- a/features/steps/requests_silences.py
+++ b/features/steps/requests_silences.py
@@ -232,6 +232,7 @@
 TOKENS = (b'{"t":0}\n', b'{"t":1}\n')
 PHASES_S = (0.0, 0.3, 0.6, 0.9, 1.15)
 CYCLE_S = 6.0
+DEADLINE_S = 60.0
 
 
 class Run:
@@ -248,7 +249,7 @@
         for times_s in (self.entry._heartbeat_s, self.entry._report_s):
             times_s.update(dict.fromkeys(times_s, self.entry.now_s))
         self.entry.run(CYCLE_S + 2 * entry_daemons.STEP_S)
-        self.caller = self.entry.call(self.is_stream)
+        self.caller = self.entry.call(self.is_stream, DEADLINE_S)
         ((self.agent, self.work),) = self.entry.works()
         self.accept(self.agent, self.work)
         if self.is_stream:
