--- a/cicadaplank/agent/executions.py
+++ b/cicadaplank/agent/executions.py
@@ -7,10 +7,12 @@
 
 import collections
 import dataclasses
+import enum
 
 import automat
 
 from cicadaplank.members import draining
+from cicadaplank.messages import actions as process_actions
 from cicadaplank.messages import types
 from cicadaplank.requests import attempts, retries, verdicts
 
@@ -23,11 +25,13 @@
 MAX_LINE_BYTES = 256 * 1024
 MAX_PART_BYTES = 1024 * 1024
 BUSY_RETRY_S = 0.2
+# Reason of an attempt that an unexpected error has ended.
+INTERNAL_ERROR = "internal error"
 # Calls with a once key may run this long after their deadline: the entry instance
 # records the result, so that it can answer a repeated request. Must equal the constant
 # in ``cicadaplank.requests.exchange``.
 LATE_RESULT_S = 30.0
-# An engine that does not respond to a probe within this time counts as crashed.
+# Attempts whose connection broke fail after this time when the probe has no result.
 PROBE_LIMIT_S = 2.0
 # Reasons of refusals by the planned stop.
 REFUSALS = {"leaving": "the endpoint is stopping", "busy": "the endpoint is full"}
@@ -94,7 +98,7 @@
 class CancelEngine:
     """Close the engine connection of an attempt, which cancels it at the engine.
 
-    It follows the reply of an attempt that has one: the agent forgets the attempt.
+    Follows the last :class:`Reply` of the attempt, after which none can be sent.
 
     :param attempt: identifier of the attempt.
     """
@@ -102,6 +106,18 @@
     attempt: str
 
 
+class ProbeResult(enum.Enum):
+    """Result of a probe of an engine or plain service.
+
+    A process that does not respond may be paused and go on, so that only a refused or
+    closed connection or lost weights count as a crash.
+    """
+
+    ALIVE = "alive"
+    SILENT = "silent"
+    CRASHED = "crashed"
+
+
 @dataclasses.dataclass(frozen=True)
 class ProbeEngine:
     """Probe the engine and report with :meth:`Executions.engine_probed`."""
@@ -182,7 +198,7 @@
 
     @_machine.input()
     def survive(self, now_s):
-        """The probe found that the engine has not crashed."""
+        """The probe did not find that the engine has crashed."""
 
     @_machine.input()
     def fail(self, verdict, reason, crashed, now_s):
@@ -346,6 +362,15 @@
         self._set_ended()
         return (CancelEngine(self.work.attempt),)
 
+    def break_off(self):
+        """End the attempt after an unexpected error, whatever its state.
+
+        :returns: tuple of actions.
+        """
+        self._set_ended()
+        failed = _may_have_run_reply(self.entry, self.work, INTERNAL_ERROR)
+        return (failed, CancelEngine(self.work.attempt))
+
     _join = attempts.concatenate_actions
     _calling.upon(headers, _answering, [_check_headers], _join)
     _calling.upon(refuse, _ended, [_send_refusal], _join)
@@ -424,7 +449,11 @@
             return (
                 _may_have_run_reply(entry, work, "the claim was dispatched before"),
             )
-        grant = self._check(work, now_s)
+        try:
+            grant = self._check(work, now_s)
+        except Exception as error:
+            refused = self._refuse(entry, work, INTERNAL_ERROR, 0.0)
+            return (process_actions.ReportError(error), *refused)
         (offered,) = self._stop.offered(work.attempt, now_s)
         if isinstance(offered, draining.Refuse):
             reason = REFUSALS[offered.reason]
@@ -613,15 +642,17 @@
         self._probe_deadline_s = now_s + PROBE_LIMIT_S
         return actions
 
-    def engine_probed(self, alive, now_s):
+    def engine_probed(self, result, now_s):
         """Handle the result of a probe.
 
-        :param alive: False when the engine does not respond or has restarted.
+        Unless the engine crashed, only the attempts whose connection broke fail.
+
+        :param result: :class:`ProbeResult`.
         :param now_s: current time in seconds.
         :returns: tuple of actions.
         """
         self._probe_deadline_s = None
-        if not alive:
+        if result is ProbeResult.CRASHED:
             return self.engine_crashed(now_s)
         actions = ()
         for attempt in list(self._executions):
@@ -689,7 +720,7 @@
         """
         actions = ()
         if self._probe_deadline_s is not None and now_s >= self._probe_deadline_s:
-            actions += self.engine_crashed(now_s)
+            actions += self.engine_probed(ProbeResult.SILENT, now_s)
         verdict, reason = verdicts.Verdict.MAY_HAVE_RUN, "the deadline has passed"
         for attempt, execution in list(self._executions.items()):
             if now_s >= execution.deadline_s:
@@ -712,7 +743,10 @@
         if execution is None:
             self.dropped_responses += 1
             return ()
-        actions = getattr(execution, event)(*arguments, now_s)
+        try:
+            actions = getattr(execution, event)(*arguments, now_s)
+        except Exception as error:
+            actions = (process_actions.ReportError(error), *execution.break_off())
         if execution.is_ended:
             del self._executions[attempt]
             self._stop.finished(attempt)
--- a/cicadaplank/agent/work.py
+++ b/cicadaplank/agent/work.py
@@ -13,6 +13,7 @@
 PROBE_TIMEOUT_S = 1.0
 # HTTP status of an engine that has not loaded the row.
 STATUS_NO_MODEL = 404
+INTERNAL_ERROR = executions.INTERNAL_ERROR
 
 
 class Work:
@@ -121,9 +122,26 @@
         call = self._backend.call(self, work, digest, action.timeout_s)
         self._calls[work.attempt] = call
         call.addErrback(self._call_failed, work)
+        call.addErrback(self._call_broke, work)
         call.addErrback(self._daemon.report_failure)
         call.addBoth(lambda _: self._calls.pop(work.attempt, None))
 
+    def action_failed(self, action):
+        """Refuse work whose call could not be made; it did not reach the engine."""
+        if isinstance(action, executions.CallEngine):
+            attempt, now_s = action.work.attempt, self._daemon.now_s
+            self._carry_out(
+                self.executions.engine_failed(attempt, False, INTERNAL_ERROR, now_s)
+            )
+
+    def _call_broke(self, failure, work):
+        """End an attempt after an unexpected error; the engine may have run it."""
+        self._daemon.report_failure(failure)
+        now_s = self._daemon.now_s
+        self._carry_out(
+            self.executions.engine_failed(work.attempt, True, INTERNAL_ERROR, now_s)
+        )
+
     def _cancel(self, action):
         call = self._calls.pop(action.attempt, None)
         if call is not None:
@@ -150,13 +168,15 @@
     def _probe(self, action):
         """Find out whether the engine crashed or only one response was lost."""
 
-        def probed(alive):
-            if not alive:
+        def probed(result):
+            if result is executions.ProbeResult.CRASHED:
                 self.counts["engine_crashes"] += 1
                 self._backend.check_engine()
-            self._carry_out(self.executions.engine_probed(alive, self._daemon.now_s))
+            elif result is executions.ProbeResult.SILENT:
+                self.counts["engine_silences"] += 1
+            self._carry_out(self.executions.engine_probed(result, self._daemon.now_s))
 
-        self._backend.is_alive().addCallback(probed).addErrback(
+        self._backend.probe().addCallback(probed).addErrback(
             self._daemon.report_failure
         )
 
@@ -259,8 +279,8 @@
         start_s = self._daemon.now_s
 
         def opened(digest):
-            self._weights.record_latency(self._daemon.now_s - start_s)
             work_task.response_started(attempt, 200, attempt, digest, completion.offset)
+            self._weights.record_latency(self._daemon.now_s - start_s)
 
         def received(event):
             work_task.token_received(event)
@@ -272,21 +292,25 @@
                 raise
             # The row was loaded before, so the engine has restarted.
             raise errors.Unavailable(error.reason) from error
-        self._caches.request_completed(prefix, end.prefix_block, self._daemon.now_s)
         if not completion.stream:
             work_task.data_received(attempt, end.body)
         total = end.total if completion.stream else len(end.body)
         work_task.response_ended(attempt, total)
+        self._caches.request_completed(prefix, end.prefix_block, self._daemon.now_s)
+
+    def probe(self):
+        """Find out whether the engine still runs and holds its weights.
 
-    def is_alive(self):
-        """Return a Deferred of whether the engine responds and holds its weights."""
+        :returns: Deferred of :class:`executions.ProbeResult`.
+        """
         probing = self._client.state().addTimeout(PROBE_TIMEOUT_S, self._daemon.reactor)
-        probing.addCallback(self._holds_served_rows)
-        return probing.addErrback(lambda failure: False)
+        return probing.addCallbacks(self._probe_result, _failed_probe_result)
 
-    def _holds_served_rows(self, state):
+    def _probe_result(self, state):
         rows = self._weights.serving_rows()
-        return all(state.model(row) is not None for row in rows)
+        if all(state.model(row) is not None for row in rows):
+            return executions.ProbeResult.ALIVE
+        return executions.ProbeResult.CRASHED
 
     def check_engine(self):
         """Compare the engine's state with the expected one, after a failed call."""
@@ -339,12 +363,24 @@
         work_task.data_received(call.attempt, end.body)
         work_task.response_ended(call.attempt, len(end.body))
 
-    def is_alive(self):
-        """Return a Deferred of whether the service responds."""
+    def probe(self):
+        """Find out whether the service still runs.
+
+        :returns: Deferred of :class:`executions.ProbeResult`.
+        """
         probing = self._client.load_report().addTimeout(
             PROBE_TIMEOUT_S, self._daemon.reactor
         )
-        return probing.addCallbacks(lambda report: True, lambda failure: False)
+        return probing.addCallbacks(
+            lambda report: executions.ProbeResult.ALIVE, _failed_probe_result
+        )
 
     def check_engine(self):
         """Do nothing: a plain service has no weights to check."""
+
+
+def _failed_probe_result(failure):
+    """Return the result of a probe that failed."""
+    if failure.check(defer.TimeoutError, errors.ConnectTimedOut):
+        return executions.ProbeResult.SILENT
+    return executions.ProbeResult.CRASHED
--- a/features/steps/requests_left.py
+++ b/features/steps/requests_left.py
@@ -46,6 +46,7 @@
         now_s=10.0,
         rng=random.Random(1),
         carry_out=actions.extend,
+        guarded=lambda function, *arguments: function(*arguments) or True,
         reactor=plain_types.SimpleNamespace(callLater=lambda *arguments: None),
         draining=draining.Draining(),
         configuration=plain_types.SimpleNamespace(table=contracts.EMPTY.table),
