Keep calls with long bodies at endpoints that do not read for a moment

A call with a body of 200 kB or more that may be repeated got a 502 where its sound endpoint read nothing for 1.5 s: the gateway's connection was reset after about 0.7 s, and the endpoint was blamed for it.

TCP_USER_TIMEOUT also counts the time for which the receive window is zero (tcp(7)), so that a full receive buffer of a paused process looks like a cut path. The option is set for calls only that fit into the receive buffer; long ones are sent to a second endpoint by the silence of the first, like all calls, without a reset. Before, the scenarios with 200,000 and 2,000,000 bytes failed: (502, 'may have run: no endpoint can serve it now').

--- a/cicadaplank/gateway/attempts.py
+++ b/cicadaplank/gateway/attempts.py
@@ -14,6 +14,9 @@
 # does not acknowledge the sent bytes within this time. The longest queueing delay seen
 # on the network path was 0.3 s.
 ACK_TIMEOUT_S = 0.4
+# A longer call may fill the receive buffer of an endpoint that does not read. Its host
+# then acknowledges no more bytes, as if the path were cut.
+MAX_UNREAD_BYTES = 32 * 1024
 
 
 class Attempt:
@@ -142,7 +145,8 @@
         self.is_resumed = is_resumed
         self.sent_s = self.last_activity_s = now_s
         if self._call.route.retry_policy is not routes.RetryPolicy.NEVER:
-            connection.set_unacknowledged_timeout(ACK_TIMEOUT_S)
+            is_long = len(data) > MAX_UNREAD_BYTES
+            connection.set_unacknowledged_timeout(None if is_long else ACK_TIMEOUT_S)
         has_body = self._call.request.head.method != b"HEAD"
         connection.send(data, self, has_body=has_body)
         if is_paused:
