Answer a stream with the head and the events of one attempt

Callers got the head of one endpoint's answer, with its signature, and all events of another one: a stream was sent to a second endpoint before its first event, the first endpoint then sent its head and a comment, which were forwarded, and the second one's events followed them.

Only an event elected an attempt, while a comment could begin the answer. Whatever begins the answer elects its attempt now, so that the other one is cancelled before it can add to that answer. Before, the two new scenarios failed with the signature s.1 above the events of the endpoint that signs with s.2.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -389,7 +389,8 @@
             if not event.is_comment:
                 has_progressed = attempt.has_progressed = True
                 self._is_place_known = bool(event.identifier)
-        if has_progressed:
+        # The client gets the head and the events of one attempt.
+        if has_progressed or (forwarded and not self._stream_began):
             self._elect(attempt, now_s)
         if forwarded:
             # Bytes of an unfinished event are no progress for the client.
--- a/features/gateway/silences.feature
+++ b/features/gateway/silences.feature
@@ -106,3 +106,14 @@
     Given two endpoints and a route with 6 s that may repeat
     When a call waits to be sent again and its route has another time-out
     Then it is sent again
+
+  Scenario Outline: One endpoint's head with another's events, after a comment <moment>
+    Given two endpoints and a route with 6 s that streams and resumes
+    When a silent endpoint sends head and comment <moment> and the other one answers
+    Then the head and the events of its caller's answer come from one endpoint
+    And no call is left
+
+    Examples: moments
+      | moment                        |
+      | during the dial of the second |
+      | once the second has the call  |
--- a/features/steps/gateway_silences.py
+++ b/features/steps/gateway_silences.py
@@ -265,3 +265,43 @@
         got = transport.value()
         assert gateway_steps.status_of(got) == int(end), got
     assert world.gateway.open_calls == 0
+
+
+@behave.when(
+    "a silent endpoint sends head and comment {moment} and the other one answers"
+)
+def step_comment(context, moment):
+    world = context.world
+    protocol, _ = send_call(context, "before its head")
+    comment = gateway_steps.stream_head() + gateway_steps.chunk(b": wait\n\n")
+    world.run(0.5)
+    if moment == "during the dial of the second":
+        protocol.dataReceived(comment)
+    others = []
+    while world.has_dial:
+        others.append(world.accept())
+    if moment == "once the second has the call":
+        protocol.dataReceived(comment)
+    events = gateway_steps.chunk(b"".join(EVENTS)) + LAST_CHUNK
+    other_answer = gateway_steps.stream_head() + events
+    other_answer = other_answer.replace(b"s.1", b"s.2").replace(b"token", b"other")
+    for other, transport in others:
+        if transport.value() and not transport.disconnecting:
+            other.dataReceived(other_answer)
+    if not context.transport.disconnecting:
+        protocol.dataReceived(events)
+    world.run(0.2)
+
+
+@behave.then("the head and the events of its caller's answer come from one endpoint")
+def step_one_endpoint(context):
+    got = context.world.client_transport.value()
+    expected = {(b"s.1", b"token"), (b"s.2", b"other")}
+    seen = {
+        (signature, word)
+        for signature in (b"s.1", b"s.2")
+        for word in (b"token", b"other")
+        if signature in got and word in got
+    }
+    assert len(seen) == 1 and seen <= expected, got
+    assert got.endswith(LAST_CHUNK), got
