Close the connection of a call that is refused late in a stop, once

In a planned stop, a call whose connection to its endpoint opened too late was refused, its attempt was cancelled, which aborts the connection, and the aborted connection was then put back into the pool. On a transport in memory that raised an error, which was counted as unexpected; its caller had its refusal before. The refusal ends the attempt with its connection, so that there is nothing to give back.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -317,7 +317,6 @@
             return
         now_s = self._gateway.now_s()
         if self._gateway.refuse_if_late(self, now_s):
-            self._gateway.release_connection(connection)
             return
         left_s = self.deadline_s - now_s
         # The endpoint, or what the call requires, may have changed during the dial.
--- a/features/gateway/stop.feature
+++ b/features/gateway/stop.feature
@@ -101,3 +101,9 @@
       | 2.0 s at 0 s, 1.0 s at 70 s | 80    | 20      | 2.5      |
       | 2.0 s at 0 s, 1.0 s at 70 s | 131   | 20      | 1.25     |
       | 2.0 s at 0 s                | 121   | 20      | 20       |
+
+  Scenario: A connection that is open too late for its call in a stop is used twice
+    Given a gateway with 1 endpoints and a route that may repeat
+    When a stop leaves 1 s for a call of 2 s whose connection opens then
+    Then the caller is refused and the connection is closed
+    And no unexpected error was counted
--- a/features/steps/gateway_grace.py
+++ b/features/steps/gateway_grace.py
@@ -8,6 +8,7 @@
 from twisted.internet import error
 
 from cicadaplank.gateway import process, routes
+from cicadaplank.members import draining
 from cicadaplank.platform import headers
 from cicadaplank.requests import answer_times
 from features.steps import gateway as gateway_steps
@@ -401,3 +402,28 @@
 )
 def step_needed(context, limit_s, needed_s, now_s):
     assert context.longest.needed_s(limit_s, now_s) == needed_s
+
+
+@behave.when("a stop leaves {left_s:d} s for a call of 2 s whose connection opens then")
+def step_opens_late(context, left_s):
+    world = context.world
+    world.client.dataReceived(world.request(body=b"call"))
+    stop = world.gateway.draining
+    stop.set_limits(draining.StopLimits(float(left_s), takes_work=True))
+    stop.stop_requested(world.reactor.seconds())
+    _, context.transport = world.accept()
+
+
+@behave.then("the caller is refused and the connection is closed")
+def step_refused_late(context):
+    world = context.world
+    assert gateway_steps.status_of(world.client_transport.value()) == 503
+    assert not context.transport.value()
+    assert context.transport.disconnecting
+    assert world.gateway.open_calls == 0 and not world.gateway.loads()
+
+
+@behave.then("no unexpected error was counted")
+def step_no_error(context):
+    errors = [e for e in context.world.reporter.events if e[0] == "unexpected_error"]
+    assert not errors, errors
