Keep a short call behind a long one that its endpoint has not read

An endpoint may answer before it has read a long body, keep the connection and read on later. A short call that followed on that connection was broken off after 0.4 s: the kernel counts the unread bytes before it as unacknowledged. Its caller got 502.

Cause: TCP_USER_TIMEOUT was left out for long calls, but set again for the next one on their connection. Change: it is not set on a connection that has carried a long call.

Proof: features/gateway/unread_bodies.feature, on real sockets, fails before: '(502, may have run: no endpoint can serve it now)'.

--- a/cicadaplank/gateway/attempts.py
+++ b/cicadaplank/gateway/attempts.py
@@ -15,7 +15,8 @@
 # on the network path was 0.3 s.
 ACK_TIMEOUT_S = 0.4
 # A longer call may fill the receive buffer of an endpoint that does not read. Its host
-# then acknowledges no more bytes, as if the path were cut.
+# then acknowledges no more bytes, as if the path were cut; an endpoint that answers
+# before it has read the call does so for later calls on the connection, too.
 MAX_UNREAD_BYTES = 32 * 1024
 
 
@@ -145,7 +146,8 @@
         self.is_resumed = is_resumed
         self.sent_s = self.last_activity_s = now_s
         if self._call.route.retry_policy is not routes.RetryPolicy.NEVER:
-            is_long = len(data) > MAX_UNREAD_BYTES
+            longest_bytes = max(len(data), connection.longest_sent_bytes)
+            is_long = longest_bytes > MAX_UNREAD_BYTES
             connection.set_unacknowledged_timeout(None if is_long else ACK_TIMEOUT_S)
         has_body = self._call.request.head.method != b"HEAD"
         connection.send(data, self, has_body=has_body)
--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -67,6 +67,7 @@
     :param pool: :class:`ConnectionPool` that owns it.
     :ivar is_broken: whether the connection must not be reused.
     :ivar refused: identifiers of the attempts that were refused on it.
+    :ivar longest_sent_bytes: length of the longest call that was sent on it.
     :ivar idle_since_s: reactor time at which it became idle, in seconds.
     :ivar idle_timeout_s: idle timeout of the endpoint in seconds.
     """
@@ -87,6 +88,7 @@
         self._responses = 0
         self.is_broken = False
         self.refused = set()
+        self.longest_sent_bytes = 0
         self.used = 0
         self.idle_since_s = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -123,6 +125,7 @@
         self._is_complete = False
         self._parser_keeps_open = False
         self.used += 1
+        self.longest_sent_bytes = max(self.longest_sent_bytes, len(data))
         self.transport.write(data)
 
     def set_unacknowledged_timeout(self, limit_s):
--- a/features/gateway/unread_bodies.feature
+++ b/features/gateway/unread_bodies.feature
@@ -13,3 +13,9 @@
       | 1000    | 1.5   |
       | 200000  | 1.5   |
       | 2000000 | 1.5   |
+
+  @always_2
+  Scenario: A call is broken off behind a long one that was answered before it was read
+    Given a real endpoint that answers at once and reads on after 1.5 s
+    When it is sent a call with 2000000 bytes and a short one behind it
+    Then the short call's answer is whole
--- a/features/steps/gateway_unread_bodies.py
+++ b/features/steps/gateway_unread_bodies.py
@@ -16,6 +16,7 @@
 HOST = "127.0.0.1"
 LIMIT_S = 5.0
 CHECK_S = 0.05
+SECOND = b"attempt-2"
 ROUTE = routes.Route(
     "r",
     "host.example",
@@ -74,16 +75,48 @@
 
 @behave.given("a real endpoint that reads nothing for {pause_s:f} s and then answers")
 def step_endpoint(context, pause_s):
+    start_endpoint(context, serve, pause_s)
+
+
+def start_endpoint(context, function, *args):
+    """Start a thread that serves a listening socket."""
     listening = socket.create_server((HOST, 0))
     listening.settimeout(LIMIT_S)
     context.cleanups.append(listening.close)
     context.endpoint_port = listening.getsockname()[1]
-    context.endpoint = threading.Thread(target=serve, args=(listening, pause_s))
+    context.endpoint = threading.Thread(target=function, args=(listening, *args))
     context.endpoint.start()
 
 
-async def send_call(context, size):
-    """Send a call through a gateway and wait for its answer."""
+def serve_early(listening, pause_s, second):
+    """Answer a call before it is read, then read on late and answer the second call."""
+    try:
+        sock, _ = listening.accept()
+        with sock:
+            data = sock.recv(1000)
+            sock.sendall(gateway_steps.answer())
+            time.sleep(pause_s)
+            sock.settimeout(LIMIT_S)
+            while second not in data[-4000:]:
+                part = sock.recv(65536)
+                if not part:
+                    return
+                data += part
+            sock.sendall(gateway_steps.answer(attempt=second))
+    except OSError:
+        pass
+
+
+@behave.given("a real endpoint that answers at once and reads on after {pause_s:f} s")
+def step_early_endpoint(context, pause_s):
+    start_endpoint(context, serve_early, pause_s, SECOND)
+
+
+async def send_calls(context, *calls):
+    """Send calls through a gateway, one after the other, and wait for their answers.
+
+    :param calls: identifier and number of bytes of the body of each call.
+    """
     served = gateway.Gateway(
         reactor,
         headers.PlatformDialect(),
@@ -101,20 +134,13 @@
         "x", gateway_steps.SERVICE, HOST, context.endpoint_port, "a", 1, False, {}
     )
     served.set_endpoints({"x": listed}, False)
-    client = Client()
-    dialect = served.dialect
-    fields = [
-        (b"Host", b"host.example"),
-        (b"X-Attempt-Id", gateway_steps.ATTEMPT),
-        (b"Content-Length", b"%d" % size),
-    ]
-    head = dialect.read_request(b"POST", b"/x/1", fields)
-    request = gateway_steps.calls.Request(head, b"x" * size, served.now_s())
     checks = task.LoopingCall(served.check_timeouts)
     checks.start(CHECK_S)
     try:
-        served.accept(client, request)
-        await reactors.eventually(lambda: client.answer is not None, "an answer")
+        for attempt, size in calls:
+            client = Client()
+            served.accept(client, request(served, attempt, size))
+            await reactors.eventually(lambda c=client: c.answer is not None, "answer")
     finally:
         checks.stop()
         for pool in served._pools.values():
@@ -122,12 +148,31 @@
     return client.answer
 
 
+def request(served, attempt, size):
+    """Return a call with a body."""
+    fields = [
+        (b"Host", b"host.example"),
+        (b"X-Attempt-Id", attempt),
+        (b"Content-Length", b"%d" % size),
+    ]
+    head = served.dialect.read_request(b"POST", b"/x/1", fields)
+    return gateway_steps.calls.Request(head, b"x" * size, served.now_s())
+
+
 @behave.when("it is sent a call with {size:d} bytes of body that may be repeated")
 def step_call(context, size):
-    context.answer = reactors.run(send_call, context, size)
+    context.answer = reactors.run(send_calls, context, (gateway_steps.ATTEMPT, size))
+    context.endpoint.join(LIMIT_S)
+
+
+@behave.when("it is sent a call with {size:d} bytes and a short one behind it")
+def step_two_calls(context, size):
+    calls = (gateway_steps.ATTEMPT, size), (SECOND, 100)
+    context.answer = reactors.run(send_calls, context, *calls)
     context.endpoint.join(LIMIT_S)
 
 
+@behave.then("the short call's answer is whole")
 @behave.then("the call's answer is whole")
 def step_whole(context):
     assert context.answer == (200, gateway_steps.BODY), context.answer
