Send what aborted calls write before a stopping process ends

A process that woke late in the grace period aborted its calls and ended in the same turn of the event loop, so that their 502 or 503 was never sent: callers saw a bare close.

Cause: the pause extends the drain limit up to the end itself, and then the abort and the exit come from one tick. Twisted sends what was written in a later turn than that of reactor.stop(). Also, an error in the last log line would have kept the process from stopping.

Change: the reactor stops 0.01 s after the exit was decided, and is told so before the log line.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -47,6 +47,8 @@
 MISSING_CHECK_INTERVAL_S = 0.1
 # Interval at which the instances are counted that share limits, while there is none.
 MEMBERS_INTERVAL_S = 1.0
+# Time in which what calls have written that were aborted just before the end is sent.
+EXIT_DELAY_S = 0.01
 # Interval at which a stopping process checks for calls in progress.
 STOP_CHECK_INTERVAL_S = 0.05
 # Delay of the event loop from which on it is logged. Each client then waits as long.
@@ -378,8 +380,8 @@
             self._guarded.call("stop", self._stop_handlers[type(action)], action)
 
     def _exit(self, action):
+        self.reactor.callLater(EXIT_DELAY_S, self.reactor.stop)
         self.events.log("stopped", connections=self.listener.open_count)
-        self.reactor.stop()
 
     # Pages.
 
--- a/features/gateway/stop.feature
+++ b/features/gateway/stop.feature
@@ -89,6 +89,19 @@
       | 7.0    | 7.7     |
       | 7.4    | 7.85    |
 
+  @always_6
+  Scenario Outline: A process that wakes <until_s> s after its stop ends before its clients are told
+    Given an entry process that is killed 8 s after its stop signal
+    And a route that runs once only, with a limit of 20 s and work of 3.5 s that is known
+    When it is stopped with a request in progress, and frozen from 3.0 s to <until_s> s without an answer
+    Then the caller is told that its call may have run, in a turn before the process ends
+
+    Examples:
+      | until_s |
+      | 7.7     |
+      | 7.85    |
+      | 7.95    |
+
   Scenario Outline: The time that a call may take, after <answers>, at <now_s> s with a limit of <limit_s> s
     Given a service that gave whole answers in <answers>
     Then a call with a limit of <limit_s> s may take <needed_s> s at <now_s> s
--- a/features/steps/gateway_grace.py
+++ b/features/steps/gateway_grace.py
@@ -378,6 +378,33 @@
     world.answer(sent)
 
 
+@behave.when(
+    "it is stopped with a request in progress, and frozen from {from_s:g} s to"
+    " {until_s:g} s without an answer"
+)
+def step_frozen_unanswered(context, from_s, until_s):
+    world = context.world
+    world.send()
+    world.take_call()
+    world.stop()
+    world.run_until(from_s)
+    world.reactor.advance(until_s - from_s)
+
+
+@behave.then(
+    "the caller is told that its call may have run, in a turn before the process ends"
+)
+def step_told_before_end(context):
+    world = context.world
+    while not (got := world.client_transport.value()):
+        assert not world.reactor.hasStopped
+        world.reactor.advance(0.1)
+    assert gateway_steps.status_of(got) == 502, got
+    assert not world.reactor.hasStopped, "the answer is not sent"
+    world.reactor.advance(0.2)
+    assert world.reactor.hasStopped
+
+
 @behave.then(
     "the answer that came meanwhile reaches its caller within the grace period"
 )
