Play generated, overlapping changes against the answers of the gateway

Every request that was read ends by one whole answer of its own in order, or by a refusal that is true; a 502, 504 or reset stands only where an endpoint broke off or the deadline passed; nothing runs twice on a route that does not repeat, or against the configuration in force; no call, slot, queue entry or work at an endpoint is left, and repeats are covered by the budget. A failing plan is minimised and printed.

--- /dev/null
+++ b/features/gateway/plays.feature
@@ -0,0 +1,18 @@
+Feature: Requests end by one whole answer of their own or by a truthful refusal
+  Requests of all kinds, endpoints that pause, leave, refuse or are replaced, and changes
+  of the configuration overlap. A failing plan prints as Python code.
+
+  @always_2
+  Scenario Outline: Generated plays with <servers> endpoints, <stop> a stop of the process
+    Given plays with <servers> endpoints, <stop> a stop of the process
+    When generated plays are run, <left out> left out
+    Then every request that was read ends by its own whole answer or a refusal
+    And the plays had whole answers, refusals and repeats
+
+    # Situations are left out because of known faults (issue 43).
+    Examples: endpoints
+      | servers         | stop    | left out                                              |
+      | sound           | without | split behind another                                  |
+      | sound           | with    | pipelined at stop, late in stop, split behind another |
+      | sound and other | without | split behind another                                  |
+      | sound and other | with    | pipelined at stop, late in stop, split behind another |
