Send no call again on a route that has come to forbid repeats

What callers saw: a call whose endpoint broke off ran a second time, although a change of the configuration had meanwhile made its route one that runs once only (TWICE).

Cause: the retry was decided by the route under which the call was admitted, and Call.admit_again then took the new route without a question about the call's history. Now a call that may have run and whose new route allows no repeat, or whose stream began under another policy, ends with 502, or by a reset of the stream, instead of being sent again.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -200,12 +200,24 @@
             self._deny(found, now_s)
             return False
         admitted, service = found
+        if not (self.may_be_refused or self._may_repeat(admitted.route)):
+            self._stop()
+            self.fail(502, "not sent again: the route no longer allows it", now_s)
+            return False
         if service != self.service:
             self._stop()
             self.phase = Phase.RECEIVED
         self.admitted, self.service = admitted, service
         return True
 
+    def _may_repeat(self, route):
+        """Tell whether a route allows another run of a call that may have run."""
+        if route.retry_policy is routes.RetryPolicy.NEVER:
+            return False
+        return not self._stream_began or (
+            route.is_stream and route.retry_policy is self.route.retry_policy
+        )
+
     @property
     def may_be_refused(self):
         """Whether the call has certainly not run and its client got no answer yet."""
--- a/features/gateway/plays.feature
+++ b/features/gateway/plays.feature
@@ -16,3 +16,14 @@
       | sound           | with    | pipelined at stop, late in stop, split behind another |
       | sound and other | without | split behind another                                  |
       | sound and other | with    | pipelined at stop, late in stop, split behind another |
+
+  @always_2
+  Scenario Outline: A call runs at most once after <case>
+    When <case>, as in a play that failed
+    Then every request that was read ends by its own whole answer or a refusal
+    And its caller gets no answer that passes for whole
+
+    Examples: plans
+      | case                                                       |
+      | a call breaks off after its route came to forbid repeats   |
+      | a stream breaks off after its route came to forbid repeats |
--- a/features/steps/gateway_plays.py
+++ b/features/steps/gateway_plays.py
@@ -94,6 +94,55 @@
     )
 
 
+# Plans that have failed, by what happens in them.
+CASES = {
+    "a call breaks off after its route came to forbid repeats": plays.Plan(
+        endpoints=2,
+        slots=1,
+        allowance=100,
+        asked=(
+            plays.Asked(
+                0.0,
+                0,
+                "free",
+                runs=(plays.Run("resets", pauses=(("before head", 0.2),)), plays.Run()),
+            ),
+        ),
+        changes=(plays.Change(0.1, "never repeat", "free"),),
+    ),
+    "a stream breaks off after its route came to forbid repeats": plays.Plan(
+        endpoints=2,
+        slots=1,
+        allowance=100,
+        asked=(
+            plays.Asked(
+                0.0,
+                0,
+                "resumed",
+                runs=(
+                    plays.Run("cuts", pauses=(("before event 2", 0.2),)),
+                    plays.Run(),
+                ),
+            ),
+        ),
+        changes=(plays.Change(0.1, "never repeat", "resumed"),),
+    ),
+}
+
+
+@behave.when("{case}, as in a play that failed")
+def step_case(context, case):
+    play = plays.Play(CASES[case], plays.Situations())
+    context.failing = play.run()
+    context.outcomes = play.outcomes
+
+
+@behave.then("its caller gets no answer that passes for whole")
+def step_fails(context):
+    assert not context.outcomes["whole"], context.outcomes
+    assert context.outcomes.keys() & {"failed 502", "broken off"}, context.outcomes
+
+
 @behave.given("plays with {servers} endpoints, {stop} a stop of the process")
 def step_plans(context, servers, stop):
     behaviours = ("answers",) * 4 + plays.SOUND
