--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -111,7 +111,8 @@
         self._bounds = bounds
         self._random = random
         self._reporter = reporter
-        self._calls = set()
+        # In order of arrival.
+        self._calls = {}
         self._pools = {}
         self._queues = collections.defaultdict(waiting.CallQueue)
         self._budgets = {}
@@ -357,7 +358,7 @@
                 self._reject(client, request, 503, reason, blocked_s)
                 return None
         call = calls.Call(self, client, request, admitted, service, fingerprint)
-        self._calls.add(call)
+        self._calls[call] = None
         now_s = self.now_s()
         if call.deadline_s - now_s < outcomes.MIN_ATTEMPT_S:
             call.refuse("deadline", now_s)
@@ -655,7 +656,7 @@
         :param outcome: how it ended, for log and metrics.
         :param verdict: :class:`cicadaplank.requests.verdicts.Verdict`.
         """
-        self._calls.discard(call)
+        self._calls.pop(call, None)
         if outcome == "answered" and call.fingerprint:
             self.suspects.clear(call.fingerprint)
         self._reporter.ended(call, outcome, verdict, self.configuration_version)
--- a/features/steps/gateway_stop.py
+++ b/features/steps/gateway_stop.py
@@ -45,7 +45,7 @@
     )
     context.port = context.process._front = Port()
     context.call = object()
-    context.process.gateway._calls.add(context.call)
+    context.process.gateway._calls[context.call] = None
 
 
 @behave.when("it gets the stop signal")
