--- a/bench/limited.py
+++ b/bench/limited.py
@@ -78,7 +78,7 @@
         """Take any option."""
 
 
-class _Transport(testing.StringTransport):
+class Transport(testing.StringTransport):
     """Transport whose bytes reach an endpoint."""
 
     def __init__(self, received):
@@ -101,7 +101,7 @@
         self.disconnecting = True
 
 
-class _Reactor(testing.MemoryReactorClock):
+class Reactor(testing.MemoryReactorClock):
     """Clock whose connections end at the stand-ins of a replay."""
 
     def __init__(self):
@@ -122,7 +122,12 @@
         return self.connect(host, factory)
 
 
-class _Dial:
+class Dial:
+    """Connection attempt to a stand-in.
+
+    :ivar is_stopped: whether the attempt was given up.
+    """
+
     def __init__(self):
         self.is_stopped = False
 
@@ -247,7 +252,7 @@
     def __init__(self, scenario, seed):
         self.scenario = scenario
         self.rng = random.Random(seed)
-        self.reactor = _Reactor()
+        self.reactor = Reactor()
         self.reactor.advance(1000.0)
         self.outcomes = collections.Counter()
         self.endpoints = {}
@@ -411,14 +416,14 @@
     # Calls.
 
     def _connect(self, host, factory):
-        dial = _Dial()
+        dial = Dial()
         endpoint = self.endpoints[host]
 
         def accept():
             if dial.is_stopped:
                 return
             protocol = factory.buildProtocol(None)
-            transport = _Transport(lambda data: endpoint.received(protocol, data))
+            transport = Transport(lambda data: endpoint.received(protocol, data))
             protocol.makeConnection(transport)
 
         self.reactor.callLater(self.rng.uniform(*DELAY_S), accept)
