Let endpoints of generated plays repeat the last event of a resumed stream

Without the comparison of events (Call.events_received), the generated plays passed: no endpoint sent an event that the client had.

--- a/features/plays.py
+++ b/features/plays.py
@@ -70,12 +70,15 @@
 
     :param behaviour: one of :data:`SOUND` or :data:`UNSOUND`.
     :param framing: ``length``, ``chunks`` or ``close``.
-    :param pauses: tuple of ``(place, seconds)``; see :func:`place_of`.
+    :param pauses: tuple of ``(place, seconds)``; see :data:`PLACES`.
+    :param repeats_last: whether the rest of a stream begins with the event that the
+        client has.
     """
 
     behaviour: str = "answers"
     framing: str = "chunks"
     pauses: tuple = ()
+    repeats_last: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -424,7 +427,9 @@
         if behaviour == "mute":
             return
         resume = re.search(rb"Last-Event-Id: (\d+)", data)
-        first = int(resume.group(1)) + 1 if resume else 1
+        first = 1
+        if resume:
+            first = int(resume.group(1)) + (0 if run.repeats_last else 1)
         self._play.reactor.callLater(
             DIAL_S,
             self._write,
--- a/features/steps/gateway_plays.py
+++ b/features/steps/gateway_plays.py
@@ -32,6 +32,7 @@
         strategies.sampled_from(behaviours),
         strategies.sampled_from(("chunks", "length", "close")),
         PAUSES,
+        strategies.booleans(),
     )
     return strategies.lists(run, min_size=1, max_size=3).map(tuple)
 
