Ask generated plays for an answer in each case and for true denials

A request whose endpoint broke off, or whose deadline passed, could end without any answer, and a 401 or 404 was taken as it came. Both are faults now, unless an answer before it on the connection was broken off, or a configuration since the sending denied the request; and the time-out in force bounds the time.

--- a/features/plays.py
+++ b/features/plays.py
@@ -825,21 +825,36 @@
         client.requests.append(request)
         client.protocol.dataReceived(data)
 
+    def _in_force(self, since_s, until_s):
+        """Return the configurations that were in force at some time of a span."""
+        ends_s = [from_s for from_s, _ in self._configurations[1:]] + [float("inf")]
+        return [
+            configuration
+            for (from_s, configuration), end_s in zip(
+                self._configurations, ends_s, strict=True
+            )
+            if from_s <= until_s and end_s >= since_s
+        ]
+
     def _timeouts_s(self, request, until_s):
         """Return the time-outs of a request's route since it was sent."""
-        found = []
-        for index, (_, configuration) in enumerate(self._configurations):
-            later = self._configurations[index + 1 :]
-            is_over = bool(later) and later[0][0] < request.sent_s
-            if is_over or self._configurations[index][0] > until_s:
-                continue
-            found += [
-                route.timeout_s
-                for route in configuration.routes
-                if route.name == request.asked.route
-            ]
+        found = [
+            route.timeout_s
+            for configuration in self._in_force(request.sent_s, until_s)
+            for route in configuration.routes
+            if route.name == request.asked.route
+        ]
         return found or [TIMEOUT_S]
 
+    def _was_denied(self, request):
+        """Tell whether a configuration since its sending did not allow a request."""
+        key = KEYS[request.asked.client % len(KEYS)]
+        return any(
+            key not in configuration.accounts
+            or all(r.name != request.asked.route for r in configuration.routes)
+            for configuration in self._in_force(request.sent_s, self.reactor.seconds())
+        )
+
     def _read(self, client):
         """Note the answers that have become complete on a connection."""
         transport = client.transport
@@ -869,9 +884,8 @@
         request, answer = client.requests[index], client.requests[index].answer
         now_s = self.reactor.seconds()
         asked = request.asked
-        began_s = max(request.sent_s, previous_s)
-        wait_s = min(self._timeouts_s(request, began_s))
-        longest_s = TIMEOUT_S
+        timeouts_s = self._timeouts_s(request, max(request.sent_s, previous_s))
+        wait_s, longest_s = min(timeouts_s), max(timeouts_s)
         if asked.wait_s is not None:
             wait_s, longest_s = min(wait_s, asked.wait_s), min(longest_s, asked.wait_s)
         is_late = now_s >= request.sent_s + wait_s - 2 * TICK_S
@@ -880,7 +894,7 @@
         if now_s > max(request.sent_s + longest_s, previous_s) + SLACK_S:
             self._fault("late", text)
         if answer is None:
-            self._check_unanswered(client, index, may_fail, text)
+            self._check_unanswered(client, index, text)
             return
         is_own = b"X-Server-Signature" not in answer.head
         if b"X-Attempt-Id: %b\r\n" % request.identifier not in answer.head + b"\r\n":
@@ -901,19 +915,21 @@
             self.outcomes[f"refused {answer.status}"] += 1
             if request.runs:
                 self._fault("refused although it ran", text)
+            elif answer.status != 503 and not self._was_denied(request):
+                self._fault("denied although allowed", text)
         else:
             self.outcomes[f"failed {answer.status}"] += 1
             if not may_fail:
                 self._fault(f"failed {answer.status}", text)
 
-    def _check_unanswered(self, client, index, may_fail, text):
+    def _check_unanswered(self, client, index, text):
         earlier = client.requests[:index]
         is_behind_broken = any(
             each.answer is None or not each.answer.is_whole for each in earlier
         )
         self.outcomes["unanswered"] += 1
         # A stream that breaks takes its connection with it; it was checked itself.
-        if not is_behind_broken and not may_fail:
+        if not is_behind_broken:
             self._fault("no answer", text)
 
     # The whole.
