Give back a retry that was taken from the budget and not sent

What callers saw: fewer repeats than the budget allows. A retry was taken when it was decided; a call that then found no endpoint, was denied, or whose client left while the second endpoint was dialled ended without sending it, and the budget of its service was short of it for a whole window.

Change: a call keeps the retry that it has taken until it is sent, and gives back just that one when it ends; before, the newest was returned, and only for a second attempt beside a silent one. The plays ask for as many retries in the budget as repeats have arrived.

Proof: two kept plans fail before with ('repeats', '0 with 1 of the budget') and pass now.

--- a/cicadaplank/gateway/budget.py
+++ b/cicadaplank/gateway/budget.py
@@ -73,7 +73,10 @@
         self._retries.append(now_s)
         return True
 
-    def give_back(self):
-        """Return the newest retry, which was not sent."""
-        if self._retries:
-            self._retries.pop()
+    def give_back(self, taken_s):
+        """Return a retry that was not sent.
+
+        :param taken_s: time in seconds at which it was taken.
+        """
+        if taken_s in self._retries:
+            self._retries.remove(taken_s)
--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -131,6 +131,8 @@
         # Whether an attempt broke off inside an event that no later one has brought.
         self._is_event_due = False
         self._is_paused = False
+        # Budget of a retry that was taken and not sent yet, and its time, or None.
+        self._unsent_retry = None
         self._last_event_s = 0.0
         self._last_activity_s = 0.0
 
@@ -334,6 +336,7 @@
             return
         if not self._is_second(attempt):
             self.phase = Phase.SENT
+        self._unsent_retry = None
         if self.sent_after_s is None:
             self.sent_after_s = now_s - self.request.arrived_s
         self.history.sends += 1
@@ -353,10 +356,12 @@
         self.response_end = attempt.response_end
         self.partial_event_bytes = attempt.partial_event_bytes
 
-    def _give_back_retry(self, attempt):
-        """Return the retry of a second attempt that was not sent to the budget."""
-        if attempt.sent_s is None:
-            self._gateway.budget(self.service).give_back()
+    def _give_back_retry(self):
+        """Return a retry that was taken and not sent to its budget."""
+        unsent, self._unsent_retry = self._unsent_retry, None
+        if unsent is not None:
+            budget, taken_s = unsent
+            budget.give_back(taken_s)
 
     # Answers of endpoints.
 
@@ -420,7 +425,7 @@
                 self, other.state, outcomes.Ending.SILENT, self._silence(), now_s
             )
         else:
-            self._give_back_retry(other)
+            self._give_back_retry()
         self._gateway.second_attempt_ended(self, is_second)
         self._show_attempt(attempt)
 
@@ -580,6 +585,7 @@
         :param counts_as_failure: whether the endpoint is responsible for it.
         """
         now_s = self._gateway.now_s()
+        budget = self._gateway.budget(self.service)
         is_second = self._is_second(attempt)
         self._attempts.remove(attempt)
         self._last_activity_s = max(self._last_activity_s, attempt.last_activity_s)
@@ -588,17 +594,20 @@
             self.excluded |= {attempt.endpoint_name}
             self._gateway.record_failure(self, attempt.state, ending, reason, now_s)
         if self._attempts:
-            self._go_on_without(attempt, is_second)
+            self._go_on_without(is_second)
             return
         decision = outcomes.decide(
             self.history,
             ending,
             self.route,
             self.deadline_s - now_s,
-            self._gateway.budget(self.service),
+            budget,
             now_s,
         )
         action = decision.action
+        has_taken = action is outcomes.Action.RETRY
+        if has_taken and ending is not outcomes.Ending.UNREACHABLE:
+            self._unsent_retry = budget, now_s
         if (
             self._stream_began
             and action is outcomes.Action.RETRY
@@ -619,16 +628,15 @@
         else:
             self.fail(502, reason, now_s)
 
-    def _go_on_without(self, ended, is_second):
+    def _go_on_without(self, is_second):
         """Go on with the other attempt after one of two has ended.
 
-        :param ended: :class:`attempts.Attempt` that has ended.
-        :param is_second: whether it began after the other one.
+        :param is_second: whether the one that has ended began after the other.
         """
         (attempt,) = self._attempts
         self._show_attempt(attempt)
         if is_second:
-            self._give_back_retry(ended)
+            self._give_back_retry()
             self._gateway.second_attempt_ended(self, False)
         elif attempt.sent_s is None:
             self.phase = Phase.DIALLING
@@ -688,6 +696,7 @@
     def _finish(self, outcome, verdict):
         self.phase = Phase.ENDED
         self._attempts = []
+        self._give_back_retry()
         self._gateway.call_ended(self, outcome, verdict)
 
     def client_left(self):
@@ -775,6 +784,7 @@
         state = self._gateway.choose_second(self, first.endpoint_name, now_s)
         if state is None or not budget.try_retry(now_s):
             return
+        self._unsent_retry = budget, now_s
         self._gateway.second_attempt_begins(self, state, self._silence(), now_s)
         self._begin_attempt(state, now_s, is_hedge=True)
 
--- a/features/gateway/plays.feature
+++ b/features/gateway/plays.feature
@@ -27,3 +27,14 @@
       | case                                                       |
       | a call breaks off after its route came to forbid repeats   |
       | a stream breaks off after its route came to forbid repeats |
+
+  @always_4
+  Scenario Outline: A retry that is not sent is given back when <case>
+    When <case>, as in a play that failed
+    Then every request that was read ends by its own whole answer or a refusal
+    And no retry is left in the budget
+
+    Examples: plans
+      | case                                               |
+      | a call that is refused finds no other endpoint     |
+      | a client leaves while a second endpoint is dialled |
--- a/features/plays.py
+++ b/features/plays.py
@@ -993,7 +993,7 @@
         )
         self.outcomes["repeats"] += repeats
         self.outcomes["retries of the budget"] += retries
-        if repeats > retries:
+        if repeats != retries:
             self._fault("repeats", f"{repeats} with {retries} of the budget")
 
 
--- a/features/steps/gateway_plays.py
+++ b/features/steps/gateway_plays.py
@@ -128,6 +128,23 @@
         ),
         changes=(plays.Change(0.1, "never repeat", "resumed"),),
     ),
+    "a call that is refused finds no other endpoint": plays.Plan(
+        endpoints=1,
+        slots=1,
+        allowance=100,
+        asked=(plays.Asked(0.0, 0, "free", runs=(plays.Run("refuses"),)),),
+    ),
+    "a client leaves while a second endpoint is dialled": plays.Plan(
+        endpoints=2,
+        slots=1,
+        allowance=100,
+        asked=(plays.Asked(0.0, 0, "free", runs=(plays.Run("mute"),)),),
+        changes=(
+            plays.Change(0.2, "no dial", 0),
+            plays.Change(0.2, "no dial", 1),
+            plays.Change(0.5, "client leaves", 0),
+        ),
+    ),
 }
 
 
@@ -138,6 +155,12 @@
     context.outcomes = play.outcomes
 
 
+@behave.then("no retry is left in the budget")
+def step_no_retry(context):
+    kinds = {kind for kind, _ in context.failing}
+    assert "repeats" not in kinds, context.failing
+
+
 @behave.then("its caller gets no answer that passes for whole")
 def step_fails(context):
     assert not context.outcomes["whole"], context.outcomes
