--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -128,7 +128,8 @@
         self._bounds = bounds
         self._random = random
         self._reporter = reporter
-        self._calls = set()
+        # In order of arrival.
+        self._calls = {}
         self._pools = {}
         self._queues = collections.defaultdict(waiting.CallQueue)
         self._budgets = {}
@@ -405,7 +406,7 @@
                 self._reject(client, request, 503, reason, blocked_s)
                 return None
         call = calls.Call(self, client, request, admitted, service, fingerprint)
-        self._calls.add(call)
+        self._calls[call] = None
         call_errors.run(call, self._start, call)
         return None if call.phase is calls.Phase.ENDED else call
 
@@ -749,7 +750,7 @@
         :param outcome: how it ended, for log and metrics.
         :param verdict: :class:`cicadaplank.requests.verdicts.Verdict`.
         """
-        self._calls.discard(call)
+        self._calls.pop(call, None)
         self.draining.finished(call)
         if outcome == "answered":
             now_s = self.now_s()
@@ -766,7 +767,7 @@
 
         :param call: :class:`cicadaplank.gateway.calls.Call`.
         """
-        self._calls.discard(call)
+        self._calls.pop(call, None)
         self.draining.finished(call)
         for queue in self._queues.values():
             queue.withdraw(call)
