Play planned work and silent servers in the soak

The soak knew neither servers that fall silent and go on nor callers that use an entry to the end of its grace, and judged no request that got no answer.

Callers keep connections until the process is gone, pipeline two requests, close their sending side, ask for work of 3 to 4 s, and open connections 2.5 to 2.95 s after the signal whose requests they finish 4 to 7 s after it.

soak/lost.py: a request that was read (it reached a server, or 0.2 s have passed) has its whole answer or a refusal when nothing disturbed its entry and server from 3 s before it; 502, and 504 before the deadline, are neither. A client that has closed its sending side counts as one that left: an entry cannot tell them apart (GONE); such requests are counted. A request that runs once must not have run when it gets 408, 421, 429 or 503. An entry_term is planned work for this check and a disturbance for the checks of soak/timeliness.py, as before.

Seed 8105 keeps its faults without planned work.

--- a/features/soak/seeds.feature
+++ b/features/soak/seeds.feature
@@ -18,3 +18,12 @@
       | 7006 |
       | 7217 |
       | 8105 |
+
+  @always_2
+  Scenario Outline: Planned work and silent servers of the seed <seed> of the soak
+    When the soak plays the planned work of seed <seed> in 4 s
+    Then nothing that must hold was violated in at least 100 requests
+
+    Examples:
+      | seed |
+      | 9010 |
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,8 +15,11 @@
 # Seeds that failed once, with the cause.
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.json")
 
-# Arguments of :func:`soak.fleet.play` for other seeds.
-ALL_EVENTS = {"has_extras": True, "has_words": True, "has_incidents": True}
+# Arguments of :func:`soak.fleet.play` for other seeds: faults, planned work and
+# silences of servers without faults, and both.
+FAULTS = {"has_extras": True, "has_words": True, "has_incidents": True}
+PLANNED_ONLY = {"has_planned": True, "has_faults": False}
+ALL_EVENTS = {**FAULTS, "has_planned": True}
 
 
 def numbers(text):
@@ -34,11 +37,13 @@
     Later modes and additional events would change what such a seed plays.
 
     :returns: dict from seed to a dict with ``modes``, ``has_extras``,
-        ``has_words`` and ``has_incidents``.
+        ``has_words``, ``has_incidents``, ``has_planned`` and ``has_faults``.
     """
     entries = json.loads(REGRESSIONS.read_text())
     return {
         entry["seed"]: {
+            "has_planned": entry.get("planned", False),
+            "has_faults": entry.get("faults", True),
             "modes": plan.MODES[: entry["modes"]],
             "has_extras": entry.get("extras", False),
             "has_words": entry.get("words", False),
@@ -53,7 +58,7 @@
 
     :param seeds: ``1-50``, ``3,7``, ``regressions``, or ``fresh-N`` for N new ones.
     :param seconds: time in which faults begin.
-    :param faults: faults of each seed.
+    :param faults: faults of each seed; with 0 of them, planned work is played alone.
     """
     if seeds == "regressions":
         chosen = list(regressions())
@@ -63,9 +68,10 @@
     else:
         chosen = numbers(seeds)
     arguments = regressions() if seeds == "regressions" else {}
+    others = ALL_EVENTS if faults else PLANNED_ONLY
     failed = 0
     for seed in chosen:
-        outcome = fleet.play(seed, seconds, faults, **arguments.get(seed, ALL_EVENTS))
+        outcome = fleet.play(seed, seconds, faults, **arguments.get(seed, others))
         found = outcome.violations
         failed += bool(found)
         words = ", ".join(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,10 @@
 import collections
 import dataclasses
 
+# How clients use connections whose sending side they close behind a request.
+HALF_CLOSED = "half-closed"
+# Statuses which say that a request that may not be repeated was not run.
+REFUSALS = (408, 421, 429, 503)
 # A server that is marked as leaving gets nothing new after this time.
 DRAIN_S = 3.0
 RETRY_SHARE, RETRY_ALLOWANCE = 0.2, 100
@@ -35,6 +39,10 @@
     :param key: API key.
     :param leaving: server whose answer came with the word that it leaves, or empty.
     :param limited: server whose answer came with a limit, or empty.
+    :param written_s: steady time at which its last byte was sent, None if it was not.
+    :param deadline_s: time that its client allowed it.
+    :param manner: how the client used the connection.
+    :param is_droppable: whether its route is dropped and added again.
     """
 
     request: str
@@ -51,6 +59,18 @@
     key: str = "key-1"
     leaving: str = ""
     limited: str = ""
+    written_s: float | None = None
+    deadline_s: float = 4.0
+    manner: str = ""
+    is_droppable: bool = False
+
+    @property
+    def has_ended_sending(self):
+        """Whether its client closed the sending side behind it.
+
+        An entry cannot tell such a client from one that has closed its connection.
+        """
+        return self.manner.endswith(HALF_CLOSED)
 
     @property
     def needs_weights(self):
@@ -87,7 +107,10 @@
 
 def _refusals(seen, runs):
     for each in seen:
-        if each.status == 503 and b"not run" in each.body and runs[each.request]:
+        is_refused = each.status == 503 and b"not run" in each.body
+        if each.kind == "once":
+            is_refused = each.status in REFUSALS
+        if is_refused and runs[each.request]:
             yield f"truthful refusal: {each.request} was run, but got {each.body!r}"
 
 
@@ -100,7 +123,8 @@
 def _configurations(seen):
     """Check that a process never goes back to an older configuration."""
     newest = collections.defaultdict(list)
-    for each in sorted(seen, key=lambda each: each.ended_s):
+    versioned = [each for each in seen if not each.is_droppable]
+    for each in sorted(versioned, key=lambda each: each.ended_s):
         if each.status == 200:
             newest[each.entry, each.life].append((each.ended_s, each.version))
         if each.status != 404:
@@ -241,7 +265,7 @@
 
 def _served(seen, revoked):
     """Check that requests are answered once every fault has ended."""
-    seen = [each for each in seen if each.key not in revoked]
+    seen = [e for e in seen if e.key not in revoked and not e.has_ended_sending]
     answered = sum(1 for each in seen if each.status == 200 and each.is_whole)
     if answered < 0.9 * len(seen):
         others = collections.Counter(
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -44,6 +44,7 @@
     def _one(self):
         self._count += 1
         self._leaving = self._limited = ""
+        self._written_s = None
         request = f"r-{self._name}-{self._count}"
         kind = self._rng.choice(KINDS)
         entry = self._rng.randrange(len(self._fleet.entries))
@@ -71,6 +72,7 @@
                 key,
                 self._leaving,
                 self._limited,
+                self._written_s,
             )
         )
 
@@ -91,6 +93,7 @@
         status = 0
         try:
             connection.request("POST", f"/v{version}/{kind}/x", body, headers)
+            self._written_s = time.monotonic()
             response = connection.getresponse()
             status = response.status
             if response.getheader("Server-Leaving") == "1":
--- a/soak/entries.py
+++ b/soak/entries.py
@@ -9,12 +9,15 @@
 import subprocess
 import sys
 import threading
+import time
 
 from soak import checks, timeliness
 from standins import rowstore
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 GRACE_S = 4.0
+# The same where planned work is played.
+PLANNED_GRACE_S = 8.0
 
 
 def free_port():
@@ -32,10 +35,14 @@
     :param host: loopback address of its own, since entries know each other by address.
     :param store: address of the store.
     :param seeds: addresses of all entries.
+    :param grace_s: time that a planned stop may take.
     """
 
-    def __init__(self, folder, name, host, store, seeds):
+    def __init__(self, folder, name, host, store, seeds, grace_s=GRACE_S):
         self.life = 0
+        self.grace_s = grace_s
+        # Steady times of the planned stops by life.
+        self.stops_s = {}
         self.name = name
         self.front = f"{host}:{free_port()}"
         self.ready = f"{host}:{free_port()}"
@@ -61,7 +68,7 @@
                 "retry_window_s": 10,
                 "version_ms": int(timeliness.WEIGHTS_ALLOWED_S * 1000),
                 "config_ms": int(timeliness.IN_FORCE_S * 1000),
-                "grace_s": GRACE_S,
+                "grace_s": grace_s,
             },
         }
         self._path.write_text(json.dumps(document))
@@ -83,14 +90,22 @@
         with contextlib.suppress(ProcessLookupError):
             self._process.send_signal(number)
 
-    def restart(self, number):
-        """End the process by a signal, and start it again."""
+    def restart(self, number, signalled=lambda at_s: None):
+        """End the process by a signal, and start it again.
+
+        :param number: number of the signal.
+        :param signalled: called with the steady time at which it was sent.
+        """
         with self._lock:
             self._note_own_end()
             self.send(signal.SIGCONT)
             self.send(number)
+            signalled_s = time.monotonic()
+            if number == signal.SIGTERM:
+                self.stops_s[self.life] = signalled_s
+            signalled(signalled_s)
             try:
-                self._process.wait(GRACE_S)
+                self._process.wait(self.grace_s)
             except subprocess.TimeoutExpired:
                 self.send(signal.SIGKILL)
                 self._process.wait()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,13 +9,16 @@
 import time
 
 from soak import (
+    callers,
     checks,
     clients,
     entries,
     extras,
     incidents,
     links,
+    lost,
     plan,
+    planned,
     servers,
     timeliness,
 )
@@ -37,13 +40,17 @@
 WRITE_CHECK_S = 0.02
 
 
-def configuration(version, keys=(), has_model=False):
+def configuration(version, keys=(), has_model=False, planned_routes=None):
     """Return a configuration that knows the paths of its version and all before.
 
     :param version: its number.
     :param keys: further API keys.
     :param has_model: whether streams are calls of a model.
+    :param planned_routes: routes that change, None without planned work.
     """
+    limits = {}
+    if planned_routes is not None:
+        limits["header_timeout_ms"] = int(1000 * callers.TIMEOUT_S)
     kinds = {
         "once": ("non_idempotent", False),
         "free": ("idempotent", False),
@@ -68,9 +75,9 @@
     ]
     return {
         "version": version,
-        "routes": routes,
+        "routes": [*routes, *(planned_routes or ())],
         "services": [{"name": SERVICE, "health_path": "/h", "max_conns": 60}],
-        "limits": {},
+        "limits": limits,
         "tenants": [{"name": "tenant-1", "api_keys": ["key-1", *keys]}],
     }
 
@@ -99,6 +106,7 @@
     :param has_extras: whether the additional events and clients are played.
     :param has_words: whether servers say of themselves what no record says.
     :param has_incidents: whether the events that follow incidents are played.
+    :param has_planned: whether planned work and silences are played.
     :ivar service: name of the service of all servers.
     :ivar store: :class:`standins.rowstore.RowStore`.
     :ivar disturbances: :class:`soak.timeliness.Disturbances`.
@@ -106,8 +114,10 @@
 
     service = SERVICE
 
-    def __init__(self, seed, folder, has_extras, has_words, has_incidents):
+    def __init__(self, seed, folder, has_extras, has_words, has_incidents, has_planned):
         self.seed = seed
+        self._has_planned = has_planned
+        self._planned = planned.Planned(self)
         self._has_incidents = has_incidents
         self._incidents = incidents.Incidents(self)
         self.disturbances = timeliness.Disturbances()
@@ -117,6 +127,8 @@
         self._has_words = has_words
         self._has_extras = has_extras
         self.extra_keys = extras.KEYS if has_extras else ()
+        if has_planned:
+            self.extra_keys += callers.KEYS
         self._keys = list(self.extra_keys)
         self._crashes_s = []
         self._left = []
@@ -139,8 +151,11 @@
         port = entries.free_port()
         hosts = [f"127.0.0.{number + 2}" for number in range(ENTRIES)]
         seeds = [(host, port) for host in hosts]
+        grace_s = entries.PLANNED_GRACE_S if has_planned else entries.GRACE_S
         self.entries = [
-            entries.EntryProcess(folder, f"edge-{n}", host, link.address, seeds)
+            entries.EntryProcess(
+                folder, f"edge-{n}", host, link.address, seeds, grace_s
+            )
             for n, (host, link) in enumerate(zip(hosts, self._store_links, strict=True))
         ]
 
@@ -178,14 +193,20 @@
             events += plan.draw_words(self.seed, length_s)
         if self._has_incidents:
             events += plan.draw_incidents(self.seed, length_s)
+        seen = []
+        if self._has_planned:
+            quiet = plan.draw_planned(self.seed, length_s)
+            seen += self._load("planned", lambda: self._play(quiet), 0)
+            events += plan.draw_planned(f"{self.seed}-faults", length_s)
         events.sort(key=lambda event: event.at_s)
-        seen = self._load("faults", lambda: self._play(events))
+        if count:
+            seen += self._load("faults", lambda: self._play(events))
         for entry in self.entries:
             entry.revive()
         self._wait_ready()
         if self._has_incidents:
             seen += self._load("settling", self._settle)
-        else:
+        elif count:
             time.sleep(SETTLE_S)
         after = self._load("after", lambda: time.sleep(AFTER_S))
         revoked = set(self.extra_keys) - set(self._keys)
@@ -205,11 +226,19 @@
             for entry in self.entries
             for code in entry.own_ends
         ]
-        if self._has_incidents:
+        if self._has_incidents or self._has_planned:
             times = self._changes, self.disturbances
             found += timeliness.configurations(seen, *times)
             found += timeliness.weights(seen, self.ledger, *times)
             found += timeliness.leaving(seen, self.ledger, *times)
+        if self._has_planned:
+            stops_s = {
+                (number, life): at_s
+                for number, entry in enumerate(self.entries)
+                for life, at_s in entry.stops_s.items()
+            }
+            grace = lost.Stops(stops_s, entries.PLANNED_GRACE_S)
+            found += lost.violations(seen, self.ledger, grace, self.disturbances)
         return found
 
     def _wait_ready(self):
@@ -220,8 +249,10 @@
                 raise TimeoutError(f"not ready after {READY_S} s: {logs}")
             time.sleep(0.05)
 
-    def _load(self, name, function):
-        running = [clients.Client(f"{name}-{n}", self) for n in range(CLIENTS)]
+    def _load(self, name, function, count=CLIENTS):
+        running = [clients.Client(f"{name}-{n}", self) for n in range(count)]
+        if self._has_planned:
+            running += self._planned.callers(name)
         leavers = extras.Leavers(f"leaver-{name}", self)
         if self._has_extras:
             leavers.start()
@@ -234,7 +265,8 @@
             client.is_ending = True
         for client in running:
             client.join(2 * clients.TIMEOUT_S)
-        return [each for client in running for each in client.seen]
+        seen = [each for client in running for each in client.seen]
+        return seen + self._planned.take_seen()
 
     def _play(self, events):
         start_s = time.monotonic()
@@ -242,13 +274,15 @@
             time.sleep(max(0.0, start_s + event.at_s - time.monotonic()))
             if event.kind in plan.INCIDENT_KINDS:
                 act = getattr(self._incidents, event.kind)
+            elif event.kind in plan.PLANNED_KINDS:
+                act = getattr(self._planned, event.kind)
             else:
                 act = getattr(self, f"_{event.kind}")
             thread = threading.Thread(target=act, args=(event,), daemon=True)
             thread.start()
             self._busy.append(thread)
-        for thread in self._busy:
-            thread.join(READY_S)
+        while self._busy:
+            self._busy.pop().join(READY_S)
 
     # Events.
 
@@ -294,7 +328,9 @@
             self._entry(event).restart(signal.SIGKILL)
 
     def _entry_term(self, event):
-        with self._disturbing_entry(event):
+        number = event.target % len(self.entries)
+        name = timeliness.entry_name(number)
+        with self.disturbances.during(name, is_planned=True):
             self._entry(event).restart(signal.SIGTERM)
 
     def _entry_freeze(self, event):
@@ -346,6 +382,7 @@
             if server.has_crashed:
                 return
             server.has_crashed = True
+            self.disturbances.record(server.name, time.monotonic())
             self._crashes_s.append(time.monotonic())
         self.links[number].stop()
         self._list(number, "crashed")
@@ -362,7 +399,8 @@
             time.sleep(SETTLE_S / SETTLING_CHANGES)
 
     def _put_configuration(self):
-        row = configuration(self._newest, self._keys, self._has_incidents)
+        routes = self._planned.routes() if self._has_planned else None
+        row = configuration(self._newest, self._keys, self._has_incidents, routes)
         self.store.put("op", "config", row)
 
     def _await_store(self):
@@ -371,11 +409,18 @@
             time.sleep(WRITE_CHECK_S)
 
     def _revoke(self, event):
+        self.revoke(event.target)
+
+    def revoke(self, target):
+        """Revoke an API key.
+
+        :param target: number that chooses the key.
+        """
         self._await_store()
         with self._naming:
             if not self._keys:
                 return
-            key = self._keys.pop(event.target % len(self._keys))
+            key = self._keys.pop(target % len(self._keys))
             self._write_configuration()
             self._changes.revoked.append((key, time.monotonic()))
 
@@ -497,6 +542,8 @@
     has_extras=False,
     has_words=False,
     has_incidents=False,
+    has_planned=False,
+    has_faults=True,
 ):
     """Play one seed from the start to the end.
 
@@ -504,12 +551,14 @@
     :param has_extras: whether the additional events and clients are played.
     :param has_words: whether servers say of themselves what no record says.
     :param has_incidents: whether the events that follow incidents are played.
+    :param has_planned: whether planned work and silences are played, alone at first.
+    :param has_faults: whether faults are played.
     :returns: :class:`Outcome`.
     """
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder)
-        fleet = Fleet(seed, path, has_extras, has_words, has_incidents)
+        fleet = Fleet(seed, path, has_extras, has_words, has_incidents, has_planned)
         try:
-            return fleet.run(length_s, count, modes)
+            return fleet.run(length_s, count if has_faults else 0, modes)
         finally:
             fleet.stop()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -68,17 +68,38 @@
 }
 
 
+# Planned work and silences of servers, drawn apart for the same reason.
+PLANNED_KINDS = (
+    "silence",
+    "silence",
+    "silence_all",
+    "silent_change",
+    "silent_change",
+    "silent_change",
+    "change",
+    "leave",
+    "planned_stop",
+    "planned_stop",
+    "reload",
+    "reload",
+)
+PLANNED_CHANGES = ("route", "route", "key", "kind", "same")
+# Times between the events of a series.
+PLANNED_GAP_S = (0.0, 0.2, 1.2)
+SILENT_S = (1.0, 2.0)
+
+
 @dataclasses.dataclass(frozen=True)
 class Event:
     """One fault or change.
 
     :param at_s: time from the start.
-    :param kind: one of :data:`KINDS`, :data:`EXTRA_KINDS`, :data:`WORD_KINDS` or
-        :data:`INCIDENT_KINDS`.
+    :param kind: one of :data:`KINDS`, :data:`EXTRA_KINDS`, :data:`WORD_KINDS`,
+        :data:`INCIDENT_KINDS` or :data:`PLANNED_KINDS`.
     :param target: number of the process, server or link.
     :param for_s: how long it lasts.
     :param detail: mode of a server, the direction of a link, or one of
-        :data:`INCIDENT_DETAILS`.
+        :data:`INCIDENT_DETAILS` or :data:`PLANNED_CHANGES`.
     """
 
     at_s: float
@@ -150,6 +171,27 @@
     ]
 
 
+def draw_planned(seed, length_s):
+    """Draw the planned work of a seed and the silences of servers.
+
+    Some events follow another one closely.
+
+    :param seed: integer.
+    :param length_s: time in which they begin.
+    :returns: list of :class:`Event`.
+    """
+    rng = random.Random(f"{seed}-planned")
+    found, last_s = [], 0.5
+    for kind in rng.sample(PLANNED_KINDS, len(PLANNED_KINDS)):
+        at_s = min(length_s, last_s + rng.choice(PLANNED_GAP_S))
+        if rng.random() < 0.5:
+            at_s = rng.uniform(0.5, length_s)
+        detail, for_s = rng.choice(PLANNED_CHANGES), rng.uniform(*SILENT_S)
+        found.append(Event(at_s, kind, rng.randrange(100), for_s, detail))
+        last_s = at_s
+    return sorted(found, key=lambda event: event.at_s)
+
+
 def _draw_each(rng, kinds, length_s):
     return [
         Event(rng.uniform(0.3, length_s), kind, rng.randrange(100), for_s, "")
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -23,6 +23,7 @@
 # Limit that is no number and says nothing.
 NO_LIMIT = "many"
 ENDLESS_BLOCK_BYTES = 16 * 1024
+SILENT_PLACES = ("heads", "bodies", "between events", "inside events")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,6 +55,9 @@
         self.arrivals = []
         # Number of times that each situation came about.
         self.situations = collections.Counter()
+        # Requests that a server failed, and when the last server stopped work on each.
+        self.failed = set()
+        self.ended_s = {}
         self._lock = threading.Lock()
 
     def add(self, request, server, ran, **marks):
@@ -62,10 +66,15 @@
         with self._lock:
             self.arrivals.append(arrival)
 
-    def count(self, situation):
-        """Count a situation that came about."""
+    def count(self, situation, number=1):
+        """Count situations that came about."""
         with self._lock:
-            self.situations[situation] += 1
+            self.situations[situation] += number
+
+    def record_end(self, request):
+        """Write down that a server works no longer on a request."""
+        with self._lock:
+            self.ended_s[request] = time.monotonic()
 
     def runs(self):
         """Return the number of runs by request."""
@@ -87,6 +96,7 @@
         of a connection, and write that refusal again as they run a later one, the
         latter without its identifier), or ``broken_`` and a status (breaks streams off
         between two events, and answers those that go on with that status).
+    :ivar silence_s: steady times between which it sends nothing.
     :ivar weights: version of the weights that it has.
     :ivar delay_s: time that a run takes.
     :ivar is_leaving: whether it says in its answers that it leaves.
@@ -102,6 +112,7 @@
         self.mode = "ok"
         self.incident_mode = ""
         self.delay_s = 0.02
+        self.silence_s = (0.0, 0.0)
         self.is_leaving = False
         self.limit = ""
         self.weights = 1
@@ -127,6 +138,15 @@
         """Run a request, or fail as the server's mode says."""
         body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
         asked = json.loads(body)
+        self._request, self._began_s = asked["id"], time.monotonic()
+        if self.server.mode != "ok" or self.server.incident_mode:
+            self.server.ledger.failed.add(self._request)
+        try:
+            self._run(asked)
+        finally:
+            self.server.ledger.record_end(self._request)
+
+    def _run(self, asked):
         server, request = self.server, asked["id"]
         if self.headers["X-Expect-Instance"] != server.name:
             server.ledger.add(request, server.name, False, is_misdirected=True)
@@ -157,7 +177,10 @@
             server.ledger.count("repeated refusals")
             is_bare = mode == "repeat_bare"
             self.wfile.write(self._make_refusal() if is_bare else self._refusal)
-        time.sleep(server.delay_s)
+        # Streams take the time of their work between their events.
+        work_s = asked.get("work_s", 0.0)
+        time.sleep(server.delay_s + (0.0 if asked["events"] else work_s))
+        self._keep_silent("heads")
         if is_bad:
             self._begin_and_crash()
             return
@@ -181,7 +204,7 @@
             if server.mode == "wrong":
                 request = "another request"
             if asked["events"]:
-                self._stream(request, asked["events"])
+                self._stream(request, asked["events"], work_s)
             else:
                 self._answer(200, f"answer to {request}".encode())
             # Bytes after an answer that ends with its connection belong to it.
@@ -213,7 +236,21 @@
         entries = self.headers.get("X-Prefix-Hash", "").split(",")[:-1]
         return [entry.partition(":")[0] for entry in entries]
 
+    def _keep_silent(self, place):
+        """Send nothing while the server is silent.
+
+        Requests that arrive meanwhile are silent at one place each.
+        """
+        since_s, until_s = self.server.silence_s
+        left_s = until_s - time.monotonic()
+        chosen = SILENT_PLACES[zlib.crc32(self._request.encode()) % len(SILENT_PLACES)]
+        if left_s <= 0.0 or self._began_s > since_s and place != chosen:
+            return
+        self.server.ledger.count(f"silences {place}")
+        time.sleep(left_s)
+
     def _begin_and_crash(self):
+        self.server.ledger.failed.add(self._request)
         self.send_response(200)
         self._head()
         self.send_header("Content-Type", "text/event-stream")
@@ -222,6 +259,7 @@
         self.server.crash(self.server)
 
     def _send_endless(self, first, unit):
+        self.server.ledger.failed.add(self._request)
         self.close_connection = True
         self.wfile.write(first)
         end_s = time.monotonic() + HANG_S
@@ -246,6 +284,16 @@
             b"%x\r\n%b\r\n" % (len(data), data) if framing == "chunks" else data
         )
 
+    def _send_silently(self, framing, data, place):
+        """Send a part, with a silence in its middle if the server is silent."""
+        half = len(data) // 2
+        if self.server.silence_s[1] <= time.monotonic():
+            self._send_part(framing, data)
+            return
+        self._send_part(framing, data[:half])
+        self._keep_silent(place)
+        self._send_part(framing, data[half:])
+
     def _head(self):
         attempt = self.headers["X-Attempt-Id"]
         if self.server.mode == "wrong":
@@ -266,11 +314,11 @@
         framing = self._framing(self.headers["X-Attempt-Id"])
         self._send_framing(framing, len(body))
         if body:
-            self._send_part(framing, body)
+            self._send_silently(framing, body, "bodies")
         if framing == "chunks":
             self.wfile.write(b"0\r\n\r\n")
 
-    def _stream(self, request, events):
+    def _stream(self, request, events, work_s):
         self.send_response(200)
         self._head()
         self.send_header("Content-Type", "text/event-stream")
@@ -290,12 +338,15 @@
             if is_broken and number > events // 2:
                 self._break_off(resets=True)
                 return
-            self._send_part(framing, data)
-            time.sleep(EVENT_GAP_S)
+            self._keep_silent("between events")
+            self._send_silently(framing, data, "inside events")
+            time.sleep(max(EVENT_GAP_S, work_s / events))
+        self._keep_silent("between events")
         if framing == "chunks":
             self.wfile.write(b"0\r\n\r\n")
 
     def _break_off(self, resets=False):
+        self.server.ledger.failed.add(self._request)
         self.close_connection = True
         if resets:
             linger = (socket.SOL_SOCKET, socket.SO_LINGER, links.RESETTING_LINGER)
--- a/soak/timeliness.py
+++ b/soak/timeliness.py
@@ -27,41 +27,48 @@
         self._spans = []
         self._lock = threading.Lock()
 
-    def record(self, name, since_s, until_s=float("inf")):
+    def record(self, name, since_s, until_s=float("inf"), is_planned=False):
         """Record that something is disturbed.
 
         :param name: :data:`STORE`, an entry by :func:`entry_name`, or a server name.
         :param since_s: steady time.
         :param until_s: steady time.
-        :returns: list of the three, whose last one may be set later.
+        :param is_planned: whether that is planned work, such as a stop.
+        :returns: list of these, whose third one may be set later.
         """
-        span = [name, since_s, until_s]
+        span = [name, since_s, until_s, is_planned]
         with self._lock:
             self._spans.append(span)
         return span
 
     @contextlib.contextmanager
-    def during(self, name):
+    def during(self, name, is_planned=False):
         """Record the time that the body of a ``with`` statement takes.
 
         :param name: as for :meth:`record`.
+        :param is_planned: as for :meth:`record`.
         """
-        span = self.record(name, time.monotonic())
+        span = self.record(name, time.monotonic(), is_planned=is_planned)
         try:
             yield
         finally:
             span[2] = time.monotonic()
 
-    def last_s(self, names, at_s):
+    def names(self):
+        """Return the names of all that was ever disturbed."""
+        return {name for name, *_ in list(self._spans)}
+
+    def last_s(self, names, at_s, counts_planned=True):
         """Return the latest time until ``at_s`` at which something was disturbed.
 
         :param names: set of names.
         :param at_s: steady time.
+        :param counts_planned: whether planned work counts.
         """
         ends_s = [
             min(until_s, at_s)
-            for name, since_s, until_s in list(self._spans)
-            if name in names and since_s <= at_s
+            for name, since_s, until_s, is_planned in list(self._spans)
+            if name in names and since_s <= at_s and (counts_planned or not is_planned)
         ]
         return max(ends_s, default=float("-inf"))
 
@@ -105,7 +112,7 @@
         place = f"change in force: entry {each.entry}, {each.request}"
         known = max(_in_force(changes.versions, each.sent_s), default=0)
         removed = {key for key, _ in changes.revoked}
-        if each.status == 404 and each.version <= known:
+        if each.status == 404 and each.version <= known and not each.is_droppable:
             found.append(f"{place}: 404 for version {each.version} of {known}")
         if each.status == 401 and each.key not in removed:
             found.append(f"{place}: 401 for {each.key}")
