--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,36 +1,32 @@
 """Entry processes, servers, links and the store of one seed."""
 
 import collections
-import contextlib
 import dataclasses
-import json
-import os
 import pathlib
 import signal
-import socket
-import subprocess
-import sys
 import tempfile
 import threading
 import time
 
 from soak import (
+    callers,
     checks,
     clients,
+    entries,
     extras,
     incidents,
     links,
+    lost,
     plan,
+    planned,
     servers,
     timeliness,
 )
 from standins import rowstore
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
 ENTRIES, SERVERS, CLIENTS = 3, 5, 8
 SERVICE = "s"
 READY_S = 20.0
-GRACE_S = 4.0
 # After the last fault ends: ejections last up to 8 s.
 SETTLE_S = 4.0
 SETTLING_CHANGES = 6
@@ -44,19 +40,17 @@
 WRITE_CHECK_S = 0.02
 
 
-def _free_port():
-    with socket.socket() as sock:
-        sock.bind((rowstore.LOOPBACK, 0))
-        return sock.getsockname()[1]
-
-
-def configuration(version, keys=(), has_model=False):
+def configuration(version, keys=(), has_model=False, planned_routes=None):
     """Return a configuration that knows the paths of its version and all before.
 
     :param version: its number.
     :param keys: further API keys.
     :param has_model: whether streams are calls of a model.
+    :param planned_routes: routes that change, None without planned work.
     """
+    limits = {}
+    if planned_routes is not None:
+        limits["header_timeout_ms"] = int(1000 * callers.TIMEOUT_S)
     kinds = {
         "once": ("non_idempotent", False),
         "free": ("idempotent", False),
@@ -81,9 +75,9 @@
     ]
     return {
         "version": version,
-        "routes": routes,
+        "routes": [*routes, *(planned_routes or ())],
         "services": [{"name": SERVICE, "health_path": "/h", "max_conns": 60}],
-        "limits": {},
+        "limits": limits,
         "tenants": [{"name": "tenant-1", "api_keys": ["key-1", *keys]}],
     }
 
@@ -104,112 +98,6 @@
     situations: collections.Counter
 
 
-class EntryProcess:
-    """One entry process that can be killed, stopped, frozen and started again.
-
-    :param folder: folder for settings and logs.
-    :param name: its name.
-    :param host: loopback address of its own, since entries know each other by address.
-    :param store: address of the store.
-    :param seeds: addresses of all entries.
-    """
-
-    def __init__(self, folder, name, host, store, seeds):
-        self.life = 0
-        self.name = name
-        self.front = f"{host}:{_free_port()}"
-        self.ready = f"{host}:{_free_port()}"
-        self._path = folder / f"{name}.json"
-        self._log = folder / f"{name}.log"
-        self._process = None
-        self._lock = threading.Lock()
-        # Exit codes of processes that nothing had ended.
-        self.own_ends = []
-        document = {
-            "name": name,
-            "host": host,
-            "region": "r",
-            "data_centre": "a",
-            "listen": {"front": self.front, "ready": self.ready},
-            "ports": [seeds[0][1], seeds[0][1]],
-            "metrics_port": _free_port(),
-            "seeds": [seed for seed, _ in seeds],
-            "store": store,
-            "bounds": {
-                "retry_ratio": checks.RETRY_SHARE,
-                "retry_slack": checks.RETRY_ALLOWANCE,
-                "retry_window_s": 10,
-                "version_ms": int(timeliness.WEIGHTS_ALLOWED_S * 1000),
-                "config_ms": int(timeliness.IN_FORCE_S * 1000),
-                "grace_s": GRACE_S,
-            },
-        }
-        self._path.write_text(json.dumps(document))
-
-    def start(self):
-        """Start the process."""
-        with self._log.open("a") as log:
-            self.life += 1
-            self._process = subprocess.Popen(
-                [sys.executable, "-m", "cicadaplank.platform", "entry"],
-                cwd=ROOT,
-                env={**os.environ, "CICADAPLANK_SETTINGS": str(self._path)},
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
-
-    def send(self, number):
-        """Send a signal to the process."""
-        with contextlib.suppress(ProcessLookupError):
-            self._process.send_signal(number)
-
-    def restart(self, number):
-        """End the process by a signal, and start it again."""
-        with self._lock:
-            self._note_own_end()
-            self.send(signal.SIGCONT)
-            self.send(number)
-            try:
-                self._process.wait(GRACE_S)
-            except subprocess.TimeoutExpired:
-                self.send(signal.SIGKILL)
-                self._process.wait()
-            self.start()
-
-    def _note_own_end(self):
-        code = self._process.poll()
-        if code is not None:
-            self.own_ends.append(code)
-        return code is not None
-
-    def revive(self):
-        """Start the process again if it has ended by itself."""
-        with self._lock:
-            if self._note_own_end():
-                self.start()
-
-    def stop(self):
-        """Kill the process."""
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGKILL)
-        self._process.wait()
-
-    def is_ready(self):
-        """Tell whether it serves."""
-        host, _, port = self.ready.rpartition(":")
-        try:
-            with socket.create_connection((host, int(port)), 1.0) as sock:
-                sock.sendall(b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
-                return sock.recv(64).startswith(b"HTTP/1.1 200")
-        except OSError:
-            return False
-
-    @property
-    def log(self):
-        """Return what it wrote."""
-        return self._log.read_text(errors="replace")
-
-
 class Fleet:
     """Everything that one seed runs.
 
@@ -218,6 +106,7 @@
     :param has_extras: whether the additional events and clients are played.
     :param has_words: whether servers say of themselves what no record says.
     :param has_incidents: whether the events that follow incidents are played.
+    :param has_planned: whether planned work and silences are played.
     :ivar service: name of the service of all servers.
     :ivar store: :class:`standins.rowstore.RowStore`.
     :ivar disturbances: :class:`soak.timeliness.Disturbances`.
@@ -225,8 +114,10 @@
 
     service = SERVICE
 
-    def __init__(self, seed, folder, has_extras, has_words, has_incidents):
+    def __init__(self, seed, folder, has_extras, has_words, has_incidents, has_planned):
         self.seed = seed
+        self._has_planned = has_planned
+        self._planned = planned.Planned(self)
         self._has_incidents = has_incidents
         self._incidents = incidents.Incidents(self)
         self.disturbances = timeliness.Disturbances()
@@ -236,6 +127,8 @@
         self._has_words = has_words
         self._has_extras = has_extras
         self.extra_keys = extras.KEYS if has_extras else ()
+        if has_planned:
+            self.extra_keys += callers.KEYS
         self._keys = list(self.extra_keys)
         self._crashes_s = []
         self._left = []
@@ -255,11 +148,14 @@
         self.servers, self.links = [], []
         for number in range(SERVERS):
             self._add_server(number)
-        port = _free_port()
+        port = entries.free_port()
         hosts = [f"127.0.0.{number + 2}" for number in range(ENTRIES)]
         seeds = [(host, port) for host in hosts]
+        grace_s = entries.PLANNED_GRACE_S if has_planned else entries.GRACE_S
         self.entries = [
-            EntryProcess(folder, f"edge-{n}", host, link.address, seeds)
+            entries.EntryProcess(
+                folder, f"edge-{n}", host, link.address, seeds, grace_s
+            )
             for n, (host, link) in enumerate(zip(hosts, self._store_links, strict=True))
         ]
 
@@ -297,14 +193,20 @@
             events += plan.draw_words(self.seed, length_s)
         if self._has_incidents:
             events += plan.draw_incidents(self.seed, length_s)
+        seen = []
+        if self._has_planned:
+            quiet = plan.draw_planned(self.seed, length_s)
+            seen += self._load("planned", lambda: self._play(quiet), 0)
+            events += plan.draw_planned(f"{self.seed}-faults", length_s)
         events.sort(key=lambda event: event.at_s)
-        seen = self._load("faults", lambda: self._play(events))
+        if count:
+            seen += self._load("faults", lambda: self._play(events))
         for entry in self.entries:
             entry.revive()
         self._wait_ready()
         if self._has_incidents:
             seen += self._load("settling", self._settle)
-        else:
+        elif count:
             time.sleep(SETTLE_S)
         after = self._load("after", lambda: time.sleep(AFTER_S))
         revoked = set(self.extra_keys) - set(self._keys)
@@ -324,11 +226,19 @@
             for entry in self.entries
             for code in entry.own_ends
         ]
-        if self._has_incidents:
+        if self._has_incidents or self._has_planned:
             times = self._changes, self.disturbances
             found += timeliness.configurations(seen, *times)
             found += timeliness.weights(seen, self.ledger, *times)
             found += timeliness.leaving(seen, self.ledger, *times)
+        if self._has_planned:
+            stops_s = {
+                (number, life): at_s
+                for number, entry in enumerate(self.entries)
+                for life, at_s in entry.stops_s.items()
+            }
+            grace = lost.Stops(stops_s, entries.PLANNED_GRACE_S)
+            found += lost.violations(seen, self.ledger, grace, self.disturbances)
         return found
 
     def _wait_ready(self):
@@ -339,8 +249,10 @@
                 raise TimeoutError(f"not ready after {READY_S} s: {logs}")
             time.sleep(0.05)
 
-    def _load(self, name, function):
-        running = [clients.Client(f"{name}-{n}", self) for n in range(CLIENTS)]
+    def _load(self, name, function, count=CLIENTS):
+        running = [clients.Client(f"{name}-{n}", self) for n in range(count)]
+        if self._has_planned:
+            running += self._planned.callers(name)
         leavers = extras.Leavers(f"leaver-{name}", self)
         if self._has_extras:
             leavers.start()
@@ -353,7 +265,8 @@
             client.is_ending = True
         for client in running:
             client.join(2 * clients.TIMEOUT_S)
-        return [each for client in running for each in client.seen]
+        seen = [each for client in running for each in client.seen]
+        return seen + self._planned.take_seen()
 
     def _play(self, events):
         start_s = time.monotonic()
@@ -361,13 +274,15 @@
             time.sleep(max(0.0, start_s + event.at_s - time.monotonic()))
             if event.kind in plan.INCIDENT_KINDS:
                 act = getattr(self._incidents, event.kind)
+            elif event.kind in plan.PLANNED_KINDS:
+                act = getattr(self._planned, event.kind)
             else:
                 act = getattr(self, f"_{event.kind}")
             thread = threading.Thread(target=act, args=(event,), daemon=True)
             thread.start()
             self._busy.append(thread)
-        for thread in self._busy:
-            thread.join(READY_S)
+        while self._busy:
+            self._busy.pop().join(READY_S)
 
     # Events.
 
@@ -413,7 +328,9 @@
             self._entry(event).restart(signal.SIGKILL)
 
     def _entry_term(self, event):
-        with self._disturbing_entry(event):
+        number = event.target % len(self.entries)
+        name = timeliness.entry_name(number)
+        with self.disturbances.during(name, is_planned=True):
             self._entry(event).restart(signal.SIGTERM)
 
     def _entry_freeze(self, event):
@@ -465,6 +382,7 @@
             if server.has_crashed:
                 return
             server.has_crashed = True
+            self.disturbances.record(server.name, time.monotonic())
             self._crashes_s.append(time.monotonic())
         self.links[number].stop()
         self._list(number, "crashed")
@@ -481,7 +399,8 @@
             time.sleep(SETTLE_S / SETTLING_CHANGES)
 
     def _put_configuration(self):
-        row = configuration(self._newest, self._keys, self._has_incidents)
+        routes = self._planned.routes() if self._has_planned else None
+        row = configuration(self._newest, self._keys, self._has_incidents, routes)
         self.store.put("op", "config", row)
 
     def _await_store(self):
@@ -490,11 +409,18 @@
             time.sleep(WRITE_CHECK_S)
 
     def _revoke(self, event):
+        self.revoke(event.target)
+
+    def revoke(self, target):
+        """Revoke an API key.
+
+        :param target: number that chooses the key.
+        """
         self._await_store()
         with self._naming:
             if not self._keys:
                 return
-            key = self._keys.pop(event.target % len(self._keys))
+            key = self._keys.pop(target % len(self._keys))
             self._write_configuration()
             self._changes.revoked.append((key, time.monotonic()))
 
@@ -616,6 +542,8 @@
     has_extras=False,
     has_words=False,
     has_incidents=False,
+    has_planned=False,
+    has_faults=True,
 ):
     """Play one seed from the start to the end.
 
@@ -623,12 +551,14 @@
     :param has_extras: whether the additional events and clients are played.
     :param has_words: whether servers say of themselves what no record says.
     :param has_incidents: whether the events that follow incidents are played.
+    :param has_planned: whether planned work and silences are played, alone at first.
+    :param has_faults: whether faults are played.
     :returns: :class:`Outcome`.
     """
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder)
-        fleet = Fleet(seed, path, has_extras, has_words, has_incidents)
+        fleet = Fleet(seed, path, has_extras, has_words, has_incidents, has_planned)
         try:
-            return fleet.run(length_s, count, modes)
+            return fleet.run(length_s, count if has_faults else 0, modes)
         finally:
             fleet.stop()
