--- a/features/steps/gateway_grace.py
+++ b/features/steps/gateway_grace.py
@@ -17,8 +17,6 @@
 GRACE_S = 8.0
 # A refusal in the first half of the grace period leaves the time for another instance.
 LATEST_REFUSAL_S = GRACE_S / 2
-# A refusal in the first half of the grace period leaves the time for another instance.
-LATEST_REFUSAL_S = GRACE_S / 2
 PART_BYTES = 20
 
 
