Excuse requests behind an answer that its server broke off

It was sent 0.05 s after the faults began, behind another request; from 0.41 s on all servers break streams off and answer the rest with 404. Behind an incomplete answer of a sound server a request still counts as lost, as does that answer.

--- a/features/soak/lost.feature
+++ b/features/soak/lost.feature
@@ -2,27 +2,27 @@
   The soak judges a request whose entry and server were sound and not disturbed from 3 s
   before it to its end. Planned work and a server's silence excuse nothing.
 
-  Scenario Outline: A request that <reached> a server ends with <end> <waited_s> s after its last byte
-    Given a sound entry and a request that <reached> a server
+  Scenario Outline: A request that <reached> ends with <end> <waited_s> s after its last byte
+    Given a sound entry and a request that <reached>
     When the request ends with <end> <waited_s> s after its last byte
     Then the checks of the soak find <faults> lost requests
 
     Examples:
-      | reached    | end                   | waited_s | faults |
-      | reached    | no answer             | 0.1      | 1      |
-      | reached    | no answer             | 2.0      | 1      |
-      | came to no | no answer             | 0.1      | 0      |
-      | came to no | no answer             | 0.3      | 1      |
-      | reached    | an answer             | 2.0      | 0      |
-      | reached    | an incomplete answer  | 2.0      | 1      |
-      | reached    | status 502            | 2.0      | 1      |
-      | reached    | status 504            | 2.0      | 1      |
-      | reached    | status 504            | 4.0      | 0      |
-      | reached    | an incomplete answer  | 4.0      | 0      |
-      | reached    | no answer             | 5.1      | 1      |
-      | came to no | status 503            | 0.1      | 0      |
-      | came to no | status 404            | 0.1      | 0      |
-      | came to no | status 408            | 0.1      | 0      |
+      | reached            | end                   | waited_s | faults |
+      | reached a server   | no answer             | 0.1      | 1      |
+      | reached a server   | no answer             | 2.0      | 1      |
+      | came to no server  | no answer             | 0.1      | 0      |
+      | came to no server  | no answer             | 0.3      | 1      |
+      | reached a server   | an answer             | 2.0      | 0      |
+      | reached a server   | an incomplete answer  | 2.0      | 1      |
+      | reached a server   | status 502            | 2.0      | 1      |
+      | reached a server   | status 504            | 2.0      | 1      |
+      | reached a server   | status 504            | 4.0      | 0      |
+      | reached a server   | an incomplete answer  | 4.0      | 0      |
+      | reached a server   | no answer             | 5.1      | 1      |
+      | came to no server  | status 503            | 0.1      | 0      |
+      | came to no server  | status 404            | 0.1      | 0      |
+      | came to no server  | status 408            | 0.1      | 0      |
 
   Scenario Outline: A request ends without an answer while its server <state>
     Given a sound entry and a request that reached a server
@@ -85,6 +85,18 @@
       | 502    | 1    | 0      |
       | 404    | 1    | 0      |
 
+  Scenario Outline: A pipelined request ends without an answer behind <first>
+    Given a sound entry and a request that came to no server
+    And before it <first> on its connection
+    When the request ends with no answer 2.0 s after its last byte
+    Then the checks of the soak find <faults> lost requests
+
+    Examples:
+      | first                                       | faults |
+      | a whole answer                              | 1      |
+      | an incomplete answer of a sound server      | 2      |
+      | an incomplete answer of a server that fails | 0      |
+
   Scenario: The sending side is closed behind a request
     Given a sound entry and a request that reached a server
     And a client that closes the sending side behind it
--- a/features/steps/soak_lost.py
+++ b/features/steps/soak_lost.py
@@ -42,21 +42,23 @@
 
 
 def _judge(context, seen, stops):
-    context.lost = lost.violations([seen], context.ledger, stops, context.disturbances)
+    seen = [*context.earlier, seen]
+    context.lost = lost.violations(seen, context.ledger, stops, context.disturbances)
 
 
 def _begin(context, has_arrived=True):
     context.ledger = servers.Ledger()
     context.disturbances = timeliness.Disturbances()
     context.seen = SEEN
+    context.earlier = []
     if has_arrived:
         arrival = servers.Arrival(REQUEST, SERVER, SENT_S, True)
         context.ledger.arrivals.append(arrival)
 
 
-@behave.given("a sound entry and a request that {reached} a server")
+@behave.given("a sound entry and a request that {reached}")
 def step_request(context, reached):
-    _begin(context, has_arrived=reached == "reached")
+    _begin(context, has_arrived=reached == "reached a server")
 
 
 @behave.given("a server that {state}")
@@ -73,6 +75,16 @@
     )
 
 
+@behave.given("before it {answer} on its connection")
+def step_behind(context, answer):
+    first = dataclasses.replace(SEEN, request="r-0", kind="stream")
+    end = "an answer" if answer == "a whole answer" else "an incomplete answer"
+    context.earlier = [_end(first, end, SENT_S + 2.0)]
+    context.seen = dataclasses.replace(SEEN, behind="r-0")
+    if answer.endswith("that fails"):
+        context.ledger.failed.add("r-0")
+
+
 @behave.given("a client that closes the sending side behind it")
 def step_end_sending(context):
     context.seen = dataclasses.replace(SEEN, manner=checks.HALF_CLOSED)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -218,6 +218,7 @@
         self._fleet.ledger.count(f"requests {manner}", len(requests))
         long_ones = sum(request.work_s >= LONG_WORK_S[0] for request in requests)
         self._fleet.ledger.count("requests with long work", long_ones)
+        behind = ""
         for request in requests:
             status, body, is_whole = connection.read(written_s + overdue_s)
             self.seen.append(
@@ -237,9 +238,11 @@
                     written_s=written_s,
                     deadline_s=TIMEOUT_S,
                     manner=manner,
+                    behind=behind,
                     is_droppable=True,
                 )
             )
+            behind = request.name
 
     def _forget(self, entry):
         connection = self._connections.pop(entry, None)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -42,6 +42,8 @@
     :param written_s: steady time at which its last byte was sent, None if it was not.
     :param deadline_s: time that its client allowed it.
     :param manner: how the client used the connection.
+    :param behind: request that was sent before it on its connection without waiting for
+        the answer, or empty.
     :param is_droppable: whether its route is dropped and added again.
     """
 
@@ -62,6 +64,7 @@
     written_s: float | None = None
     deadline_s: float = 4.0
     manner: str = ""
+    behind: str = ""
     is_droppable: bool = False
 
     @property
--- a/soak/lost.py
+++ b/soak/lost.py
@@ -62,7 +62,8 @@
 
     Planned work, changes of the configuration and a server's silence are no
     disturbances. Without an arrival, any server may be the one to which the request was
-    sent.
+    sent. An answer that its server has broken off ends the connection, and with it the
+    requests that were sent behind its own.
 
     :param seen: list of :class:`soak.checks.Seen`.
     :param ledger: :class:`soak.servers.Ledger`.
@@ -74,6 +75,7 @@
     for arrival in ledger.arrivals:
         reached.setdefault(arrival.request, set()).add(arrival.server)
     servers = disturbances.names()
+    broken = {e.request for e in seen if e.request in ledger.failed and not e.is_whole}
     found = []
     for each in seen:
         arrived = reached.get(each.request, set())
@@ -90,6 +92,9 @@
             ledger.count(situation)
         if not fault:
             continue
+        if each.behind in broken and not each.status:
+            ledger.count("requests behind an answer that its server broke off")
+            continue
         if stops.may_cut(each, ledger):
             ledger.count("cuts that the rules allow")
             continue
