--- a/cicadaplank/agent/executions.py
+++ b/cicadaplank/agent/executions.py
@@ -7,9 +7,12 @@
 
 import collections
 import dataclasses
+import enum
 
 import automat
 
+from cicadaplank.members import draining
+from cicadaplank.messages import actions as process_actions
 from cicadaplank.messages import types
 from cicadaplank.requests import attempts, retries, verdicts
 
@@ -22,12 +25,16 @@
 MAX_LINE_BYTES = 256 * 1024
 MAX_PART_BYTES = 1024 * 1024
 BUSY_RETRY_S = 0.2
+# Reason of an attempt that an unexpected error has ended.
+INTERNAL_ERROR = "internal error"
 # Calls with a once key may run this long after their deadline: the entry instance
 # records the result, so that it can answer a repeated request. Must equal the constant
 # in ``cicadaplank.requests.exchange``.
 LATE_RESULT_S = 30.0
-# An engine that does not respond to a probe within this time counts as crashed.
+# Attempts whose connection broke fail after this time when the probe has no result.
 PROBE_LIMIT_S = 2.0
+# Reasons of refusals by the planned stop.
+REFUSALS = {"leaving": "the endpoint is stopping", "busy": "the endpoint is full"}
 STATUS_OK = 200
 STATUS_BAD_GATEWAY = 502
 # The engine or a proxy in front of it did not complete the request.
@@ -91,20 +98,29 @@
 class CancelEngine:
     """Close the engine connection of an attempt, which cancels it at the engine.
 
+    Follows the last :class:`Reply` of the attempt, after which none can be sent.
+
     :param attempt: identifier of the attempt.
     """
 
     attempt: str
 
 
-@dataclasses.dataclass(frozen=True)
-class ProbeEngine:
-    """Probe the engine and report with :meth:`Executions.engine_probed`."""
+class ProbeResult(enum.Enum):
+    """Result of a probe of an engine or plain service.
+
+    A process that does not respond may be paused and go on, so that only a refused or
+    closed connection or lost weights count as a crash.
+    """
+
+    ALIVE = "alive"
+    SILENT = "silent"
+    CRASHED = "crashed"
 
 
 @dataclasses.dataclass(frozen=True)
-class Drained:
-    """The drain is complete: no work is in progress; the process may exit."""
+class ProbeEngine:
+    """Probe the engine and report with :meth:`Executions.engine_probed`."""
 
 
 class Execution:
@@ -182,7 +198,7 @@
 
     @_machine.input()
     def survive(self, now_s):
-        """The probe found that the engine has not crashed."""
+        """The probe did not find that the engine has crashed."""
 
     @_machine.input()
     def fail(self, verdict, reason, crashed, now_s):
@@ -232,9 +248,9 @@
         return bool(expected) and reported is not None and reported != expected
 
     def _abort(self, reason, now_s):
-        cancel = (CancelEngine(self.work.attempt),)
+        cancel = CancelEngine(self.work.attempt)
         may_have_run = verdicts.Verdict.MAY_HAVE_RUN
-        return cancel + self.fail(may_have_run, reason, False, now_s)
+        return (*self.fail(may_have_run, reason, False, now_s), cancel)
 
     def _forward(self, data, now_s):
         if self._is_error_response():
@@ -346,6 +362,15 @@
         self._set_ended()
         return (CancelEngine(self.work.attempt),)
 
+    def break_off(self):
+        """End the attempt after an unexpected error, whatever its state.
+
+        :returns: tuple of actions.
+        """
+        self._set_ended()
+        failed = _may_have_run_reply(self.entry, self.work, INTERNAL_ERROR)
+        return (failed, CancelEngine(self.work.attempt))
+
     _join = attempts.concatenate_actions
     _calling.upon(headers, _answering, [_check_headers], _join)
     _calling.upon(refuse, _ended, [_send_refusal], _join)
@@ -374,23 +399,24 @@
     """All attempts in progress at an agent.
 
     Every event method returns a tuple of :class:`Reply`, :class:`CallEngine`,
-    :class:`CancelEngine`, :class:`ProbeEngine` and :class:`Drained`. The caller carries
-    them out and calls :meth:`tick` at the time that :meth:`next_tick_s` returns.
+    :class:`CancelEngine` and :class:`ProbeEngine`. The caller carries them out and
+    calls :meth:`tick` at the time that :meth:`next_tick_s` returns.
 
     :param check: callable that takes the ``Work`` and ``now_s`` and returns a
         :class:`GrantDecision`, which tells whether this agent may run the work.
+    :param stop: :class:`cicadaplank.members.draining.Draining` of this process; None
+        for one with default limits.
     :ivar dropped_responses: number of engine events without an attempt in progress.
     :ivar refused: number of work messages that were refused.
     """
 
-    def __init__(self, check):
+    def __init__(self, check, stop=None):
         self._check = check
+        self._stop = stop or draining.Draining()
         self._executions = {}
         self._claim_generations = collections.OrderedDict()
         self._seen_attempts = collections.OrderedDict()
         self._probe_deadline_s = None
-        self._draining = False
-        self._drain_deadline_s = None
         self.dropped_responses = 0
         self.refused = 0
 
@@ -423,10 +449,20 @@
             return (
                 _may_have_run_reply(entry, work, "the claim was dispatched before"),
             )
-        grant = self._check(work, now_s)
+        try:
+            grant = self._check(work, now_s)
+        except Exception as error:
+            refused = self._refuse(entry, work, INTERNAL_ERROR, 0.0)
+            return (process_actions.ReportError(error), *refused)
+        (offered,) = self._stop.offered(work.attempt, now_s)
+        if isinstance(offered, draining.Refuse):
+            reason = REFUSALS[offered.reason]
+            return self._refuse(entry, work, reason, offered.retry_after_s)
         refusal = self._refusal(work, grant)
         if refusal is not None:
+            self._stop.finished(work.attempt)
             return self._refuse(entry, work, *refusal)
+        self._stop.started(work.attempt)
         deadline_s = now_s + work.deadline_s
         if work.once_key:
             self._claim_generations[_claim_key(work)] = (work.generation, work.attempt)
@@ -456,8 +492,6 @@
 
     def _refusal(self, work, grant):
         """Return the reason and ``retry_after_s`` of a refusal, None to accept."""
-        if self._draining:
-            return "the endpoint is stopping", 0.0
         if work.deadline_s < retries.MIN_ATTEMPT_S:
             return "the deadline has passed", 0.0
         if not grant.allowed:
@@ -527,7 +561,7 @@
         if reason is not None:
             arguments = (verdicts.Verdict.MAY_HAVE_RUN, reason, False)
             failed = self._handle_event(attempt, "fail", arguments, now_s)
-            return (*actions, CancelEngine(attempt), *failed)
+            return (*actions, *failed, CancelEngine(attempt))
         return actions + self._handle_event(attempt, "data", (token + b"\n",), now_s)
 
     def engine_end(self, attempt, now_s, total=None, manifest_digest=None):
@@ -608,15 +642,17 @@
         self._probe_deadline_s = now_s + PROBE_LIMIT_S
         return actions
 
-    def engine_probed(self, alive, now_s):
+    def engine_probed(self, result, now_s):
         """Handle the result of a probe.
 
-        :param alive: False when the engine does not respond or has restarted.
+        Unless the engine crashed, only the attempts whose connection broke fail.
+
+        :param result: :class:`ProbeResult`.
         :param now_s: current time in seconds.
         :returns: tuple of actions.
         """
         self._probe_deadline_s = None
-        if not alive:
+        if result is ProbeResult.CRASHED:
             return self.engine_crashed(now_s)
         actions = ()
         for attempt in list(self._executions):
@@ -665,43 +701,39 @@
                 actions += self._handle_event(attempt, "stop", (), now_s)
         return actions
 
-    def drain(self, limit_s, now_s):
-        """Refuse new work and let the work in progress finish.
+    def abort(self, action, now_s):
+        """End work that exceeds the drain limit of a planned stop.
 
-        :param limit_s: seconds after which remaining work fails with its verdict.
+        :param action: :class:`cicadaplank.members.draining.Abort`.
         :param now_s: current time in seconds.
         :returns: tuple of actions.
         """
-        self._draining = True
-        self._drain_deadline_s = now_s + limit_s
-        return () if self._executions else (Drained(),)
+        if action.work not in self._executions:
+            return ()
+        return self._end_now(action.work, action.verdict, "the endpoint stopped", now_s)
 
     def tick(self, now_s):
-        """End work whose deadline, drain limit or probe time limit has passed.
+        """End work whose deadline or probe time limit has passed.
 
         :param now_s: current time in seconds.
         :returns: tuple of actions.
         """
         actions = ()
         if self._probe_deadline_s is not None and now_s >= self._probe_deadline_s:
-            actions += self.engine_crashed(now_s)
-        draining = (
-            self._drain_deadline_s is not None and now_s >= self._drain_deadline_s
-        )
+            actions += self.engine_probed(ProbeResult.SILENT, now_s)
+        verdict, reason = verdicts.Verdict.MAY_HAVE_RUN, "the deadline has passed"
         for attempt, execution in list(self._executions.items()):
-            late = now_s >= execution.deadline_s
-            if late or draining:
-                reason = "the deadline has passed" if late else "the endpoint stopped"
-                arguments = (verdicts.Verdict.MAY_HAVE_RUN, reason, False)
-                actions += (CancelEngine(attempt),)
-                actions += self._handle_event(attempt, "fail", arguments, now_s)
+            if now_s >= execution.deadline_s:
+                actions += self._end_now(attempt, verdict, reason, now_s)
         return actions
 
+    def _end_now(self, attempt, verdict, reason, now_s):
+        failed = self._handle_event(attempt, "fail", (verdict, reason, False), now_s)
+        return (*failed, CancelEngine(attempt))
+
     def next_tick_s(self):
         """Return the time at which :meth:`tick` is due, or None."""
         times = [execution.deadline_s for execution in self._executions.values()]
-        if self._drain_deadline_s is not None and times:
-            times.append(self._drain_deadline_s)
         if self._probe_deadline_s is not None:
             times.append(self._probe_deadline_s)
         return min(times, default=None)
@@ -711,11 +743,13 @@
         if execution is None:
             self.dropped_responses += 1
             return ()
-        actions = getattr(execution, event)(*arguments, now_s)
+        try:
+            actions = getattr(execution, event)(*arguments, now_s)
+        except Exception as error:
+            actions = (process_actions.ReportError(error), *execution.break_off())
         if execution.is_ended:
             del self._executions[attempt]
-            if self._draining and not self._executions:
-                actions += (Drained(),)
+            self._stop.finished(attempt)
         return actions
 
 
--- a/cicadaplank/daemons/base.py
+++ b/cicadaplank/daemons/base.py
@@ -5,6 +5,7 @@
 readiness, status and metrics.
 """
 
+import contextlib
 import dataclasses
 import json
 import random
@@ -14,6 +15,7 @@
 import klein
 from twisted import logger
 from twisted.internet import defer, task
+from twisted.python import failure
 
 from cicadaplank.daemons import http_requests, table_requests
 from cicadaplank.external import errors, http, instances, tables
@@ -24,8 +26,10 @@
 from cicadaplank.table import distribution, records
 
 TICK_S = 0.1
-# Time for closing connections to flush their last answers at a planned stop.
+# Time for connections to peers to flush their last messages at a planned stop, and the
+# limit for callers to read their last answers.
 CLOSE_FLUSH_S = 0.5
+MAX_CLOSE_FLUSH_S = 5.0
 # A list of instances that lacks this instance or a connected peer is out of date. It is
 # read again after one to two times this delay instead of at the next regular read.
 LIST_REREAD_DELAY_S = 0.5
@@ -60,11 +64,12 @@
         )
         self.app = klein.Klein()
         self.distribution = distribution.Distribution(settings.name, self.rng)
-        self.draining = draining.Draining(settings.drain_limit_s)
+        self.draining = draining.Draining(draining.StopLimits(settings.drain_limit_s))
         self.membership = None
         self.instance = None
         self.peers = {}
         self._list_read_timer = None
+        self._site = http_requests.BoundedSite(self.app.resource())
         self.view = membership.MembershipView((), (), ())
         self.alerts = {}
         self.table_calls = {"reads": 0, "writes": 0}
@@ -87,6 +92,9 @@
         self.handlers = {
             actions.Send: lambda action: self.send(action.peer, action.message),
             actions.Alert: lambda action: self.alert(action.kind, action.detail),
+            actions.ReportError: lambda action: self.report_failure(
+                failure.Failure(action.error)
+            ),
             membership.MembersChanged: self._members_changed,
             membership.ReadInstances: self._read_instances,
             membership.RejectPeer: self._reject_peer,
@@ -107,7 +115,7 @@
     def is_ready(self):
         """Whether the process may take new work."""
         ready = self.distribution.ready(self.now_s)
-        return ready and self.draining.state == "serving"
+        return ready and not self.draining.is_stopping
 
     def client(self, url, timeout_s=http.TIMEOUT_S):
         """Return an HTTP client that identifies itself with this instance's name."""
@@ -115,6 +123,11 @@
 
     # Hook methods, overridden by the subclasses.
 
+    @property
+    def unfinished(self):
+        """Number of answers for which a planned stop waits, besides the work."""
+        return 0
+
     def peer_message_received(self, connection, message):
         """Handle any message from a peer, after the base class did."""
 
@@ -133,12 +146,12 @@
     def tick(self):
         """Do periodic work; called every ``TICK_S``."""
 
-    def leaving(self):
-        """Handle the start of a planned stop."""
-
     def closing(self):
         """Handle the end of a planned stop, just before connections are closed."""
 
+    def action_failed(self, action):
+        """Handle an action whose handler raised an exception."""
+
     def status(self):
         """Return the content of ``/status`` as a dict of JSON values."""
         return {
@@ -168,9 +181,8 @@
     async def _start(self):
         listen = self.settings.listen
         peer_port = await self.hub.listen(listen.host, listen.peer_port)
-        site = http_requests.BoundedSite(self.app.resource())
         http_port = self.reactor.listenTCP(
-            listen.http_port, site, interface=listen.host
+            listen.http_port, self._site, interface=listen.host
         )
         self.instance = dataclasses.replace(self.settings.instance(), port=peer_port)
         self.membership = membership.Membership(
@@ -213,34 +225,71 @@
     def _exit(self, action):
         self.closing()
         self.events.log("stopped")
-        self.reactor.callLater(CLOSE_FLUSH_S, self.reactor.stop)
         self.hub.close()
+        self._site.close()
+        self.reactor.callLater(CLOSE_FLUSH_S, self._end, self.now_s + MAX_CLOSE_FLUSH_S)
+
+    def _end(self, latest_s):
+        """End the process when the callers have read their answers.
+
+        :param latest_s: time in seconds at which it ends in any case.
+        """
+        if self._site.open_count and self.now_s < latest_s:
+            self.reactor.callLater(TICK_S, self._end, latest_s)
+        else:
+            self.reactor.stop()
 
     def _announce_leaving(self, action):
         if self.membership.state != "leaving":
             self.carry_out(self.membership.leave(self.now_s))
-        self.leaving()
 
     def _tick(self):
+        for step in (
+            self._tick_membership,
+            lambda: self.carry_out(self.distribution.tick(self.now_s)),
+            lambda: self.carry_out(self.draining.tick(self.now_s, self.unfinished)),
+            self.tick,
+        ):
+            self.guarded(step)
+
+    def _tick_membership(self):
         now_s = self.now_s
         if self.membership.state == "starting" and self.distribution.ready(now_s):
             self.carry_out(self.membership.ready(now_s))
             self.events.log("ready", table_version=self.distribution.version)
         self.membership.poll_age_s = self.distribution.poll_age_s(now_s)
         self.carry_out(self.membership.tick(now_s))
-        self.carry_out(self.distribution.tick(now_s))
-        self.carry_out(self.draining.tick(now_s))
-        self.tick()
 
     # Actions and messages.
 
     def carry_out(self, wanted):
         """Carry out actions in order, each with its handler in :attr:`handlers`.
 
+        An action whose handler fails does not keep the later ones from being carried
+        out, as these may belong to other requests.
+
         :param wanted: iterable of actions that a state machine returned.
         """
         for action in wanted:
-            self.handlers[type(action)](action)
+            if not self.guarded(self._handle, action):
+                self.guarded(self.action_failed, action)
+
+    def _handle(self, action):
+        self.handlers[type(action)](action)
+
+    def guarded(self, function, *arguments):
+        """Call a function; an error is reported and costs this call only.
+
+        :param function: callable.
+        :param arguments: its arguments.
+        :returns: False after an error.
+        """
+        try:
+            function(*arguments)
+        except Exception:
+            self.report_failure(failure.Failure())
+            return False
+        return True
 
     def send(self, peer, message):
         """Send a message to a peer, after dialling it when there is no connection.
@@ -262,11 +311,17 @@
 
     def message_received(self, connection, envelope):
         """Handle a peer's message; see :class:`cicadaplank.links.streams.Listener`."""
-        peer, message, now_s = connection.peer, envelope.message, self.now_s
+        peer, message = connection.peer, envelope.message
         if isinstance(message, types.Hello):
             self.peer_connected(connection)
             if peer not in self.peers and message.role in ("entry", "agent"):
                 self._schedule_list_read()
+        self.guarded(self._process_message, connection, envelope)
+        self.peer_message_received(connection, message)
+
+    def _process_message(self, connection, envelope):
+        """Pass a message to the tasks that entry processes and agents share."""
+        peer, message, now_s = connection.peer, envelope.message, self.now_s
         self.membership.poll_age_s = self.distribution.poll_age_s(now_s)
         self.carry_out(self.membership.heard(peer, now_s))
         self.carry_out(
@@ -280,7 +335,6 @@
         elif isinstance(message, types.MetricsRequest):
             self.update_metrics()
             connection.send(types.MetricsReply(self.metrics.render()[0].decode()))
-        self.peer_message_received(connection, message)
 
     def connection_lost(self, connection):
         """Handle the end of a connection; see ``streams.Listener``."""
@@ -296,15 +350,20 @@
         self.metrics.count("alerts", kind=kind)
         self.events.log("alert", "error", kind=kind, detail=detail)
 
-    def report_failure(self, failure):
+    def report_failure(self, reason):
         """Log and count an unexpected error, and print its traceback to stderr.
 
-        :param failure: :class:`twisted.python.failure.Failure`.
+        Does not fail, also when the error came from the log or the metrics.
+
+        :param reason: :class:`twisted.python.failure.Failure`.
         """
-        self.metrics.count("internal_errors")
-        text = failure.getErrorMessage()
-        self.events.log("internal_error", "error", error=text)
-        failure.printTraceback(sys.stderr)
+        text = reason.getErrorMessage()
+        with contextlib.suppress(Exception):
+            self.metrics.count("internal_errors")
+        with contextlib.suppress(Exception):
+            self.events.log("internal_error", "error", error=text)
+        with contextlib.suppress(Exception):
+            reason.printTraceback(sys.stderr)
 
     def _members_changed(self, change):
         self.view = change.view
@@ -423,6 +482,8 @@
         gauge("ready", int(self.is_ready))
         gauge("peers", len(self.hub.peers))
         gauge("in_progress", self.draining.in_progress)
+        for kind, count in self.draining.counts.items():
+            gauge("stop_decisions", count, kind=kind)
         for name, value in self.hub.counters.items():
             gauge("stream_counter", value, counter=name)
         for name, value in self.table_calls.items():
--- a/cicadaplank/entry/frontend.py
+++ b/cicadaplank/entry/frontend.py
@@ -199,6 +199,16 @@
     return answers.Answer(identifier, status, not_run, body, retry_after_s, code)
 
 
+def close_after_response(request):
+    """Let the connection of a request end with its response.
+
+    :param request: Twisted request.
+    """
+    request.setHeader("Connection", "close")
+    if request.channel is not None:
+        request.channel.persistent = False
+
+
 def write_answer(request, answer):
     """Write a complete response and end it.
 
@@ -217,6 +227,21 @@
     request.finish()
 
 
+def break_off(request, answer, is_stream):
+    """End a response after an error, visibly incomplete if it has begun.
+
+    :param request: Twisted request.
+    :param answer: :class:`cicadaplank.requests.answers.Answer` with the error.
+    :param is_stream: whether the response is a stream, which ends with an error event.
+    """
+    if not request.startedWriting:
+        write_answer(request, answer)
+    elif is_stream:
+        write_stream_error(request, answer.body)
+    else:
+        request.transport.abortConnection()
+
+
 def write_stream_part(request, data, started):
     """Write tokens as server-sent events.
 
--- a/cicadaplank/entry/serving.py
+++ b/cicadaplank/entry/serving.py
@@ -4,13 +4,16 @@
 """
 
 import collections
+import dataclasses
 
 from cicadaplank.entry import claimcalls, frontend
 from cicadaplank.links import sockets
+from cicadaplank.members import draining
 from cicadaplank.messages import types
 from cicadaplank.reports import objectives
 from cicadaplank.requests import (
     admission,
+    answer_times,
     answers,
     claims,
     crash_tracking,
@@ -25,11 +28,17 @@
 # must equal the texts that :mod:`cicadaplank.agent.executions` sends.
 BUSY_REASON = "the endpoint is full"
 LEAVING_REASON = "the endpoint is stopping"
+INTERNAL_ERROR = answers.ERROR_KINDS["internal_error"]
 RETRY_LATER_ADVICE = "Send the request again after the time in Retry-After."
 GRANT_ADVICE = "Ask the operator for a grant in the table."
 # Limits the waiting requests of one row that are dispatched in one call, so that the
 # event loop is not blocked.
 MAX_STARTS_PER_TURN = 64
+# Error codes and messages of refusals by the planned stop.
+REFUSALS = {
+    "leaving": ("stopping", "This entry instance is stopping."),
+    "busy": ("overload", "Too many requests are in progress."),
+}
 
 
 class OpenRequest:
@@ -82,6 +91,10 @@
         self._open_requests = {}
         self._queued_requests = {}
         self._prefixes = {}
+        self._longest_answers = collections.defaultdict(answer_times.LongestAnswer)
+        # Connection on which the work of each attempt was written. An agent may have
+        # several, and answers and takes a cancellation on that one.
+        self._connections = {}
         self._sequence = 0
         self._process = process
         self._timer = None
@@ -127,13 +140,16 @@
         open_request = OpenRequest(request, call, now_s)
         self._open_requests[identifier] = open_request
         request.notifyFinish().addErrback(self._caller_disconnected, identifier)
+        if not self._daemon.guarded(self._admit, identifier, call, now_s):
+            self._abandon(identifier)
+
+    def _admit(self, identifier, call, now_s):
         rejection = self._rejection(identifier, call, now_s)
         if rejection is not None:
             self._answer(rejection)
             return
         wanted = self._exchange_request(identifier, call, now_s)
         self._prefixes[identifier] = call.prefix
-        self._daemon.draining.offered(identifier, now_s)
         if self._is_suspect(wanted, now_s):
             # The dispatcher rejects it at once; a full queue must not delay that.
             self._start(wanted, now_s)
@@ -148,12 +164,13 @@
     def _rejection(self, identifier, call, now_s):
         """Return the answer that rejects a request, or None when it is accepted."""
         daemon = self._daemon
-        if not daemon.is_ready:
-            code = "stopping" if daemon.draining.state != "serving" else "not_ready"
-            message = f"This entry instance is {code.replace('_', ' ')}."
-            return frontend.error_answer(
-                identifier, code, 503, message, RETRY_LATER_ADVICE, 1.0
-            )
+        (offered,) = daemon.draining.offered(identifier, now_s)
+        if isinstance(offered, draining.Refuse):
+            code, message = REFUSALS[offered.reason]
+            return _unavailable(identifier, code, message)
+        if not daemon.distribution.ready(now_s):
+            message = "This entry instance is not ready."
+            return _unavailable(identifier, "not_ready", message)
         if daemon.configuration.table.row(call.row) is None:
             message = f"The table has no row {call.row!r}."
             return frontend.error_answer(
@@ -210,7 +227,8 @@
             return
         now_s = self._daemon.now_s
         self.counts["callers_gone"] += 1
-        self._observe(open_request, verdicts.Verdict.MAY_HAVE_RUN, "cancelled")
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
+        self._daemon.guarded(self._observe, open_request, verdict, "cancelled")
         self._queued_requests.pop(identifier, None)
         self._daemon.carry_out(self.admission.withdrawn(identifier, now_s))
         self._daemon.carry_out(self.dispatcher.caller_gone(identifier, now_s))
@@ -218,8 +236,7 @@
 
     def _request_ended(self, identifier):
         self._prefixes.pop(identifier, None)
-        finished = self._daemon.draining.finished(identifier, self._daemon.now_s)
-        self._daemon.carry_out(finished)
+        self._daemon.draining.finished(identifier)
 
     # Admission.
 
@@ -258,7 +275,7 @@
         """Dispatch the waiting requests of every row that an endpoint can take."""
         # Rows that the table no longer has are included: their requests are rejected.
         for row in self.admission.rows_with_requests():
-            self._start_waiting(row)
+            self._daemon.guarded(self._start_waiting, row)
 
     def _shed(self, action):
         self._queued_requests.pop(action.request, None)
@@ -306,6 +323,7 @@
             return
         dialled = self._daemon.hub.dial(instance)
         dialled.addCallback(self._write_work, action.work)
+        dialled.addErrback(self._work_failed, attempt)
         dialled.addErrback(self._daemon.report_failure)
 
     def _write_work(self, connection, work):
@@ -319,19 +337,34 @@
         elif not connection.has_room:
             self._undelivered(work.attempt, "the connection's send queue is full")
         else:
+            self._refuse_late()
             work = self.dispatcher.begin_write(work, self._daemon.now_s)
             if work is not None:
+                self._connections[work.attempt] = connection
                 connection.send(work)
 
+    def _work_failed(self, failure, attempt):
+        self._daemon.report_failure(failure)
+        self._attempt_lost(attempt)
+
+    def _attempt_lost(self, attempt):
+        now_s = self._daemon.now_s
+        lost = self.dispatcher.attempt_lost(attempt, exchange.INTERNAL_ERROR, now_s)
+        self._daemon.carry_out(lost)
+        self._schedule()
+
     def _undelivered(self, attempt, reason):
         now_s = self._daemon.now_s
         self._daemon.carry_out(self.dispatcher.undelivered(attempt, reason, now_s))
         self._schedule()
 
     def _send_cancel(self, action):
-        self._daemon.hub.send(action.endpoint, action.cancel)
+        connection = self._connections.get(action.cancel.attempt)
+        if connection is not None:
+            connection.send(action.cancel)
 
     def _attempt_ended(self, action):
+        self._connections.pop(action.attempt, None)
         now_s = self._daemon.now_s
         pause_s = action.retry_after_s or routing.RETRY_AFTER_FULL_S
         ended = self.router.finished(
@@ -364,10 +397,15 @@
         if open_request is None:
             return
         now_s = self._daemon.now_s
+        if not open_request.tokens:
+            self._close_if_stopping(open_request)
         frontend.write_stream_part(
             open_request.request, action.data, open_request.tokens > 0
         )
-        tokens = action.data.count(b"\n")
+        self._daemon.guarded(self._part_written, open_request, action.data, now_s)
+
+    def _part_written(self, open_request, data, now_s):
+        tokens = data.count(b"\n")
         if open_request.first_token_s is None:
             open_request.first_token_s = now_s
             elapsed_s = now_s - open_request.started_s
@@ -379,30 +417,90 @@
         self.limits.tokens_generated(call.row, call.client, tokens, now_s)
 
     def _stream_end(self, action):
-        open_request = self._close_request(action.request)
-        if open_request is None:
-            return
-        if not open_request.tokens:
-            frontend.write_stream_part(open_request.request, b"", False)
-        frontend.write_stream_end(open_request.request, action.total)
-        self._observe(open_request, verdicts.Verdict.RAN, "answered")
+        def write(open_request):
+            if not open_request.tokens:
+                frontend.write_stream_part(open_request.request, b"", False)
+            self._record_answer(open_request)
+            self._close_if_stopping(open_request)
+            frontend.write_stream_end(open_request.request, action.total)
+
+        self._end_request(action.request, write, verdicts.Verdict.RAN, "answered")
 
     def _stream_error(self, action):
-        open_request = self._close_request(action.request)
-        if open_request is not None:
+        def write(open_request):
+            self._close_if_stopping(open_request)
             frontend.write_stream_error(open_request.request, action.body)
-            self._observe(open_request, verdicts.Verdict.MAY_HAVE_RUN, "broken_stream")
+
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
+        self._end_request(action.request, write, verdict, "broken_stream")
 
     def _answer(self, answer):
-        open_request = self._close_request(answer.request)
-        if open_request is not None:
+        def write(open_request):
+            if not answer.code:
+                self._record_answer(open_request)
+            self._close_if_stopping(open_request)
             frontend.write_answer(open_request.request, answer)
-            self._observe(open_request, answer.verdict, answer.code or "answered")
 
-    def _close_request(self, identifier):
+        outcome = answer.code or "answered"
+        self._end_request(answer.request, write, answer.verdict, outcome)
+
+    def _record_answer(self, open_request):
+        if open_request.started_s is not None:
+            now_s = self._daemon.now_s
+            longest = self._longest_answers[open_request.call.row]
+            longest.record(now_s - open_request.started_s, now_s)
+
+    def _close_if_stopping(self, open_request):
+        """Let the connection of a response end with it during a planned stop."""
+        if self._daemon.draining.is_stopping:
+            frontend.close_after_response(open_request.request)
+
+    def _end_request(self, identifier, write, verdict, outcome):
+        """End a request by its final answer.
+
+        :param identifier: identifier of the request.
+        :param write: called with the :class:`OpenRequest`, to write the answer.
+        :param verdict: :class:`cicadaplank.requests.verdicts.Verdict`, for metrics.
+        :param outcome: outcome for metrics.
+        """
         open_request = self._open_requests.pop(identifier, None)
+        if open_request is not None:
+            if not self._daemon.guarded(write, open_request):
+                self._break_off(open_request, identifier)
+            self._daemon.guarded(self._observe, open_request, verdict, outcome)
         self._request_ended(identifier)
-        return open_request
+
+    def _break_off(self, open_request, identifier):
+        """End a response after an error of its handler."""
+        answer = frontend.error_answer(
+            identifier,
+            INTERNAL_ERROR.code,
+            INTERNAL_ERROR.status,
+            INTERNAL_ERROR.message,
+            INTERNAL_ERROR.advice,
+        )
+        answer = dataclasses.replace(answer, verdict=verdicts.Verdict.MAY_HAVE_RUN)
+        request, is_stream = open_request.request, open_request.call.stream
+        if not self._daemon.guarded(frontend.break_off, request, answer, is_stream):
+            self._daemon.guarded(request.transport.abortConnection)
+
+    def action_failed(self, action):
+        """End the request or attempt of an action that could not be carried out.
+
+        :param action: action that a decision object returned.
+        """
+        if isinstance(action, exchange.SendWork):
+            self._attempt_lost(action.work.attempt)
+        elif isinstance(action, answers.StreamPart):
+            # A stream must not go on without a part.
+            self._abandon(action.request)
+
+    def _abandon(self, identifier):
+        """End a request with an error, and its attempt."""
+        open_request = self._open_requests.get(identifier)
+        if open_request is not None:
+            self._break_off(open_request, identifier)
+            self._caller_disconnected(None, identifier)
 
     # Claims.
 
@@ -464,6 +562,13 @@
         """
         self._daemon.carry_out(self.limits.peer_connected(name, self._daemon.now_s))
 
+    def endpoint_silent(self, name):
+        """Send an endpoint no work until its next report; its attempts go on.
+
+        :param name: instance name.
+        """
+        self._daemon.carry_out(self.router.endpoint_lost(name, self._daemon.now_s))
+
     def endpoint_lost(self, name, reason):
         """Record that an endpoint cannot be reached and end the attempts on it.
 
@@ -471,22 +576,55 @@
         :param reason: short text, which the attempts end with.
         """
         now_s = self._daemon.now_s
-        self._daemon.carry_out(self.router.endpoint_lost(name, now_s))
+        self._daemon.guarded(self.endpoint_silent, name)
         self._daemon.carry_out(self.dispatcher.connection_lost(name, reason, now_s))
         self._schedule()
 
+    def connection_lost(self, lost):
+        """End the attempts on one of the connections to an agent; they may have run.
+
+        :param lost: :class:`cicadaplank.links.streams.PeerConnection`.
+        """
+        now_s, reason = self._daemon.now_s, "the connection was lost"
+        if self._daemon.hub.connection(lost.peer) is None:
+            self.endpoint_lost(lost.peer, reason)
+            return
+        for attempt, connection in list(self._connections.items()):
+            if connection is lost:
+                ended = self.dispatcher.attempt_lost(attempt, reason, now_s)
+                self._daemon.carry_out(ended)
+        self._schedule()
+
     def stop(self):
         """Give every request its final answer, at the time limit of a planned stop."""
         now_s = self._daemon.now_s
         for identifier in list(self._queued_requests):
-            self._daemon.carry_out(self.admission.withdrawn(identifier, now_s))
-            self._queued_requests.pop(identifier)
-            message = "This entry instance stops and the request did not start."
-            answer = frontend.error_answer(
-                identifier, "stopping", 503, message, RETRY_LATER_ADVICE, 1.0
-            )
-            self._answer(answer)
+            self._refuse_queued(identifier, now_s)
         self._daemon.carry_out(self.dispatcher.stop(now_s))
+        self._schedule()
+
+    def _refuse_queued(self, identifier, now_s):
+        self._daemon.carry_out(self.admission.withdrawn(identifier, now_s))
+        self._queued_requests.pop(identifier)
+        message = "This entry instance stops and the request did not start."
+        self._answer(_unavailable(identifier, "stopping", message))
+
+    def _refuse_late(self):
+        """Refuse requests that have not run and cannot end by the drain limit."""
+        if not self._daemon.draining.is_stopping:
+            return
+        now_s = self._daemon.now_s
+        for identifier, wanted in list(self._queued_requests.items()):
+            if not self._can_end(wanted, now_s):
+                self._refuse_queued(identifier, now_s)
+        stopped = self.dispatcher.stop_unsent(self._can_end, now_s)
+        self._daemon.carry_out(stopped)
+        self._schedule()
+
+    def _can_end(self, wanted, now_s):
+        longest = self._longest_answers[wanted.row]
+        needed_s = longest.needed_s(wanted.deadline_s - now_s, now_s)
+        return self._daemon.draining.can_end(now_s, needed_s)
 
     # Time.
 
@@ -496,10 +634,14 @@
         ``TICK_S`` is that of :mod:`cicadaplank.daemons.base`.
         """
         now_s = self._daemon.now_s
-        self._daemon.carry_out(self.limits.tick(now_s))
-        self._daemon.carry_out(self.admission.tick(now_s))
-        self.start_waiting_of_all_rows()
-        self._dispatcher_tick()
+        for step in (
+            lambda: self._daemon.carry_out(self.limits.tick(now_s)),
+            lambda: self._daemon.carry_out(self.admission.tick(now_s)),
+            self._refuse_late,
+            self.start_waiting_of_all_rows,
+            self._dispatcher_tick,
+        ):
+            self._daemon.guarded(step)
 
     def _dispatcher_tick(self):
         self._daemon.carry_out(self.dispatcher.tick(self._daemon.now_s))
@@ -524,6 +666,13 @@
 )
 
 
+def _unavailable(identifier, code, message):
+    """Return the answer to a request that was not run, and may be sent again soon."""
+    return frontend.error_answer(
+        identifier, code, 503, message, RETRY_LATER_ADVICE, 1.0
+    )
+
+
 def _only_strings(values):
     """Return the digests of a report without values of another type."""
     return tuple(value for value in values if isinstance(value, str))
@@ -537,7 +686,11 @@
         return routing.Outcome.BUSY
     if action.reason == LEAVING_REASON:
         return routing.Outcome.LEAVING
-    cancel_reasons = ("the caller has gone", "the answer is too large")
+    cancel_reasons = (
+        "the caller has gone",
+        "the answer is too large",
+        exchange.INTERNAL_ERROR,
+    )
     if action.reason in cancel_reasons:
         return routing.Outcome.CANCELLED
     return routing.Outcome.FAILED
--- a/cicadaplank/gateway/attempts.py
+++ b/cicadaplank/gateway/attempts.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from cicadaplank.external import event_streams
-from cicadaplank.gateway import framing, outcomes, placement, routes
+from cicadaplank.gateway import call_errors, framing, outcomes, placement, routes
 
 # An endpoint that crashes under a part of a prompt does so as it begins to answer. A
 # stream that has gone on for this time shows that its prompt is sound.
@@ -14,6 +14,10 @@
 # does not acknowledge the sent bytes within this time. The longest queueing delay seen
 # on the network path was 0.3 s.
 ACK_TIMEOUT_S = 0.4
+# A longer call may fill the receive buffer of an endpoint that does not read. Its host
+# then acknowledges no more bytes, as if the path were cut; an endpoint that answers
+# before it has read the call does so for later calls on the connection, too.
+MAX_UNREAD_BYTES = 32 * 1024
 
 
 class Attempt:
@@ -100,13 +104,16 @@
             self._opened, self._dial_failed, may_reuse, identifier
         )
 
+    @call_errors.ends_call
     def _opened(self, connection):
         if self.is_ended:
             self._gateway.release_connection(connection)
             return
         self._dial = None
+        self._connection = connection
         self._call.attempt_opened(self, connection)
 
+    @call_errors.ends_call
     def _dial_failed(self, reason):
         if self.is_ended:
             return
@@ -135,12 +142,13 @@
         :param is_paused: whether the client reads too slowly to read from the endpoint.
         :param now_s: current time in seconds.
         """
-        self._connection = connection
         self._permit = None
         self.is_resumed = is_resumed
         self.sent_s = self.last_activity_s = now_s
         if self._call.route.retry_policy is not routes.RetryPolicy.NEVER:
-            connection.set_unacknowledged_timeout(ACK_TIMEOUT_S)
+            longest_bytes = max(len(data), connection.longest_sent_bytes)
+            is_long = longest_bytes > MAX_UNREAD_BYTES
+            connection.set_unacknowledged_timeout(None if is_long else ACK_TIMEOUT_S)
         has_body = self._call.request.head.method != b"HEAD"
         connection.send(data, self, has_body=has_body)
         if is_paused:
@@ -148,6 +156,7 @@
 
     # Answer of the endpoint.
 
+    @call_errors.ends_call
     def response_started(self, head):
         """Handle the status and headers of the answer.
 
@@ -183,6 +192,7 @@
             return head.attempt == self._call.request.head.attempt
         return self._connection.is_first_response
 
+    @call_errors.ends_call
     def response_data(self, data):
         """Handle a part of the body: buffer it, or pass its complete events on.
 
@@ -208,6 +218,7 @@
         elif not self.is_ended:
             self._gateway.buffers.set_held(self, self.splitter.rest_bytes)
 
+    @call_errors.ends_call
     def response_ended(self, end):
         """Handle the end of a complete answer.
 
@@ -217,6 +228,7 @@
         self.end()
         self._call.attempt_answered(self)
 
+    @call_errors.ends_call
     def response_failed(self, end, reason):
         """Handle the loss of the connection before the end of the answer.
 
@@ -230,6 +242,10 @@
 
     # End.
 
+    def handling_failed(self):
+        """End the call after an unexpected error, while that is being handled."""
+        self._call.handling_failed()
+
     def break_off(self, reason):
         """Give up an attempt whose answer is invalid.
 
@@ -238,6 +254,7 @@
         self.cancel()
         self._call.attempt_ended(self, outcomes.Ending.BROKEN, reason)
 
+    @call_errors.ends_call
     def drop_buffer(self, reason):
         """Give up the attempt, as the incomplete answers take too much memory.
 
@@ -252,11 +269,16 @@
     def cancel(self):
         """End the attempt; the closed connection tells the endpoint to stop."""
         connection, dial = self._connection, self._dial
-        self.end()
-        if connection is not None:
-            self._record_end(connection.cancel())
-        if dial is not None:
-            dial.disconnect()
+        response_end = None
+        try:
+            self.end()
+        finally:
+            if connection is not None:
+                response_end = connection.cancel()
+            if dial is not None:
+                dial.disconnect()
+        if response_end is not None:
+            self._record_end(response_end)
 
     def end(self):
         """Give back the endpoint's slot and detach from its connection."""
@@ -265,10 +287,10 @@
         self.is_ended = True
         permit, self._permit = self._permit, None
         self._connection = self._dial = None
-        self._gateway.buffers.release(self)
         self.state.call_ended()
         if permit is not None:
             self.state.allowance.give_back(permit)
+        self._gateway.buffers.release(self)
 
     def _record_end(self, end):
         self.response_end = end
--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -5,10 +5,14 @@
 import typing
 
 import httptools
+from twisted import logger
 from twisted.internet import error, protocol
+from twisted.python import failure
 
 from cicadaplank.gateway import framing
 
+_log = logger.Logger()
+
 # A packet reaches any endpoint within 10 ms, or about 100 ms when it queues behind
 # other traffic. An endpoint that does not accept a connection within this time is
 # unreachable or overloaded.
@@ -63,6 +67,7 @@
     :param pool: :class:`ConnectionPool` that owns it.
     :ivar is_broken: whether the connection must not be reused.
     :ivar refused: identifiers of the attempts that were refused on it.
+    :ivar longest_sent_bytes: length of the longest call that was sent on it.
     :ivar idle_since_s: reactor time at which it became idle, in seconds.
     :ivar idle_timeout_s: idle timeout of the endpoint in seconds.
     """
@@ -83,6 +88,7 @@
         self._responses = 0
         self.is_broken = False
         self.refused = set()
+        self.longest_sent_bytes = 0
         self.used = 0
         self.idle_since_s = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -119,6 +125,7 @@
         self._is_complete = False
         self._parser_keeps_open = False
         self.used += 1
+        self.longest_sent_bytes = max(self.longest_sent_bytes, len(data))
         self.transport.write(data)
 
     def set_unacknowledged_timeout(self, limit_s):
@@ -167,6 +174,11 @@
             return
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as callback_error:
+            cause = failure.Failure(callback_error.__context__ or callback_error)
+            _log.failure("an answer could not be read: internal error", cause)
+            self._fail("internal error while the answer was read")
+            return
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as parse_error:
             if not self._is_complete:
                 self._fail(f"not HTTP: {parse_error}")
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -8,14 +8,19 @@
 
 import collections
 import dataclasses
+import traceback
+
+from twisted import logger
 
 from cicadaplank.gateway import (
     admittance,
     budget,
+    call_errors,
     calls,
     connections,
     dialects,
     endpoints,
+    guarded_calls,
     named_versions,
     outcomes,
     placement,
@@ -23,10 +28,13 @@
     staleness,
     waiting,
 )
+from cicadaplank.members import draining
 from cicadaplank.messages import types
-from cicadaplank.requests import crash_causes, crash_tracking
+from cicadaplank.requests import answer_times, crash_causes, crash_tracking
 from cicadaplank.world import buffers
 
+_log = logger.Logger()
+
 TIMEOUT_CHECK_INTERVAL_S = 0.05
 # Delay of the event loop from which on requests count as having arrived before it.
 LATE_LOOP_S = 0.1
@@ -56,6 +64,10 @@
 MAX_WISH_S = 5.0
 WISHES_PER_PERMIT = 4
 
+# Reasons of calls that end because this process stops or has too many of them.
+STOPPING = "this process stops"
+REFUSALS = {"leaving": STOPPING, "busy": "too many calls are in progress"}
+
 
 @dataclasses.dataclass(frozen=True)
 class Bounds:
@@ -84,11 +96,16 @@
     :param bounds: :class:`Bounds`.
     :param random: ``random.Random``.
     :param reporter: :class:`cicadaplank.gateway.reporting.Reporter`.
+    :param stop: :class:`cicadaplank.members.draining.Draining` of this process; None
+        for one that takes work and has default limits.
     """
 
-    def __init__(self, reactor, dialect, data_centre, bounds, random, reporter):
+    def __init__(
+        self, reactor, dialect, data_centre, bounds, random, reporter, stop=None
+    ):
         self.dialect = dialect
         self.data_centre = data_centre
+        self.draining = stop or draining.Draining(draining.StopLimits(takes_work=True))
         self.endpoints = endpoints.Endpoints(random)
         self.buffers = buffers.BufferBudget(MAX_BUFFERED_BYTES)
         self.suspects = crash_tracking.CrashTracker(CRASH_LIMIT, SUSPICION_S)
@@ -111,11 +128,13 @@
         self._bounds = bounds
         self._random = random
         self._reporter = reporter
-        self._calls = set()
+        # In order of arrival.
+        self._calls = {}
         self._pools = {}
         self._queues = collections.defaultdict(waiting.CallQueue)
         self._budgets = {}
         self.answer_times = collections.defaultdict(waiting.AnswerTimeAverage)
+        self._longest_answers = collections.defaultdict(answer_times.LongestAnswer)
         # Time of the last check of time-outs, and by how much it was late, in seconds.
         self._checked_s = None
         self._late_s = 0.0
@@ -153,6 +172,31 @@
         """Add one to a counter."""
         self._reporter.count(name, **labels)
 
+    # Unexpected errors.
+
+    def record_error(self, request=""):
+        """Count and log the exception that is being handled.
+
+        :param request: client's identifier of the attempt that met it, empty when it
+            concerns no single one.
+        """
+        detail = traceback.format_exc().strip().replace("\n", " | ")
+        detail = detail[-guarded_calls.MAX_DETAIL_CHARS :]
+        try:
+            self._reporter.count("unexpected_errors")
+            self._reporter.event(
+                "unexpected_error", "error", request=request, detail=detail
+            )
+        except Exception:
+            _log.failure("an unexpected error could not be reported: {d}", d=detail)
+
+    def run(self, function, *args):
+        """Call a function whose errors concern no single call; they are recorded."""
+        try:
+            function(*args)
+        except Exception:
+            self.record_error()
+
     # State of the deployment.
 
     def set_configuration(self, configuration):
@@ -202,6 +246,8 @@
             metrics.set_gauge(
                 "repeats_rejected", retry_budget.rejected, service=service
             )
+        for kind, count in self.draining.counts.items():
+            metrics.set_gauge("stop_decisions", count, kind=kind)
         metrics.set_gauge("answers_buffered_bytes", self.buffers.total_bytes)
         metrics.set_gauge("answers_dropped_for_memory", self.buffers.dropped)
         ejected = sum(1 for s in self.endpoints.all() if now_s < s.ejected_until_s)
@@ -231,17 +277,20 @@
         now_s = self.now_s()
         changes = self.endpoints.update(listed, now_s, keep_missing, self.unix_s())
         for state in changes.removed:
-            name = state.endpoint.name
-            self._reporter.event("endpoint_gone", endpoint=name)
-            self._broken_attempts.pop(state, None)
-            self._wished_until_s.pop(name, None)
-            pool = self._pools.pop(state.endpoint.identity, None)
-            if pool is not None:
-                pool.close()
+            self.run(self._remove_endpoint, state)
         for state in changes.leaving:
-            self._report_leaving(state, now_s, "")
+            self.run(self._report_leaving, state, now_s, "")
         for service in list(self._queues):
-            self.dispatch(service)
+            self.run(self.dispatch, service)
+
+    def _remove_endpoint(self, state):
+        name = state.endpoint.name
+        self._broken_attempts.pop(state, None)
+        self._wished_until_s.pop(name, None)
+        pool = self._pools.pop(state.endpoint.identity, None)
+        if pool is not None:
+            pool.close()
+        self._reporter.event("endpoint_gone", endpoint=name)
 
     def set_member_count(self, count, is_known=True):
         """Set the number of entry instances, this one included.
@@ -357,13 +406,41 @@
                 self._reject(client, request, 503, reason, blocked_s)
                 return None
         call = calls.Call(self, client, request, admitted, service, fingerprint)
-        self._calls.add(call)
+        self._calls[call] = None
+        call_errors.run(call, self._start, call)
+        return None if call.phase is calls.Phase.ENDED else call
+
+    def _start(self, call):
+        """Place a new call, or refuse it when its time is over or does not suffice."""
         now_s = self.now_s()
+        (offered,) = self.draining.offered(call, now_s, self._needed_s(call, now_s))
         if call.deadline_s - now_s < outcomes.MIN_ATTEMPT_S:
             call.refuse("deadline", now_s)
+        elif isinstance(offered, draining.Refuse):
+            call.refuse(REFUSALS[offered.reason], now_s, offered.retry_after_s)
         else:
             self.place(call, now_s)
-        return None if call.phase is calls.Phase.ENDED else call
+
+    def _needed_s(self, call, now_s):
+        """Return the time in seconds that a call may take until its whole answer."""
+        longest = self._longest_answers[call.service]
+        return longest.needed_s(call.deadline_s - now_s, now_s)
+
+    def refuse_if_late(self, call, now_s, wait_s=0.0):
+        """Refuse a call that has not run and cannot end before this process stops.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        :param now_s: current time in seconds.
+        :param wait_s: expected time in seconds until it is sent.
+        :returns: whether the call was refused.
+        """
+        is_sent = call.phase in (calls.Phase.SENT, calls.Phase.STREAMING)
+        if is_sent or not call.may_be_refused:
+            return False
+        if self.draining.can_end(now_s, wait_s + self._needed_s(call, now_s)):
+            return False
+        call.terminate(STOPPING, now_s)
+        return True
 
     def _if_current(self, denied):
         """Return the denial for a client.
@@ -440,7 +517,7 @@
         :param call: :class:`cicadaplank.gateway.calls.Call`.
         :param now_s: current time in seconds.
         """
-        if not call.admit_again(now_s):
+        if not call.admit_again(now_s) or self.refuse_if_late(call, now_s):
             return
         blocked_s = self.crash_causes.blocked_for_s(call.shared_parts, now_s)
         if blocked_s > 0:
@@ -460,12 +537,14 @@
         if self._refuse_unservable(call, queue_entry, states, now_s):
             return
         expected_s = placement.permit_wait_s(states, demand, len(queue), now_s)
-        if expected_s is None:
-            expected_s = queue.expected_wait_s(now_s)
-            reason, is_told = queue.admit(queue_entry, now_s), False
+        is_told = expected_s is not None
+        if is_told:
+            longest_s = PERMIT_WAIT_MARGIN * expected_s
         else:
-            longest_s, is_told = PERMIT_WAIT_MARGIN * expected_s, True
-            reason = queue.admit(queue_entry, now_s, longest_s)
+            longest_s = expected_s = queue.expected_wait_s(now_s)
+        if self.refuse_if_late(call, now_s, longest_s):
+            return
+        reason = queue.admit(queue_entry, now_s, longest_s)
         if reason:
             call.refuse(reason, now_s, expected_s, is_told)
             return
@@ -547,7 +626,9 @@
         states = self.endpoints.of_service(service)
         for queued_call in queue.by_urgency(now_s):
             call = queued_call.call
-            self._refuse_unservable(call, queued_call, states, now_s)
+            call_errors.run(
+                call, self._refuse_unservable, call, queued_call, states, now_s
+            )
             if call.phase is calls.Phase.ENDED:
                 queue.withdraw(call)
 
@@ -566,13 +647,27 @@
             return
         for queued_call in queue.by_urgency(now_s):
             call = queued_call.call
-            state = placement.choose(states, call.demand(), now_s, self._random)
-            if state is not None:
-                queue.dequeue(queued_call, now_s)
-                call.send(state, now_s)
-            elif not call.excluded:
+            if call.phase is not calls.Phase.WAITING:
+                continue
+            is_sent = call_errors.run(
+                call, self._send_waiting, queue, queued_call, states, now_s
+            )
+            if is_sent is False and not call.excluded:
                 break
 
+    def _send_waiting(self, queue, queued_call, states, now_s):
+        """Send a waiting call to an endpoint with a free slot.
+
+        :returns: False when there is none.
+        """
+        call = queued_call.call
+        state = placement.choose(states, call.demand(), now_s, self._random)
+        if state is None:
+            return False
+        queue.dequeue(queued_call, now_s)
+        call.send(state, now_s)
+        return True
+
     def withdraw(self, call):
         """Remove a call from the queue of its service."""
         self._queues[call.service].withdraw(call)
@@ -655,13 +750,28 @@
         :param outcome: how it ended, for log and metrics.
         :param verdict: :class:`cicadaplank.requests.verdicts.Verdict`.
         """
-        self._calls.discard(call)
-        if outcome == "answered" and call.fingerprint:
-            self.suspects.clear(call.fingerprint)
+        self._calls.pop(call, None)
+        self.draining.finished(call)
+        if outcome == "answered":
+            now_s = self.now_s()
+            sent_s = call.request.arrived_s + call.sent_after_s
+            self._longest_answers[call.service].record(now_s - sent_s, now_s)
+            if call.fingerprint:
+                self.suspects.clear(call.fingerprint)
         self._reporter.ended(call, outcome, verdict, self.configuration_version)
         if call.phase is calls.Phase.ENDED and len(self._queues[call.service]):
             self._reactor.callLater(0, self.dispatch, call.service)
 
+    def drop(self, call):
+        """Remove a call that has ended, also from the queues.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        """
+        self._calls.pop(call, None)
+        self.draining.finished(call)
+        for queue in self._queues.values():
+            queue.withdraw(call)
+
     def record_first_event(self, call, latency_s):
         """Record the latency of a stream's first event.
 
@@ -826,9 +936,13 @@
         self._reporter.state_event("prompt_parts_blocked", parts=",".join(blocked))
         now_s = self.now_s()
         for call in list(self._calls):
-            blocked_s = self.crash_causes.blocked_for_s(call.shared_parts, now_s)
-            if blocked_s > 0:
-                call.block(blocked_s, now_s)
+            call_errors.run(call, self._block, call, now_s)
+
+    def _block(self, call, now_s):
+        """End a call if its prompt is blocked."""
+        blocked_s = self.crash_causes.blocked_for_s(call.shared_parts, now_s)
+        if blocked_s > 0:
+            call.block(blocked_s, now_s)
 
     def record_withdrawal(self, call, version, bound):
         """Report an attempt that is withdrawn from an endpoint with older weights.
@@ -1111,19 +1225,29 @@
         It is called every :data:`TIMEOUT_CHECK_INTERVAL_S`.
         """
         now_s = self.now_s()
-        for action in self.crash_causes.tick(now_s):
-            self.broadcast(action.message, "")
-        self._apply_blocked_parts()
+        self.run(self._tick_crash_causes, now_s)
         if self._checked_s is not None:
             self._late_s = now_s - self._checked_s - TIMEOUT_CHECK_INTERVAL_S
         self._checked_s = now_s
         for call in list(self._calls):
-            call.check_timeouts(now_s)
-        self._update_permits(now_s)
+            call_errors.run(call, self._check_time, call, now_s)
+        self.run(self._update_permits, now_s)
         for service, queue in list(self._queues.items()):
             for queued_call in queue.pop_expired(now_s):
-                self._refuse_expired(queued_call.call, now_s)
-            self.dispatch(service)
+                call = queued_call.call
+                call_errors.run(call, self._refuse_expired, call, now_s)
+            self.run(self.dispatch, service)
+
+    def _check_time(self, call, now_s):
+        """End a call that is late for a stop, or handle its own time-outs."""
+        if self.draining.is_stopping and self.refuse_if_late(call, now_s):
+            return
+        call.check_timeouts(now_s)
+
+    def _tick_crash_causes(self, now_s):
+        for action in self.crash_causes.tick(now_s):
+            self.broadcast(action.message, "")
+        self._apply_blocked_parts()
 
     def _refuse_expired(self, call, now_s):
         """Refuse a call that has waited too long in a queue."""
@@ -1135,13 +1259,9 @@
         else:
             call.refuse("waited too long", now_s, wait_s, True)
 
-    def abort_all(self, reason):
-        """End every call and close the connection pools; the process is stopping.
+    def abort(self, call):
+        """End a call that exceeds the time limit of a planned stop.
 
-        :param reason: text for the clients and the log.
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
         """
-        now_s = self.now_s()
-        for call in list(self._calls):
-            call.terminate(reason, now_s)
-        for pool in self._pools.values():
-            pool.close()
+        call.terminate(STOPPING, self.now_s())
--- a/features/steps/gateway_silences.py
+++ b/features/steps/gateway_silences.py
@@ -82,7 +82,7 @@
         while gateway.budget(gateway_steps.SERVICE).try_retry(gateway.now_s()):
             pass
     elif change == "the process is stopped":
-        world.listener.is_stopping = True
+        gateway.draining.stop_requested(world.reactor.seconds())
         world.listener.close_idle()
     if configuration is not world.configuration:
         gateway.set_configuration(configuration)
@@ -221,3 +221,87 @@
 def step_no_retry(context):
     budget = context.world.gateway.budget(gateway_steps.SERVICE)
     assert not budget._retries, budget._retries
+
+
+@behave.when("a call waits to be sent again and its route {change}")
+def step_waits_again(context, change):
+    world = context.world
+    world.client.dataReceived(world.request(body=b"call"))
+    protocol, transport = world.accept_call()
+    transport.take()
+    first = world.sent[-1][0]
+    other = next(n for n, e in world.listed.items() if e.host != first)
+    context.full = world.gateway.endpoints.get(other)
+    context.full.call_started()
+    if policy_of(world)[1]:
+        data = gateway_steps.stream_head() + gateway_steps.chunk(EVENTS[0])
+        protocol.dataReceived(data)
+    gateway_steps.reset(protocol)
+    world.run(0.1)
+    assert world.gateway.open_calls == 1
+    fields = {
+        "no longer repeats": {"retry_policy": routes.RetryPolicy.NEVER},
+        "has another time-out": {"timeout_s": 5.0},
+    }[change]
+    world.gateway.set_configuration(changed(world, 2, **fields))
+    context.full.call_ended()
+    world.run(0.2)
+
+
+@behave.then("it is sent again")
+def step_sent_again(context):
+    _, transport = context.world.accept_call()
+    assert transport.value().endswith(b"call")
+
+
+@behave.then("it is not sent again, and its client gets {end}")
+def step_not_sent_again(context, end):
+    world, transport = context.world, context.world.client_transport
+    while world.has_dial:
+        assert not world.accept()[1].value(), "sent again"
+    if end == "a reset":
+        assert transport.aborted
+    else:
+        got = transport.value()
+        assert gateway_steps.status_of(got) == int(end), got
+    assert world.gateway.open_calls == 0
+
+
+@behave.when(
+    "a silent endpoint sends head and comment {moment} and the other one answers"
+)
+def step_comment(context, moment):
+    world = context.world
+    protocol, _ = send_call(context, "before its head")
+    comment = gateway_steps.stream_head() + gateway_steps.chunk(b": wait\n\n")
+    world.run(0.5)
+    if moment == "during the dial of the second":
+        protocol.dataReceived(comment)
+    others = []
+    while world.has_dial:
+        others.append(world.accept())
+    if moment == "once the second has the call":
+        protocol.dataReceived(comment)
+    events = gateway_steps.chunk(b"".join(EVENTS)) + LAST_CHUNK
+    other_answer = gateway_steps.stream_head() + events
+    other_answer = other_answer.replace(b"s.1", b"s.2").replace(b"token", b"other")
+    for other, transport in others:
+        if transport.value() and not transport.disconnecting:
+            other.dataReceived(other_answer)
+    if not context.transport.disconnecting:
+        protocol.dataReceived(events)
+    world.run(0.2)
+
+
+@behave.then("the head and the events of its caller's answer come from one endpoint")
+def step_one_endpoint(context):
+    got = context.world.client_transport.value()
+    expected = {(b"s.1", b"token"), (b"s.2", b"other")}
+    seen = {
+        (signature, word)
+        for signature in (b"s.1", b"s.2")
+        for word in (b"token", b"other")
+        if signature in got and word in got
+    }
+    assert len(seen) == 1 and seen <= expected, got
+    assert got.endswith(LAST_CHUNK), got
