Number the servers of the soak one at a time

Servers that were added at the same instant got the same number and name, so that one of them was never listed.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -136,6 +136,7 @@
         # The newest configuration, and the newest whose paths clients ask for.
         self._newest = self.version = 2
         self._naming = threading.Lock()
+        self._adding = threading.Lock()
         self.ledger = servers.Ledger()
         self.drained = {}
         self._busy = []
@@ -146,8 +147,8 @@
             for _ in range(ENTRIES)
         ]
         self.servers, self.links = [], []
-        for number in range(SERVERS):
-            self._add_server(number)
+        for _ in range(SERVERS):
+            self._add_server()
         port = entries.free_port()
         hosts = [f"127.0.0.{number + 2}" for number in range(ENTRIES)]
         seeds = [(host, port) for host in hosts]
@@ -159,14 +160,16 @@
             for n, (host, link) in enumerate(zip(hosts, self._store_links, strict=True))
         ]
 
-    def _add_server(self, number):
-        server = servers.Server(f"i-{number}", self.ledger)
-        server.weights = self._weights
-        server.crash = self._crash
-        link = links.Link((servers.LOOPBACK, server.server_port))
-        self.servers.append(server)
-        self.links.append(link)
-        self._list(number, "ready")
+    def _add_server(self):
+        with self._adding:
+            number = len(self.servers)
+            server = servers.Server(f"i-{number}", self.ledger)
+            server.weights = self._weights
+            server.crash = self._crash
+            link = links.Link((servers.LOOPBACK, server.server_port))
+            self.servers.append(server)
+            self.links.append(link)
+            self._list(number, "ready")
 
     def _list(self, number, state):
         row = {"service": SERVICE, "address": self.links[number].address, "zone": "a"}
@@ -390,7 +393,7 @@
 
     def _replace(self):
         with self._naming:
-            self._add_server(len(self.servers))
+            self._add_server()
 
     def _settle(self):
         """Change the configuration now and then, while nothing is disturbed."""
@@ -493,7 +496,7 @@
         name = self.servers[leaving].name
         if name in self.drained:
             return None
-        self._add_server(number)
+        self._add_server()
         self.servers[leaving].is_leaving = True
         self._await_store()
         self._list(leaving, "draining")
@@ -502,7 +505,7 @@
 
     def _leave_unlisted(self, event):
         """Let a server say in its answers that it leaves, while its record is ready."""
-        self._add_server(len(self.servers))
+        self._add_server()
         self.servers[event.target % SERVERS].is_leaving = True
 
     def _limit(self, event):
