--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -779,7 +779,7 @@
 
     @call_errors.ends_call
     def check_timeouts(self, now_s):
-        """Abandon an attempt that timed out, or end the call at its deadline.
+        """Try a second endpoint for a silent attempt, or end the call at its deadline.
 
         :param now_s: current time in seconds.
         """
