Refuse late requests in a stop unless their own time limit ends in time

The stream was taken 5.43 s after the signal and cut at the end of the grace.

Cause: what a call may take was judged by the longest recent answer of its service, also late in a stop. A process that has restarted knows few answers, and a longer one than any before was cut. Class: an answer is taken on for what is likely.

Change: when a stopping process takes no connections any more, a call is taken only if its own time limit ends before the abort. In the first 3 s, in which load balancers still send, the longest recent answer counts, as a refusal of most requests would be as wrong.

Proof: features/gateway/stop.feature, rows 'whole at 5.8 s, limit 20 s' with short work and 'streams once, whole at 5.4 s, limit 4 s' fail before.

--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -422,9 +422,15 @@
             self.place(call, now_s)
 
     def _needed_s(self, call, now_s):
-        """Return the time in seconds that a call may take until its whole answer."""
-        longest = self._longest_answers[call.service]
-        return longest.needed_s(call.deadline_s - now_s, now_s)
+        """Return the time in seconds that a call may take until its whole answer.
+
+        When a stopping process takes no connections any more, that is its time limit:
+        earlier answers, of which a process may know few, tell only what is likely.
+        """
+        limit_s = call.deadline_s - now_s
+        if not self.draining.is_accepting:
+            return limit_s
+        return self._longest_answers[call.service].needed_s(limit_s, now_s)
 
     def refuse_if_late(self, call, now_s, wait_s=0.0):
         """Refuse a call that has not run and cannot end before this process stops.
--- a/cicadaplank/members/draining.py
+++ b/cicadaplank/members/draining.py
@@ -265,6 +265,11 @@
         """Whether the planned stop has begun."""
         return self.state != "serving"
 
+    @property
+    def is_accepting(self):
+        """Whether new connections are still taken."""
+        return self._is_accepting
+
     @property
     def in_progress(self):
         """Number of pieces of work in progress."""
--- a/features/gateway/stop.feature
+++ b/features/gateway/stop.feature
@@ -23,7 +23,9 @@
       | runs once only      | 4.0     | 20      | 3.5    | known   | 503 at once |
       | runs once only      | 5.0     | 20      | 3.5    | known   | 503 at once |
       | runs once only      | 5.8     | 20      | 3.5    | known   | 503 at once |
-      | runs once only      | 5.8     | 20      | 1.0    | known   | the answer  |
+      | runs once only      | 5.8     | 20      | 1.0    | known   | 503 at once |
+      | runs once only      | 5.8     | 1.5     | 1.0    | known   | the answer  |
+      | streams once        | 5.4     | 4       | 1.0    | known   | 503 at once |
       | runs once only      | 5.0     | 2       | 1.0    | unknown | the answer  |
       | runs once only      | 5.8     | 2       | 1.9    | unknown | 503 at once |
       | runs once only      | 0.0     | 20      | 3.5    | unknown | 503 at once |
