--- a/features/request_plays.py
+++ b/features/request_plays.py
@@ -9,6 +9,7 @@
 
 from bench import inmemory
 from bench import requests as bench_requests
+from cicadaplank.members import draining
 from cicadaplank.requests import verdicts
 
 ENTRIES = 2
@@ -157,7 +158,8 @@
         agent = fleet.agents[name]
         entry = fleet.entries[change.subject % ENTRIES]
         if change.what == "agent drains":
-            agent.apply(agent.executions.drain(DRAIN_S, fleet.now_s))
+            agent.draining.set_limits(draining.StopLimits(DRAIN_S))
+            agent.draining.stop_requested(fleet.now_s)
         elif change.what == "agent leaves":
             self._toggled ^= {(change.what, name)}
         elif change.what == "agent is replaced":
