Load staged pieces only on a check that is recent

Cause: LoadScheduler kept that the staged pieces were checked, not when. The order to load them was sent after any wait for the engine's turn, after a freeze of the agent, and again when its answer was lost. Related paths, found by reading: a restart of the engine in the middle of a check, a manifest that is replaced after it, an order that waits for its connection, and an order that lies unread at an engine that stands still.

Change: a check counts from its first read. An order is sent within 1.5 s of it and within 1 s of the request for the engine's report; otherwise the pieces are read again and repaired.

The steps of features/replicas/loading.feature say when pieces were checked, as a check without a time means nothing any more; what they ask of the decisions is unchanged, and the engines of "load one after the other" are checked again before each order.

--- a/cicadaplank/platform/client.py
+++ b/cicadaplank/platform/client.py
@@ -67,6 +67,7 @@
         body=None,
         timeout_s=TIMEOUT_S,
         max_answer_bytes=MAX_SMALL_ANSWER_BYTES,
+        not_after_s=float("inf"),
     ):
         """Send a call.
 
@@ -76,6 +77,8 @@
         :param body: bytes, an object that is sent as JSON, or None.
         :param timeout_s: time-out of the whole call in seconds.
         :param max_answer_bytes: maximum size of the answer's body.
+        :param not_after_s: monotonic time in seconds after which the call is not sent,
+            as a connection may open late.
         :returns: Deferred of ``(status, bytes)``; it fails with ``Unavailable`` when
             the call was certainly not sent and with ``AnswerLost`` when no complete
             answer arrived.
@@ -92,7 +95,7 @@
         exchange = _Exchange(
             self._reactor, request, timeout_s, max_answer_bytes, self._buffers
         )
-        exchange.start(self._pool)
+        exchange.start(self._pool, not_after_s)
         return exchange.done
 
     def json(
@@ -149,6 +152,8 @@
 
     def __init__(self, reactor, request, timeout_s, max_answer_bytes, answer_buffers):
         self.done = defer.Deferred()
+        self._reactor = reactor
+        self._not_after_s = float("inf")
         self._request = request
         self._max_answer_bytes = max_answer_bytes
         self._buffers = answer_buffers
@@ -158,8 +163,9 @@
         self._body = bytearray()
         self._timer = reactor.callLater(timeout_s, self._timed_out, timeout_s)
 
-    def start(self, pool):
+    def start(self, pool, not_after_s):
         """Take a connection from the pool and send the request once it is open."""
+        self._not_after_s = not_after_s
         self._dial = pool.acquire(self._opened, self._failed)
 
     def _opened(self, connection):
@@ -167,6 +173,11 @@
         if self.done.called:
             connection.release()
             return
+        late_s = self._reactor.seconds() - self._not_after_s
+        if late_s > 0.0:
+            connection.release()
+            self._failed(f"it opened {late_s:.3f} s after the call's latest time")
+            return
         self._connection = connection
         connection.send(self._request, self)
 
--- a/cicadaplank/platform/servers.py
+++ b/cicadaplank/platform/servers.py
@@ -103,13 +103,19 @@
         :param order: :class:`cicadaplank.replicas.loading.Order`.
         :returns: True when the order has begun or is already in effect (status 200 or
             202).
+        :raises PlatformError: when the call fails; ``Unavailable`` when the order was
+            certainly not sent.
         """
         target = order.target
         body = {"op": "start", "model": target.model, "version": target.version}
         body["mode"] = ABORT_MODE if order.cuts else QUEUE_MODE
         body["expected"] = order.expected_orders
         status, _ = await self._client.call(
-            "POST", "/v1/order", body=body, timeout_s=ORDER_TIMEOUT_S
+            "POST",
+            "/v1/order",
+            body=body,
+            timeout_s=ORDER_TIMEOUT_S,
+            not_after_s=order.not_after_s,
         )
         return status in (200, 202)
 
--- a/cicadaplank/replicas/loading.py
+++ b/cicadaplank/replicas/loading.py
@@ -22,19 +22,30 @@
 MIN_SHARE_TO_FINISH = 0.35
 # Delay before staging and the order are repeated after the engine refused the order.
 REFUSED_RETRY_S = 0.25
+# A check of the staged pieces tells their state at its beginning, and a report that of
+# the engine when it was requested. Greatest ages of both at which an order is sent. A
+# piece may have been damaged for 3 s when the engine reads it; the rest is left for the
+# order's way to the engine.
+MAX_CHECK_AGE_S = 1.5
+MAX_REPORT_AGE_S = 1.0
+# Greatest age of the check when the engine is known to have accepted the order. Beyond
+# it the pieces are read again.
+MAX_ACCEPTED_CHECK_AGE_S = 2.5
 
 
 class Phase(enum.Enum):
     """Phase of an engine's update to the target version.
 
     ``COPYING``: pieces are missing. ``STAGING``: they are uploaded to the engine.
-    ``WAITING``: other engines load first. ``ORDERED``: the engine was ordered to load.
-    ``CURRENT``: it serves the target version.
+    ``WAITING``: other engines load first. ``CHECKING``: the staged pieces are checked
+    again. ``ORDERED``: the engine was ordered to load. ``CURRENT``: it serves the
+    target version.
     """
 
     COPYING = "copying"
     STAGING = "staging"
     WAITING = "waiting"
+    CHECKING = "checking"
     ORDERED = "ordered"
     CURRENT = "current"
 
@@ -89,11 +100,24 @@
     :param target: :class:`Target`.
     :param expected_orders: number of orders that the engine must have accepted so far.
     :param cuts: whether the engine aborts running calls instead of letting them end.
+    :param not_after_s: monotonic time in seconds after which the order is not sent any
+        more, as the check of the pieces is too old.
     """
 
     target: Target
     expected_orders: int
     cuts: bool = False
+    not_after_s: float = float("inf")
+
+
+@dataclasses.dataclass(frozen=True)
+class Verify:
+    """Action: read the staged pieces again after the engine may have loaded them.
+
+    :param target: :class:`Target`.
+    """
+
+    target: Target
 
 
 def should_finish_target(phase, progress):
@@ -127,6 +151,10 @@
 class LoadScheduler:
     """State machine that chooses the next action of one engine's agent.
 
+    A check of the staged pieces counts from its beginning. It holds for an order that
+    is sent within :data:`MAX_CHECK_AGE_S`, and for a load whose order was accepted
+    within :data:`MAX_ACCEPTED_CHECK_AGE_S`.
+
     :param name: name of the engine, the same in all agents.
     :param allowed_s: time from the naming of a version until older ones are forbidden,
         in seconds.
@@ -135,18 +163,29 @@
     :ivar may_abort_calls: whether every running call can be resumed at another engine.
         Then a load aborts them: a single long response would otherwise delay it and
         leave the other slots of the engine unused meanwhile.
+    :ivar is_unverified: whether the engine may have loaded pieces of which no check
+        tells that they were intact.
     """
 
     def __init__(self, name, allowed_s):
         self.target = None
         self.phase = Phase.COPYING
         self.may_abort_calls = False
-        self._name = name
         self.allowed_s = allowed_s
+        self.is_unverified = False
+        self._name = name
         self._staged_target = None
-        self._is_staging = False
+        self._checked_s = float("-inf")
+        self._is_reading = False
         self._ordered_s = float("-inf")
         self._not_before_s = float("-inf")
+        # Checks that began before this time do not count.
+        self._valid_since_s = float("-inf")
+        # Orders that may still be accepted, and the beginning of the oldest check on
+        # which one of them rests.
+        self._open_orders = 0
+        self._open_check_s = None
+        self._is_verification_due = False
 
     def wanted(self, target):
         """Set the target if its version is newer than that of the present one.
@@ -164,34 +203,89 @@
         self.target = target
         self.phase = Phase.COPYING
         self._staged_target = None
+        self._drop_open_orders()
         return True
 
-    def staged(self, target, complete):
+    def _drop_open_orders(self):
+        self._open_orders = 0
+        self._open_check_s = None
+        self._is_verification_due = False
+        self.is_unverified = False
+
+    def staged(self, target, complete, started_s, replaced=0):
         """Record that staging ended.
 
         :param target: :class:`Target` that was staged.
         :param complete: whether the engine holds every piece as the manifest states.
+        :param started_s: time in seconds at which the check of the pieces began.
+        :param replaced: number of pieces that were missing or damaged.
         """
-        self._is_staging = False
-        if complete and target == self.target:
+        self._is_reading = False
+        if target != self.target or started_s < self._valid_since_s:
+            return
+        if replaced and self._open_orders:
+            # An order that has no answer may have been accepted with these pieces.
+            self.is_unverified = True
+        if complete:
             self._staged_target = target
+            self._checked_s = started_s
+
+    def verified(self, target, is_intact):
+        """Record that the pieces were read after the engine had accepted the order.
+
+        Damaged pieces stay damaged, so that pieces which are intact now were intact
+        when they were loaded.
+
+        :param target: :class:`Target` that was loaded.
+        :param is_intact: whether the engine holds every piece as the manifest states,
+            None when they could not be read.
+        """
+        self._is_reading = False
+        if target != self.target or is_intact is None:
+            return
+        self._is_verification_due = False
+        self.is_unverified |= not is_intact
 
     def order_answered(self, accepted, now_s):
         """Record the engine's response to an order. A refused one is repeated.
 
-        :param accepted: whether the engine accepted the order; False also when it did
-            not respond.
+        :param accepted: whether the engine accepted the order; False also when it was
+            not sent. An order without response may still be accepted.
         :param now_s: current time in seconds.
         """
-        if not accepted:
-            self._ordered_s = float("-inf")
-            self._staged_target = None
-            self._not_before_s = now_s + REFUSED_RETRY_S
+        if accepted:
+            self._order_taken(now_s)
+            return
+        self._open_orders = max(0, self._open_orders - 1)
+        self._ordered_s = float("-inf")
+        self._staged_target = None
+        self._not_before_s = now_s + REFUSED_RETRY_S
 
-    def restarted(self):
-        """Record that the engine restarted and may have lost the staged pieces."""
+    def _order_taken(self, now_s):
+        """Record that the engine has accepted an order by now."""
+        if not self._open_orders:
+            return
+        age_s = now_s - self._open_check_s
+        self._open_orders = 0
+        if age_s > MAX_ACCEPTED_CHECK_AGE_S:
+            self._is_verification_due = True
+
+    def restarted(self, now_s):
+        """Record that the engine restarted and may have lost the staged pieces.
+
+        :param now_s: current time in seconds.
+        """
+        self.pieces_changed(now_s)
+        self._drop_open_orders()
+
+    def pieces_changed(self, now_s):
+        """Record that the pieces or the manifest changed, so that no check counts.
+
+        :param now_s: current time in seconds.
+        """
         self._staged_target = None
         self._ordered_s = float("-inf")
+        self._valid_since_s = now_s
 
     def may_have_calls(self, engine, now_s):
         """Tell whether calls may be sent to the engine now.
@@ -207,21 +301,25 @@
             return True
         return now_s < target.named_s + self.allowed_s
 
-    def next(self, engine, has_copy, names, now_s):
+    def next(self, engine, has_copy, names, now_s, reported_s=None):
         """Update the phase and return the next action.
 
         :param engine: :class:`EngineState`, or None when it is not known.
         :param has_copy: whether this agent holds every piece of the target.
         :param names: names of all engines that load the target.
         :param now_s: current time in seconds.
-        :returns: :class:`Stage`, :class:`Order`, or None for no action.
+        :param reported_s: time in seconds at which the engine's state was requested,
+            None for now.
+        :returns: :class:`Stage`, :class:`Order`, :class:`Verify`, or None for no
+            action.
         """
         target = self.target
         if target is None or engine is None:
             return None
         if engine.versions.get(target.model, -1) >= target.version:
             self.phase = Phase.CURRENT
-            return None
+            self._order_taken(now_s)
+            return self._next_verification(has_copy)
         if not has_copy:
             self.phase = Phase.COPYING
             return None
@@ -229,18 +327,41 @@
             return None
         if self._staged_target != target:
             self.phase = Phase.STAGING
-            if self._is_staging:
-                return None
-            self._is_staging = True
-            return Stage(target)
+            return self._next_check()
         if not self._is_load_due(engine, names, now_s):
             self.phase = Phase.WAITING
             return None
-        self.phase = Phase.ORDERED
         if engine.is_busy or now_s - self._ordered_s < ORDER_RETRY_S:
+            self.phase = Phase.ORDERED
+            return None
+        if now_s - self._checked_s > MAX_CHECK_AGE_S:
+            self.phase = Phase.CHECKING
+            return self._next_check()
+        reported_s = now_s if reported_s is None else reported_s
+        if now_s - reported_s > MAX_REPORT_AGE_S:
+            return None
+        return self._order(engine, now_s)
+
+    def _next_check(self):
+        if self._is_reading:
             return None
+        self._is_reading = True
+        return Stage(self.target)
+
+    def _next_verification(self, has_copy):
+        if not self._is_verification_due or not has_copy or self._is_reading:
+            return None
+        self._is_reading = True
+        return Verify(self.target)
+
+    def _order(self, engine, now_s):
+        self.phase = Phase.ORDERED
         self._ordered_s = now_s
-        return Order(target, engine.orders, self.may_abort_calls)
+        if not self._open_orders:
+            self._open_check_s = self._checked_s
+        self._open_orders += 1
+        not_after_s = self._checked_s + MAX_CHECK_AGE_S
+        return Order(self.target, engine.orders, self.may_abort_calls, not_after_s)
 
     def _is_load_due(self, engine, names, now_s):
         if engine.is_empty:
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -188,6 +188,8 @@
         self._manifest_waiters = manifest_search.Waiters()
         self._is_checking = False
         self._checked_s = float("-inf")
+        # Time at which the engine's known state was requested.
+        self._reported_s = float("-inf")
         self._agent_names = (settings.host,)
         self._transfers_timer = None
         self._me = machines.Instance(
@@ -321,6 +323,7 @@
         state = self._engine_state
         served = max(state.versions.values(), default=0) if state else 0
         metric.set_gauge("weights_served", served)
+        metric.set_gauge("weights_unverified", int(self.loading.is_unverified))
         self.hub.update_metrics(metric)
         self._unreadable.update_metrics(metric)
         for guarded in (self._guarded, self.operator.guarded, self.listed.guarded):
@@ -685,6 +688,9 @@
         """Start the transfer, after the engine's pieces were put into the store."""
         if copy.received is manifest:
             copy.manifest = manifest
+            copy.is_complete = False
+            if copy is self._next_copy:
+                self.loading.pieces_changed(self.now_s)
             self._request_copies()
 
     async def _import_staged(self, target, manifest):
@@ -880,6 +886,7 @@
 
     def _state_received(self, state):
         self._is_checking = False
+        self._reported_s = self._checked_s
         previous, self._engine_state = self._engine_state, state
         if previous is None or previous.started_ms != state.started_ms:
             self._log(
@@ -888,7 +895,7 @@
                 orders=state.orders,
                 started_ms=state.started_ms,
             )
-            self.loading.restarted()
+            self.loading.restarted(self.now_s)
         elif previous.versions != state.versions:
             self._log("engine_serves", versions=str(state.versions))
         if self._newest_copy is None:
@@ -929,35 +936,71 @@
             next_copy = newest
         action = self.loading.next(
             self._engine_state,
-            next_copy is not None and next_copy.is_complete,
+            next_copy is not None and next_copy.is_loadable,
             self._agent_names,
             self.now_s,
+            self._reported_s,
         )
         if isinstance(action, loading.Stage):
             _start_coroutine(self._stage(action.target)).addErrback(
                 self._staging_crashed
             )
+        elif isinstance(action, loading.Verify):
+            _start_coroutine(self._verify(action.target)).addErrback(
+                self._verification_crashed
+            )
         elif isinstance(action, loading.Order):
             self._order_load(action)
 
     def _staging_crashed(self, failure):
         self.events.log("unexpected_error", "error", detail=str(failure.value))
-        self.loading.staged(self.loading.target, False)
+        self.loading.staged(self.loading.target, False, self.now_s)
 
     async def _stage(self, target):
         manifest = self._next_copy.manifest
+        started_s = self.now_s
         try:
             count = await staging.stage(
                 self._engine, target.model, manifest, self.store
             )
         except errors.PlatformError as error:
             self._log("staging_failed", version=target.version, reason=str(error))
-            self.loading.staged(target, False)
+            self.loading.staged(target, False, started_s)
             return
-        self._log("staged", version=target.version, pieces=count)
-        self.loading.staged(target, manifest is self._next_copy.manifest)
+        self._log(
+            "staged",
+            version=target.version,
+            pieces=count,
+            took_s=self.now_s - started_s,
+        )
+        is_same = manifest is self._next_copy.manifest
+        self.loading.staged(target, is_same, started_s, count)
         self._decide()
 
+    def _verification_crashed(self, failure):
+        self.events.log("unexpected_error", "error", detail=str(failure.value))
+        self.loading.verified(self.loading.target, None)
+
+    async def _verify(self, target):
+        """Read the staged pieces after a load that rests on an old check."""
+        manifest = self._next_copy.manifest
+        try:
+            damaged = await staging.missing_pieces(self._engine, target.model, manifest)
+        except errors.PlatformError as error:
+            self._log("verification_failed", version=target.version, reason=str(error))
+            self.loading.verified(target, None)
+            return
+        self._log("load_verified", version=target.version, damaged=str(damaged[:16]))
+        self.loading.verified(target, not damaged)
+        if damaged:
+            self.events.log(
+                "load_unsound",
+                "error",
+                version=target.version,
+                pieces=len(damaged),
+                reason="loaded with an old check, and pieces are damaged now",
+            )
+
     def _order_load(self, action):
         target = action.target
         self._log(
@@ -979,6 +1022,9 @@
         def failed(failure):
             failure.trap(errors.PlatformError)
             self._log("load_failed", reason=str(failure.value))
+            if failure.check(errors.Unavailable):
+                # The order was not sent.
+                self.loading.order_answered(False, self.now_s)
 
         response.addCallbacks(answered, failed)
 
@@ -1081,6 +1127,15 @@
         """Whether a manifest was received that is not in doubt."""
         return self.received is not None and self.search is None
 
+    @property
+    def is_loadable(self):
+        """Whether every piece of a manifest that is not in doubt is held."""
+        if not self.is_complete or not self.has_reliable_manifest:
+            return False
+        return (
+            self.manifest is not None and self.manifest.digest == self.received.digest
+        )
+
     def add_informed(self, peer):
         """Note a peer that is sent the manifest if it is replaced."""
         if len(self.informed) < MAX_INFORMED:
--- a/cicadaplank/replicas/staging.py
+++ b/cicadaplank/replicas/staging.py
@@ -74,11 +74,7 @@
         differs from the uploaded one.
     """
     digests = manifest.chunk_digests
-    missing = [
-        number
-        for number in range(len(digests))
-        if not await _is_staged(engine, model, number, digests[number])
-    ]
+    missing = await missing_pieces(engine, model, manifest)
     for number in missing:
         await engine.put_piece(model, number, store.get(digests[number]))
         if not await _is_staged(engine, model, number, digests[number]):
@@ -86,6 +82,22 @@
     return len(missing)
 
 
+async def missing_pieces(engine, model, manifest):
+    """Return the numbers of the pieces that an engine does not hold intact.
+
+    :param engine: :class:`Engine`.
+    :param model: model name.
+    :param manifest: :class:`cicadaplank.weights.manifests.Manifest`.
+    :raises errors.PlatformError: when a call to the engine fails.
+    """
+    digests = manifest.chunk_digests
+    return [
+        number
+        for number in range(len(digests))
+        if not await _is_staged(engine, model, number, digests[number])
+    ]
+
+
 async def _is_staged(engine, model, number, digest):
     try:
         data = await engine.piece(model, number)
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -52,11 +52,15 @@
     if "missing" in state:
         context.has_copy = False
     if "rot" in state:
-        machine.staged(TARGET, False)
+        machine.staged(TARGET, False, 0.0)
     if "staged" in state or state in ("is busy with an order", "refused the order"):
-        machine.staged(TARGET, True)
+        # The pieces were checked just before the time that is asked for.
+        for started_s in (0.4, 3.9, 6.9):
+            machine.staged(TARGET, True, started_s)
+            if "serves nothing" in state:
+                break
     if state == "refused the order just now":
-        machine.staged(TARGET, True)
+        machine.staged(TARGET, True, 6.8)
         machine.order_answered(False, 6.9)
     if state.startswith("serves nothing"):
         context.engine = engine(0)
@@ -67,7 +71,7 @@
     if state == "is unknown":
         context.engine = None
     if state.startswith("restarted"):
-        machine.restarted()
+        machine.restarted(6.95)
 
 
 @behave.then("after {after:f} s the agent is told to {action}")
@@ -101,10 +105,12 @@
     for name in NAMES:
         machine = loading.LoadScheduler(name, 8.0)
         machine.wanted(TARGET)
-        machine.staged(TARGET, True)
-        at_s = 0.0
-        while machine.next(engine(), True, NAMES, at_s) is None:
+        at_s, action = 0.0, None
+        while not isinstance(action, loading.Order):
             at_s += 0.01
+            action = machine.next(engine(), True, NAMES, at_s)
+            if isinstance(action, loading.Stage):
+                machine.staged(TARGET, True, at_s)
         context.times[name] = at_s
 
 
@@ -234,10 +240,11 @@
     for data in context.data:
         made.store.put(manifests.chunk_digest(data), data)
     copy = process._Copy(TARGET, NAMED)
-    copy.manifest, copy.is_complete = context.manifest, True
+    copy.manifest = copy.received = context.manifest
+    copy.is_complete = True
     made._next_copy = made._newest_copy = copy
     made.loading.wanted(TARGET)
-    made._engine_state = engine(0)
+    made._engine_state, made._reported_s = engine(0), made.now_s
     made._decide()
 
 
@@ -310,7 +317,7 @@
         if age == "with a malformed":
             notice.weights_ages_s[MODEL] = [[2, "1.0"]]
         made._apply_notice(notice)
-        made.loading.staged(made.loading.target, True)
+        made.loading.staged(made.loading.target, True, made.now_s)
 
 
 @behave.when(
@@ -330,7 +337,7 @@
     made.operator.confirmed_s = confirmed_s
     made.reactor.advance(time_s)
     made._operator_changed({"op/version/m"})
-    made.loading.staged(made.loading.target, True)
+    made.loading.staged(made.loading.target, True, made.now_s)
 
 
 @behave.then("the turn of its engine to load version 2 comes at {turn_s:f} s")
