--- a/cicadaplank/gateway/endpoints.py
+++ b/cicadaplank/gateway/endpoints.py
@@ -51,6 +51,7 @@
     :param started_ms: Unix time of its start in milliseconds; 0 when it is unknown.
     :param warm_up_s: remaining seconds for which it is slow after its start, 0 when it
         is warm.
+    :param sequence: number of the record; it rises with each record of a run.
     """
 
     name: str
@@ -63,6 +64,15 @@
     weights: dict
     started_ms: int = 0
     warm_up_s: float = 0.0
+    sequence: int = dataclasses.field(default=0, compare=False)
+
+    def precedes(self, other):
+        """Tell whether this record was written before another one of the endpoint.
+
+        :param other: :class:`Endpoint` of the same name.
+        """
+        own = self.started_ms, self.sequence
+        return bool(self.started_ms) and own < (other.started_ms, other.sequence)
 
     @property
     def identity(self):
@@ -313,7 +323,7 @@
         """Return the :class:`EndpointState` of each endpoint of a service."""
         return list(self._services.get(service, {}).values())
 
-    def update(self, listed, now_s, keep_missing=False, unix_s=0.0):
+    def update(self, listed, now_s, keep_missing=False, unix_s=0.0, was_restored=False):
         """Apply a new list of endpoints.
 
         An endpoint that was started anew is replaced by a new state. One whose record
@@ -325,11 +335,17 @@
         :param keep_missing: keep missing endpoints for :data:`MISSING_GRACE_S`, since
             the store is in an outage or has just recovered from one.
         :param unix_s: time of day in Unix seconds.
+        :param was_restored: whether the store has just come back from an older copy.
+            Missing endpoints are kept then, and those whose record is older than the
+            known one, as endpoints write their records again.
         :returns: :class:`Changes`.
         """
         removed, leaving = [], []
+        keep_missing |= was_restored
         for name, endpoint in listed.items():
             state = self._states.get(name)
+            if state and was_restored and endpoint.precedes(state.endpoint):
+                endpoint = state.endpoint
             if state and not endpoint.started_ms:
                 # A record without a start does not tell of a new run.
                 endpoint = dataclasses.replace(
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -266,16 +266,19 @@
             return routes.ClientLimits()
         return self.route_index.configuration.limits
 
-    def set_endpoints(self, listed, keep_missing):
+    def set_endpoints(self, listed, keep_missing, was_restored=False):
         """Apply a new list of endpoints, and send waiting calls to them.
 
         :param listed: dict from name to
             :class:`cicadaplank.gateway.endpoints.Endpoint`.
         :param keep_missing: whether missing endpoints are kept for a while, since their
             records may have expired during an outage of the store.
+        :param was_restored: whether the store has just come back from an older copy.
         """
         now_s = self.now_s()
-        changes = self.endpoints.update(listed, now_s, keep_missing, self.unix_s())
+        changes = self.endpoints.update(
+            listed, now_s, keep_missing, self.unix_s(), was_restored
+        )
         for state in changes.removed:
             self.run(self._remove_endpoint, state)
         for state in changes.leaving:
--- a/cicadaplank/gateway/notices.py
+++ b/cicadaplank/gateway/notices.py
@@ -27,19 +27,20 @@
         decoder.named_weights(operator),
         configuration,
         decoder.endpoints(listed, configuration)[0],
-        listed.version,
+        listed.position,
         {},
     )
 
 
-def notice(named, configuration, endpoints, listed_version, weights_ages_s):
+def notice(named, configuration, endpoints, listed_position, weights_ages_s):
     """Build the notice from a decoded configuration and list of endpoints.
 
     :param named: dict from model name to the newest version that the operator named.
     :param configuration: :class:`cicadaplank.gateway.routes.Configuration`.
     :param endpoints: dict from name to
         :class:`cicadaplank.gateway.endpoints.Endpoint`.
-    :param listed_version: version of the table of endpoints.
+    :param listed_position: :class:`cicadaplank.gateway.positions.Position` of the table
+        of endpoints.
     :param weights_ages_s: ages of named weights, see
         :class:`cicadaplank.messages.types.GatewayReport`.
     :returns: :class:`cicadaplank.messages.types.WeightsNotice`.
@@ -59,7 +60,7 @@
         hosts.setdefault(endpoint.service, {})[endpoint.host] = endpoint.data_centre
     return types.WeightsNotice(
         configuration.version,
-        listed_version,
+        listed_position.to_wire(),
         dict(named),
         [model for service in services for model in service.models],
         origins[0] if origins else "",
--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -9,7 +9,7 @@
 import collections
 import zlib
 
-from cicadaplank.gateway import path_delays, records, report_ages, sync
+from cicadaplank.gateway import path_delays, positions, records, report_ages, sync
 from cicadaplank.messages import types
 from cicadaplank.world import machines
 
@@ -278,7 +278,7 @@
 
     def _has_newer_records(self, report):
         return any(
-            report.newest.get(table, -1) > table_sync.copy.version
+            _reported_position(report, table) > table_sync.copy.position
             for table, table_sync in self._syncs.items()
         )
 
@@ -350,7 +350,8 @@
         ]
         answered_s = now_s - max(ages, default=0.0)
         newest = {
-            t: table_sync.copy.newest_change for t, table_sync in self._syncs.items()
+            table: table_sync.copy.newest_change.to_wire()
+            for table, table_sync in self._syncs.items()
         }
         message = types.GatewayReport(
             self._loads(),
@@ -432,8 +433,8 @@
     def _request_records(self, peer, report):
         now_s = self._reactor.seconds()
         for table, table_sync in self._syncs.items():
-            version = table_sync.copy.version
-            if report.newest.get(table, -1) <= version:
+            position = table_sync.copy.position
+            if _reported_position(report, table) <= position:
                 continue
             requested_s = self._requested_s[table]
             if (
@@ -448,21 +449,23 @@
                 del requested_s[name]
             requested_s[peer] = now_s
             self.counts["records_asked"] += 1
-            self._hub.send(peer, types.RecordRequest(table, version))
+            self._hub.send(peer, types.RecordRequest(table, position.to_wire()))
 
     def _send_records(self, peer, message):
         table_sync = self._syncs.get(message.table)
-        if table_sync is None or table_sync.copy.version < 0:
+        base = positions.from_wire(message.after)
+        if table_sync is None or not table_sync.copy.is_known or base is None:
             return
-        base = message.after
         changes = table_sync.copy.changes_since(base)
         if changes is None:
-            base = -1
+            base = positions.NOWHERE
             changes = tuple(table_sync.copy.values().values())
         rows = [_encode_record(record) for record in changes]
-        version = table_sync.copy.version
-        reply = types.RecordReply(message.table, base, version, rows)
-        self._hub.send(peer, reply)
+        position = table_sync.copy.position
+        self._hub.send(
+            peer,
+            types.RecordReply(message.table, base.to_wire(), position.to_wire(), rows),
+        )
 
     def _apply_records(self, peer, message):
         table_sync = self._syncs.get(message.table)
@@ -471,7 +474,10 @@
         rows = [
             record for record in map(_decode_row, message.rows) if record is not None
         ]
-        if len(rows) != len(message.rows):
+        base = positions.from_wire(message.base)
+        position = positions.from_wire(message.position)
+        is_malformed = len(rows) != len(message.rows)
+        if is_malformed or base is None or position is None:
             self.counts["malformed_records"] += 1
             return
         now_s = self._reactor.seconds()
@@ -482,9 +488,13 @@
             requested_after_s=0.0 if requested_s is None else now_s - requested_s,
             delay_s=self.path_delays.delay_s(peer, now_s),
         )
-        table_sync.apply_from_peer(
-            sync.Changes(tuple(rows), message.version), message.base, source
-        )
+        table_sync.apply_from_peer(sync.Changes(tuple(rows), position), base, source)
+
+
+def _reported_position(report, table):
+    """Return the position of the newest change of a table that a peer has."""
+    position = positions.from_wire(report.newest.get(table))
+    return positions.NOWHERE if position is None else position
 
 
 def _encode_record(record):
--- a/cicadaplank/gateway/polling.py
+++ b/cicadaplank/gateway/polling.py
@@ -9,6 +9,8 @@
 
 import dataclasses
 
+from cicadaplank.gateway import positions
+
 # Range of the wait of a read in quiet times, as shares of ``poll_s``.
 QUIET_WAIT_SHARES = (0.88, 1.04)
 # Smallest share after a change, a failure or a pause, so that instances do not read in
@@ -28,6 +30,8 @@
 # Delay before the second retry and later ones; the first is sent at once.
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 0.3
+# Longest delay while the store has lost its history again after each snapshot.
+MAX_LOST_RETRY_S = 1.0
 # Random part of such a delay, in both directions.
 RETRY_JITTER = 0.2
 # Least time between two reads that end at once.
@@ -44,13 +48,19 @@
     :param number: number of the read; later ones have higher numbers.
     :param sent_s: time in seconds at which it was sent.
     :param wait_s: seconds for which it waits for changes.
-    :param base: version after which it asks for changes, -1 for a snapshot.
+    :param base: :class:`positions.Position` after which it asks for changes,
+        ``positions.NOWHERE`` for a snapshot.
     """
 
     number: int
     sent_s: float
     wait_s: float
-    base: int
+    base: positions.Position
+
+    @property
+    def is_snapshot(self):
+        """Whether it asks for every record."""
+        return self.base == positions.NOWHERE
 
     def as_of_s(self, now_s, has_changes):
         """Return the time as of which its answer tells the state of the store.
@@ -75,6 +85,7 @@
         self._reads = {}
         self._count = 0
         self._failures = 0
+        self._losses = 0
         self._is_spread = True
         self._waits_next = True
         self._confirmed_s = float("-inf")
@@ -95,14 +106,16 @@
         """Begin a read.
 
         :param now_s: current time in seconds.
-        :param base: version after which changes are asked for, -1 for a snapshot.
+        :param base: position after which changes are asked for, ``positions.NOWHERE``
+            for a snapshot.
         :param poll_s: seconds for which a read waits in quiet times.
         :param rng: source of random numbers.
         :returns: :class:`Read`.
         """
         is_hedge = bool(self._reads)
         wait_s = 0.0
-        if base >= 0 and self._waits_next and not is_hedge:
+        is_snapshot = base == positions.NOWHERE
+        if not is_snapshot and self._waits_next and not is_hedge:
             wait_s = self._draw_wait_s(now_s, poll_s, rng)
         self._waits_next = False
         self._count += 1
@@ -110,7 +123,7 @@
         self._reads[read.number] = read
         if wait_s > 0.0:
             self.due_s = now_s + wait_s + HEDGE_AFTER_S
-        elif base < 0:
+        elif is_snapshot:
             self.due_s = now_s + rng.uniform(*SNAPSHOT_HEDGE_INTERVAL_S)
         elif not is_hedge:
             self.due_s = now_s + HEDGE_AFTER_S
@@ -145,6 +158,8 @@
         self._reads = {n: r for n, r in self._reads.items() if n > read.number}
         self._is_spread |= has_changes or self._failures > 0
         self._failures = 0
+        if not read.is_snapshot:
+            self._losses = 0
         if read.number == self._count:
             self._waits_next = True
             delay_s = BATCH_DELAY_S if has_changes else 0.0
@@ -171,24 +186,23 @@
         if read.number != self._count:
             return True
         self._failures += 1
-        delay_s = 0.0
-        if self._failures > 1:
-            doubled_s = MIN_RETRY_S * 2 ** min(self._failures - 2, 8)
-            jitter = rng.uniform(1.0 - RETRY_JITTER, 1.0 + RETRY_JITTER)
-            delay_s = min(MAX_RETRY_S, doubled_s) * jitter
+        delay_s = _retry_delay_s(self._failures, MAX_RETRY_S, rng)
         self.due_s = max(now_s + delay_s, read.sent_s + MIN_INTERVAL_S)
         return True
 
-    def history_lost(self, read, now_s):
+    def history_lost(self, read, now_s, rng):
         """Record that the store no longer has the changes that a read asked for.
 
         :param read: :class:`Read`.
         :param now_s: current time in seconds.
+        :param rng: source of random numbers.
         """
         if self._reads.pop(read.number, None) is None:
             return
         self._is_spread = True
-        self.due_s = max(now_s, read.sent_s + MIN_INTERVAL_S)
+        self._losses += 1
+        delay_s = _retry_delay_s(self._losses, MAX_LOST_RETRY_S, rng)
+        self.due_s = max(now_s + delay_s, read.sent_s + MIN_INTERVAL_S)
 
     def pause(self, now_s):
         """Record that the table is not read now. The first read after it does not wait.
@@ -199,3 +213,12 @@
         self._is_spread = True
         self._waits_next = False
         self._reads.clear()
+
+
+def _retry_delay_s(failures, limit_s, rng):
+    """Return the delay after some failures in a row; the first retry has none."""
+    if failures < 2:
+        return 0.0
+    doubled_s = MIN_RETRY_S * 2 ** min(failures - 2, 8)
+    jitter = rng.uniform(1.0 - RETRY_JITTER, 1.0 + RETRY_JITTER)
+    return min(limit_s, doubled_s) * jitter
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -69,6 +69,7 @@
     "weights_named",
     "weights_named_age_seconds",
     "weights_required",
+    "store_era",
     "table_version",
     "table_version_age_seconds",
     "event_loop_largest_delay_seconds",
@@ -245,6 +246,7 @@
             self._operator_changed,
             self._log,
             self._reads_store,
+            self._registry_reads.may_be_incomplete,
         )
         self.listed = sync.TableSync(
             reactor,
@@ -253,6 +255,7 @@
             self._endpoints_changed,
             self._log,
             self._reads_store,
+            self._endpoints_restored,
         )
         self.instance = machines.Instance(
             settings.peer.host,
@@ -388,9 +391,7 @@
     @property
     def is_ready(self):
         """Whether both tables are known, are not too old, and no shutdown has begun."""
-        has_tables = (
-            self.gateway.route_index is not None and self.listed.copy.version >= 0
-        )
+        has_tables = self.gateway.route_index is not None and self.listed.copy.is_known
         is_stopping = self.gateway.draining.is_stopping
         return has_tables and not is_stopping and not self._stop_reason()
 
@@ -409,7 +410,9 @@
         metric.set_gauge("copies_confirmed_age_seconds", confirmed_age_s)
         metric.set_gauge("configuration_version", self.gateway.configuration_version)
         for table in (self.operator, self.listed):
-            metric.set_gauge("table_version", table.copy.version, table=table.table)
+            position = table.copy.position
+            metric.set_gauge("store_era", position.era, table=table.table)
+            metric.set_gauge("table_version", position.version, table=table.table)
             age_s = table.version_age_s(now_s)
             metric.set_gauge("table_version_age_seconds", age_s, table=table.table)
         for model, version in self._decoder.named_weights(self.operator.copy).items():
@@ -548,7 +551,7 @@
 
     def _build_notice(self):
         index = self.gateway.route_index
-        if index is None or self.listed.copy.version < 0:
+        if index is None or not self.listed.copy.is_known:
             return None
         operator = self.operator.copy
         endpoints = {s.endpoint.name: s.endpoint for s in self.gateway.endpoints.all()}
@@ -556,13 +559,19 @@
             self._decoder.named_weights(operator),
             index.configuration,
             endpoints,
-            self.listed.copy.version,
+            self.listed.copy.position,
             self.gateway.weights_requirement.ages_s(self.reactor.seconds()),
         )
 
     def _apply_configuration(self, configuration):
-        if configuration.version <= self.gateway.configuration_version:
-            return
+        # After a restore the store may hold an older configuration, until the newer one
+        # is written again, or another one under a version that was lost.
+        index = self.gateway.route_index
+        if index is not None:
+            if configuration.version < index.configuration.version:
+                return
+            if configuration == index.configuration:
+                return
         try:
             self.gateway.set_configuration(configuration)
             self.events.log(
@@ -588,16 +597,22 @@
             self.listed.copy, self.gateway.route_index.configuration
         )
         now_s = self.reactor.seconds()
+        was_restored = self.listed.availability.was_restored(now_s)
         may_have_expired = (
             self.listed.availability.records_may_have_expired(now_s)
             or self.peers.records_may_have_expired()
         ) and not self.peers.store_has_served(now_s)
-        self.gateway.set_endpoints(listed, may_have_expired)
+        self.gateway.set_endpoints(listed, may_have_expired, was_restored)
         is_missing = bool(set(self.gateway.endpoints.names()) - set(listed))
-        if may_have_expired and is_missing and not self._checks_missing:
+        is_due = was_restored or (may_have_expired and is_missing)
+        if is_due and not self._checks_missing:
             self._checks_missing = True
             self.reactor.callLater(MISSING_CHECK_INTERVAL_S, self._check_missing)
 
+    def _endpoints_restored(self):
+        """Look at the endpoints again, also when the restored records are the same."""
+        self.reactor.callLater(0, self._endpoints_changed, set())
+
     def _check_missing(self):
         self._checks_missing = False
         self._endpoints_changed(set())
--- a/cicadaplank/gateway/registry_reads.py
+++ b/cicadaplank/gateway/registry_reads.py
@@ -34,6 +34,10 @@
         self._started_s = now_s
         self._is_known = False
 
+    def may_be_incomplete(self):
+        """Record that the store may have lost registrations."""
+        self._is_known = False
+
     def finished(self):
         """Record that a read has brought the list."""
         self._finished += 1
--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer
 
 from cicadaplank.external import errors
-from cicadaplank.gateway import guarded_calls, polling, records
+from cicadaplank.gateway import guarded_calls, polling, positions, records
 
 # Share of the time within which a configuration has to be in force for which a long
 # poll waits for changes. A longer poll needs fewer calls, but a connection that has
@@ -57,19 +57,20 @@
 
 
 class HistoryLostError(Exception):
-    """The store no longer has all changes since the requested version."""
+    """The store no longer has all changes since the requested position."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Changes:
-    """Records of a table, from a snapshot or since a version.
+    """Records of a table, from a snapshot or since a position.
 
     :param records: tuple of :class:`records.Record`.
-    :param version: version of the store up to which they are complete.
+    :param position: :class:`positions.Position` of the store up to which they are
+        complete.
     """
 
     records: tuple
-    version: int
+    position: positions.Position
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,13 +101,14 @@
         """
 
     def changes(self, table, after, wait_s):
-        """Return the records of a table that changed after a version.
+        """Return the records of a table that changed after a position.
 
         :param table: table name.
-        :param after: version of the store.
+        :param after: :class:`positions.Position`.
         :param wait_s: seconds to wait for a change when there is none.
-        :returns: :class:`Changes`.
-        :raises HistoryLostError: when a snapshot is needed.
+        :returns: :class:`Changes` of the same era.
+        :raises HistoryLostError: when a snapshot is needed, as the store has dropped
+            changes or is in another era.
         """
 
 
@@ -162,6 +164,7 @@
         self.heard_s = None
         self._started_s = now_s
         self._recovered_s = float("-inf")
+        self._restored_s = float("-inf")
         self._failed = False
         self._is_paused = False
 
@@ -199,6 +202,21 @@
         self._failed = True
         return is_new
 
+    def record_restore(self, now_s):
+        """Record that the store has come back from an older copy of its data.
+
+        :param now_s: current time in seconds.
+        """
+        self._restored_s = now_s
+
+    def was_restored(self, now_s):
+        """Tell whether the store lost records that are to be written again soon.
+
+        :param now_s: current time in seconds.
+        :returns: True for :data:`RECOVERY_GRACE_S` after a restore was noticed.
+        """
+        return now_s - self._restored_s < RECOVERY_GRACE_S
+
     def records_may_have_expired(self, now_s):
         """Tell whether missing records may only have expired during an outage.
 
@@ -226,6 +244,8 @@
         last. It is called again when it fails.
     :param log: callable ``log(event, **fields)``.
     :param is_needed: callable that returns whether the store is polled now.
+    :param restored: callback without arguments, called when the copy is of a later era
+        than before.
     :ivar copy: the :class:`records.RecordTable`.
     :ivar times: :class:`PollTimes`.
     :ivar availability: :class:`Availability` of the store.
@@ -239,7 +259,16 @@
         change is reported, which happened later than the time known before.
     """
 
-    def __init__(self, reactor, store, table, changed, log, is_needed=lambda: True):
+    def __init__(
+        self,
+        reactor,
+        store,
+        table,
+        changed,
+        log,
+        is_needed=lambda: True,
+        restored=lambda: None,
+    ):
         self.table = table
         self.copy = records.RecordTable()
         self.times = poll_times()
@@ -252,13 +281,14 @@
         self._on_change = changed
         self._log = log
         self._is_needed = is_needed
+        self._on_restore = restored
         self.answers_read = 0
         self.changes_read = 0
         self.polls = polling.Polls()
         self.rng = random.Random()
         self._timer = None
-        # Version after which the store is known to have lost its history.
-        self._lost_after = -1
+        # Position after which the store is known to have lost its history.
+        self._lost_after = positions.NOWHERE
 
     def start(self):
         """Start to follow the store."""
@@ -283,16 +313,18 @@
             defer.ensureDeferred(self._read(now_s))
 
     async def _read(self, started_s):
-        base = -1 if self.copy.version <= self._lost_after else self.copy.version
+        base = self.copy.position
+        if base <= self._lost_after:
+            base = positions.NOWHERE
         read = self.polls.send(started_s, base, self.times.poll_s, self.rng)
         try:
-            if base < 0:
+            if read.is_snapshot:
                 changes = await self._store.snapshot(self.table)
             else:
                 changes = await self._store.changes(self.table, base, read.wait_s)
             self._answer(read, changes)
-        except HistoryLostError:
-            self._lose_history(read)
+        except HistoryLostError as fault:
+            self._lose_history(read, fault)
         except errors.PlatformError as fault:
             self._fail(read, fault)
         except Exception as fault:
@@ -306,11 +338,16 @@
             self._fail(read, fault)
         self._advance()
 
-    def _lose_history(self, read):
-        if read.base >= self.copy.version:
-            self._log("history_lost", table=self.table, version=read.base)
+    def _lose_history(self, read, fault):
+        if read.base >= self.copy.position:
+            self._log(
+                "history_lost",
+                table=self.table,
+                position=str(read.base),
+                reason=str(fault),
+            )
             self._lost_after = max(self._lost_after, read.base)
-        self.polls.history_lost(read, self._reactor.seconds())
+        self.polls.history_lost(read, self._reactor.seconds(), self.rng)
 
     def _fail(self, read, fault):
         # A read that was overtaken by an answered one says nothing of the store now.
@@ -320,11 +357,18 @@
 
     def _answer(self, read, changes):
         now_s = self._reactor.seconds()
-        if read.base < 0:
-            changed = self.copy.replace(changes.records, changes.version)
-            self._lost_after = -1
-        else:
-            changed = self.copy.merge(changes.records, changes.version, read.base)
+        position = changes.position
+        if position.era < self.copy.position.era:
+            raise errors.AnswerLost(
+                f"answer of era {position.era}, expected {self.copy.position.era}"
+            )
+        if read.is_snapshot and position < self._lost_after:
+            raise errors.AnswerLost(
+                f"snapshot at {position}, expected {self._lost_after} or later"
+            )
+        changed = self._apply(changes, read.base)
+        if read.is_snapshot:
+            self._lost_after = positions.NOWHERE
         # An answer with records ended the wait early, also if peers sent them before.
         as_of_s = self.polls.answered(read, now_s, bool(changes.records))
         self._record_answer(as_of_s)
@@ -335,12 +379,38 @@
         known_s = as_of_s if self.confirmed_s is None else self.confirmed_s
         self.confirmed_s = max(as_of_s, known_s)
 
+    def _apply(self, changes, base):
+        """Apply records to the copy.
+
+        :param changes: :class:`Changes`.
+        :param base: position after which they are complete, ``positions.NOWHERE`` for a
+            snapshot.
+        :returns: set of keys that changed.
+        """
+        before = self.copy.position
+        if base == positions.NOWHERE:
+            changed = self.copy.replace(changes.records, changes.position)
+        else:
+            changed = self.copy.merge(changes.records, changes.position, base)
+        if positions.NOWHERE < before and before.era < self.copy.position.era:
+            self.availability.record_restore(self._reactor.seconds())
+            self._log(
+                "store_restored",
+                table=self.table,
+                before=str(before),
+                position=str(self.copy.position),
+                changed=len(changed),
+            )
+            self._on_restore()
+        return changed
+
     def _notify(self, changed, source):
         self._last_change_s = self._reactor.seconds()
         self._log(
             "records_received",
             table=self.table,
-            version=self.copy.version,
+            era=self.copy.position.era,
+            version=self.copy.position.version,
             keys=len(changed),
             source=source.name,
             requested_after_s=source.requested_after_s,
@@ -362,7 +432,7 @@
             self._log(
                 "store_regained",
                 table=self.table,
-                version=self.copy.version,
+                position=str(self.copy.position),
                 away_s=away_s,
             )
 
@@ -370,12 +440,10 @@
         """Apply records that a peer sent.
 
         :param changes: :class:`Changes`.
-        :param base: version after which they are complete, -1 for a snapshot.
+        :param base: position after which they are complete, ``positions.NOWHERE`` for a
+            snapshot.
         :param source: :class:`Source`.
         """
-        if base < 0:
-            changed = self.copy.replace(changes.records, changes.version)
-        else:
-            changed = self.copy.merge(changes.records, changes.version, base)
+        changed = self._apply(changes, base)
         if changed:
             self._notify(changed, source)
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -560,8 +560,8 @@
 
     :param loads: maps endpoint name to the number of calls that the sender has in
         progress there.
-    :param newest: maps table name to the version of the newest change that the sender
-        has.
+    :param newest: maps table name to the position of the newest change that the sender
+        has, as ``[era, version]``.
     :param store_age_s: seconds since the store last answered the sender.
     :param weights_ages_s: maps model name to a list of ``[version, age_s, max_age_s]``
         with the least and the greatest number of seconds since the operator named each
@@ -573,7 +573,7 @@
     """
 
     loads: dict = dataclasses.field(metadata={"items": (str, int)})
-    newest: dict = dataclasses.field(metadata={"items": (str, int)})
+    newest: dict = dataclasses.field(metadata={"items": (str, list)})
     store_age_s: float
     weights_ages_s: dict
     sent_s: float
@@ -598,11 +598,12 @@
     """Asks a peer for the changed records of a table.
 
     :param table: table name.
-    :param after: version up to which the sender has the table, -1 for none.
+    :param after: position up to which the sender has the table, as ``[era, version]``;
+        ``[-1, -1]`` for none.
     """
 
     table: str
-    after: int
+    after: list
 
 
 @dataclasses.dataclass(frozen=True)
@@ -610,15 +611,16 @@
     """Records of a table.
 
     :param table: table name.
-    :param base: version after which the records are complete, -1 for all records.
-    :param version: version up to which they are complete.
+    :param base: position after which the records are complete, as ``[era, version]``;
+        ``[-1, -1]`` for all records.
+    :param position: position up to which they are complete, as ``[era, version]``.
     :param rows: list of ``[key, version, value]``; the value of a removed record is
         None. A fourth element marks a compressed value.
     """
 
     table: str
-    base: int
-    version: int
+    base: list
+    position: list
     rows: list
 
 
@@ -627,7 +629,8 @@
     """Extract of the store's tables that an entry instance sends to agents.
 
     :param configuration: version of the configuration that the notice is taken from.
-    :param listed: version of the endpoint table that it is taken from.
+    :param listed: position of the endpoint table that it is taken from, as ``[era,
+        version]``.
     :param named: maps model name to the newest version that the operator named.
     :param models: names of all models.
     :param origin: ``host:port`` of the origin of weights, or empty.
@@ -639,7 +642,7 @@
     """
 
     configuration: int
-    listed: int
+    listed: list
     named: dict = dataclasses.field(metadata={"items": (str, int)})
     models: list
     origin: str
--- a/cicadaplank/platform/client.py
+++ b/cicadaplank/platform/client.py
@@ -68,6 +68,25 @@
         timeout_s=TIMEOUT_S,
         max_answer_bytes=MAX_SMALL_ANSWER_BYTES,
         not_after_s=float("inf"),
+    ):
+        """Send a call; parameters as for :meth:`answer`.
+
+        :returns: Deferred of ``(status, bytes)``; fails like that of :meth:`answer`.
+        """
+        answer = self.answer(
+            method, path, query, body, timeout_s, max_answer_bytes, not_after_s
+        )
+        return answer.addCallback(lambda found: (found[0].status, found[1]))
+
+    def answer(
+        self,
+        method,
+        path,
+        query=None,
+        body=None,
+        timeout_s=TIMEOUT_S,
+        max_answer_bytes=MAX_SMALL_ANSWER_BYTES,
+        not_after_s=float("inf"),
     ):
         """Send a call.
 
@@ -79,9 +98,9 @@
         :param max_answer_bytes: maximum size of the answer's body.
         :param not_after_s: monotonic time in seconds after which the call is not sent,
             as a connection may open late.
-        :returns: Deferred of ``(status, bytes)``; it fails with ``Unavailable`` when
-            the call was certainly not sent and with ``AnswerLost`` when no complete
-            answer arrived.
+        :returns: Deferred of a :class:`cicadaplank.gateway.dialects.ResponseHead` and
+            the bytes of the body; it fails with ``Unavailable`` when the call was
+            certainly not sent and with ``AnswerLost`` when no complete answer arrived.
         """
         target = path + ("?" + urllib.parse.urlencode(query) if query else "")
         lines = [f"{method} {target} HTTP/1.1", f"Host: {self.address}"]
@@ -107,26 +126,45 @@
         timeout_s=TIMEOUT_S,
         max_answer_bytes=MAX_SMALL_ANSWER_BYTES,
     ):
-        """Send a call whose answer is a JSON object; parameters as for :meth:`call`.
+        """Send a call whose answer is a JSON object; parameters as for :meth:`answer`.
 
         :returns: Deferred of ``(status, dict)``; the dict is empty when the status is
             not 200 and the body is not a JSON object. With status 200 such a body fails
             the Deferred with ``AnswerLost``.
         """
-        answer = self.call(method, path, query, body, timeout_s, max_answer_bytes)
+        answer = self.json_with_headers(
+            method, path, query, body, timeout_s, max_answer_bytes
+        )
+        return answer.addCallback(lambda found: (found[0], found[2]))
+
+    def json_with_headers(
+        self,
+        method,
+        path,
+        query=None,
+        body=None,
+        timeout_s=TIMEOUT_S,
+        max_answer_bytes=MAX_SMALL_ANSWER_BYTES,
+    ):
+        """Send a call like :meth:`json`.
+
+        :returns: Deferred of ``(status, headers, dict)``, the headers as a list of name
+            and value in bytes.
+        """
+        answer = self.answer(method, path, query, body, timeout_s, max_answer_bytes)
         return answer.addCallback(self._parse)
 
     def _parse(self, answer):
-        status, body = answer
+        head, body = answer
         try:
             value = json.loads(body)
         except (ValueError, RecursionError):
             value = None
         if isinstance(value, dict):
-            return status, value
-        if status == 200:
+            return head.status, head.headers, value
+        if head.status == 200:
             raise errors.AnswerLost(f"{self.address}: answer is not a JSON object")
-        return status, {}
+        return head.status, head.headers, {}
 
 
 def origin_client(reactor, address):
@@ -226,7 +264,7 @@
 
     def response_ended(self, end):
         """Complete the call with the status and body."""
-        self._end((self._head.status, bytes(self._body)))
+        self._end((self._head, bytes(self._body)))
 
     def response_failed(self, end, reason):
         """Fail the call because the connection broke before the end of the answer."""
--- a/cicadaplank/platform/documents.py
+++ b/cicadaplank/platform/documents.py
@@ -81,6 +81,7 @@
     warmup_left_ms: DurationMs | None = None
     models: Models | None = None
     born: UnixMs = 0
+    seq: Integer | None = None
 
 
 class NamedVersion(msgspec.Struct, frozen=True):
--- a/cicadaplank/platform/rows.py
+++ b/cicadaplank/platform/rows.py
@@ -232,6 +232,7 @@
         is_draining=parsed.state == DRAINING,
         weights=served_versions(parsed.models),
         started_ms=parsed.born,
+        sequence=parsed.seq or 0,
         warm_up_s=(parsed.warmup_left_ms or 0.0) / 1000.0,
     )
 
--- a/cicadaplank/platform/store.py
+++ b/cicadaplank/platform/store.py
@@ -6,7 +6,7 @@
 import json
 
 from cicadaplank.external import errors
-from cicadaplank.gateway import records, sync
+from cicadaplank.gateway import positions, records, sync
 from cicadaplank.platform import client, documents
 from cicadaplank.world import machines
 
@@ -14,6 +14,8 @@
 PAGE_ROWS = 500
 # Time-out of a long poll beyond its wait, which allows for a slow store.
 POLL_MARGIN_S = 0.8
+# Header that names the era of the store.
+ERA_HEADER = b"store-era"
 # Table of this system's own in which entry instances register.
 MEMBER_TABLE = "entries"
 
@@ -27,14 +29,21 @@
     def __init__(self, http_client):
         self._client = http_client
 
-    async def _get(self, path, query, timeout_s):
-        status, answer = await self._client.json(
+    async def _get(self, path, query, timeout_s, after=None):
+        """Read rows; return the answer's object and its era.
+
+        :param after: position after which changes are asked for, None for a snapshot.
+        """
+        status, headers, answer = await self._client.json_with_headers(
             "GET",
             path,
             query,
             timeout_s=timeout_s,
             max_answer_bytes=client.MAX_ANSWER_BYTES,
         )
+        era = _read_era(headers, path)
+        if after is not None and era > after.era:
+            raise sync.HistoryLostError(f"{path}: era {era}, expected {after.era}")
         if status == 410:
             raise sync.HistoryLostError(f"{path}: status 410, snapshot needed")
         if status in (429, 503):
@@ -44,46 +53,53 @@
         rows, version = answer.get("rows"), answer.get("ver")
         if not isinstance(rows, list) or not _is_version(version):
             raise errors.AnswerLost(f"{path}: answer without valid rows and ver")
-        return answer
+        return answer, era
 
     async def snapshot(self, table):
         """Return every record of a table with an empty part.
 
         :param table: table name.
-        :returns: :class:`cicadaplank.gateway.sync.Changes` at the version of the first
+        :returns: :class:`cicadaplank.gateway.sync.Changes` at the position of the first
             page.
-        :raises PlatformError: when a call fails.
+        :raises PlatformError: when a call fails, or pages are of different eras.
         """
-        found, start, version = [], None, None
+        found, start, position = [], None, None
         while True:
             query = {"table": table, "part": "", "limit": PAGE_ROWS}
             if start is not None:
                 query["from"] = start
-            answer = await self._get("/v1/rows-get", query, client.TIMEOUT_S)
+            answer, era = await self._get("/v1/rows-get", query, client.TIMEOUT_S)
             page = [r for r in map(_parse_record, answer["rows"]) if r is not None]
             found += page
-            # Later pages may include newer changes. With the version of the first page
+            # Later pages may include newer changes. With the position of the first page
             # the next call for changes returns them again.
-            version = answer["ver"] if version is None else version
+            if position is None:
+                position = positions.Position(era, answer["ver"])
+            if era != position.era:
+                raise errors.AnswerLost(
+                    f"rows-get: page of era {era}, expected {position.era}"
+                )
             if not answer.get("has_more"):
-                return sync.Changes(tuple(found), version)
+                return sync.Changes(tuple(found), position)
             start = _next_start(answer["rows"], start)
 
     async def changes(self, table, after, wait_s):
-        """Return the records that changed after a version, by a long poll.
+        """Return the records that changed after a position, by a long poll.
 
         :param table: table name.
-        :param after: version of the store.
+        :param after: :class:`cicadaplank.gateway.positions.Position`.
         :param wait_s: seconds for which the store waits for a change.
         :returns: :class:`cicadaplank.gateway.sync.Changes`.
-        :raises HistoryLostError: when the store no longer has the changes.
+        :raises HistoryLostError: when the store no longer has the changes, or is in a
+            later era.
         :raises PlatformError: when the call fails.
         """
-        query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
+        query = {"table": table, "after": after.version}
+        query["wait_ms"] = int(wait_s * 1000)
         timeout_s = max(client.TIMEOUT_S, wait_s + POLL_MARGIN_S)
-        answer = await self._get("/v1/rows-feed", query, timeout_s)
+        answer, era = await self._get("/v1/rows-feed", query, timeout_s, after)
         rows = [r for r in map(_parse_record, answer["rows"]) if r is not None]
-        return sync.Changes(tuple(rows), answer["ver"])
+        return sync.Changes(tuple(rows), positions.Position(era, answer["ver"]))
 
     async def put(self, table, key, value):
         """Write one row of a table of this system's own, whatever its present version.
@@ -103,6 +119,25 @@
             raise errors.Refused(status, "rows-tx")
 
 
+def _read_era(headers, path):
+    """Return the era that an answer names.
+
+    :param headers: list of name and value of each header.
+    :param path: path of the call, for errors.
+    :raises AnswerLost: when it is not a number.
+    """
+    found = [value for name, value in headers if name.lower() == ERA_HEADER]
+    if not found:
+        return positions.UNNAMED_ERA
+    try:
+        era = int(found[0])
+    except ValueError:
+        era = -1
+    if not 0 <= era <= positions.MAX_ERA:
+        raise errors.AnswerLost(f"{path}: era {found[0]!a}, expected a number")
+    return era
+
+
 def _is_version(value):
     return type(value) is int and 0 <= value <= documents.MAX_INTEGER
 
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -19,6 +19,7 @@
     guarded_calls,
     named_versions,
     notices,
+    positions,
     registry_reads,
     reloading,
     status,
@@ -180,7 +181,7 @@
         self._entry_links = entry_links.EntryLinks(settings.host, settings.data_centre)
         self._models = []
         self._configuration_version = -1
-        self._list_version = -1
+        self._list_position = positions.NOWHERE
         self._data_centres = {}
         self._last_entry_message_s = float("-inf")
         self._connect_attempted_s = float("-inf")
@@ -222,6 +223,7 @@
             self._operator_changed,
             self._log,
             self._entries_are_silent,
+            self._registry_reads.may_be_incomplete,
         )
         self.listed = sync.TableSync(
             reactor,
@@ -428,8 +430,9 @@
             )
 
     def _apply_hosts(self, notice):
-        if notice.listed >= self._list_version:
-            self._list_version = notice.listed
+        position = positions.from_wire(notice.listed)
+        if position is not None and position >= self._list_position:
+            self._list_position = position
             self._set_hosts(notice.hosts.get(self.settings.service, {}))
 
     def _apply_named_versions(self, notice, confirmed_s):
--- a/features/entries.py
+++ b/features/entries.py
@@ -2,7 +2,7 @@
 
 import types as plain_types
 
-from cicadaplank.gateway import gateway, process, routes
+from cicadaplank.gateway import gateway, positions, process, routes
 from cicadaplank.messages import codec, types
 from cicadaplank.platform import headers
 
@@ -148,7 +148,7 @@
         """Return the message of the notice to agents."""
         configuration = routes.Configuration(1, (), {}, routes.ClientLimits(), None)
         self.process.gateway.set_configuration(configuration)
-        self.process.listed.copy.version = 1
+        self.process.listed.copy.position = positions.Position(0, 1)
         message = self.process._build_notice()
         frame = codec.encode(codec.Envelope(PEER, 0, message))
         return codec.decode(frame).message
--- a/features/odd_rows.py
+++ b/features/odd_rows.py
@@ -125,6 +125,11 @@
             self._answer(answer, query)
 
     def json(self, method, path, query=None, body=None, **limits):
+        """Answer a call."""
+        answer = self.json_with_headers(method, path, query, body, **limits)
+        return answer.addCallback(lambda found: (found[0], found[2]))
+
+    def json_with_headers(self, method, path, query=None, body=None, **limits):
         """Answer a call."""
         answer = defer.Deferred()
         if path == "/v1/rows-feed":
@@ -145,12 +150,12 @@
             wait_s = query["wait_ms"] / 1000.0
             self._reactor.callLater(wait_s, self._end_wait, waiting)
             return
-        answer.callback((200, {"rows": found, "ver": self.version}))
+        answer.callback((200, [], {"rows": found, "ver": self.version}))
 
     def _end_wait(self, waiting):
         if waiting in self._waiting:
             self._waiting.remove(waiting)
-            waiting[0].callback((200, {"rows": [], "ver": self.version}))
+            waiting[0].callback((200, [], {"rows": [], "ver": self.version}))
 
     @property
     def polled_tables(self):
@@ -276,7 +281,7 @@
         if self.role == "agent":
             return
         for table in ("op", "servers"):
-            request = types.RecordRequest(table, -1)
+            request = types.RecordRequest(table, [-1, -1])
             self.process.message_received(
                 self.hub.connection("10.0.0.9"),
                 plain_types.SimpleNamespace(message=request),
--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -20,7 +20,15 @@
 
 def example(cls):
     """Return a message of the class with a sample in every field."""
-    return cls(*[SAMPLES[field.type] for field in dataclasses.fields(cls)])
+    return cls(*map(sample, dataclasses.fields(cls)))
+
+
+def sample(field):
+    """Return a value of a field, whose items may have types of their own."""
+    items = field.metadata.get("items")
+    if items is None:
+        return SAMPLES[field.type]
+    return {SAMPLES[items[0]]: SAMPLES[items[1]]}
 
 
 def damaged(frame, damage):
--- a/features/steps/gateway_currency.py
+++ b/features/steps/gateway_currency.py
@@ -6,7 +6,7 @@
 import behave
 from twisted.internet import defer, task, testing
 
-from cicadaplank.gateway import peers, records, registry_reads, sync
+from cicadaplank.gateway import peers, positions, records, registry_reads, sync
 from cicadaplank.messages import types
 from cicadaplank.world import machines
 from features.steps import gateway_decisions
@@ -62,7 +62,7 @@
     )
     # The copy came from peers; nothing was read from the store.
     record = records.Record("a", 5, b"v5")
-    context.followed.copy.replace((record,), 5)
+    context.followed.copy.replace((record,), positions.Position(0, 5))
     report(context)
     context.followed.start()
     run(context, 3.0)
@@ -78,7 +78,7 @@
         readers.answered_s = now_s
     for name in readers.names:
         message = types.GatewayReport(
-            {}, {TABLE: readers.newest}, now_s - readers.answered_s, {}, now_s
+            {}, {TABLE: [0, readers.newest]}, now_s - readers.answered_s, {}, now_s
         )
         context.peers.message(name, message)
     requests = [m for m in context.hub.sent if isinstance(m, types.RecordRequest)]
@@ -87,7 +87,7 @@
         return
     newest = readers.newest
     rows = [["a", newest, b"v%d" % newest]]
-    reply = types.RecordReply(TABLE, requests[0].after, newest, rows)
+    reply = types.RecordReply(TABLE, requests[0].after, [0, newest], rows)
     context.peers.message(readers.names[0], reply)
 
 
@@ -161,7 +161,7 @@
         waited = defer.Deferred()
         self.clock.callLater(wait_s, waited.callback, None)
         await waited
-        return sync.Changes((), self.version)
+        return sync.Changes((), positions.Position(0, self.version))
 
 
 class Follower:
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -16,6 +16,7 @@
     named_versions,
     peers,
     placement,
+    positions,
     records,
     sync,
     waiting,
@@ -280,7 +281,7 @@
 @behave.given("a copy at version 10 with records a of version 9 and b of version 4")
 def step_copy(context):
     context.copy = records.RecordTable()
-    context.copy.replace(records_of("a=9 b=4"), 10)
+    context.copy.replace(records_of("a=9 b=4"), positions.Position(0, 10))
 
 
 @behave.when("it takes {change}")
@@ -288,21 +289,25 @@
     taken = records_of(change.partition(":")[2])
     numbers = [int(n) for n in re.findall(r"\d+", change.partition(":")[0])]
     if change.startswith("a snapshot"):
-        context.copy.replace(taken, numbers[0])
+        context.copy.replace(taken, positions.Position(0, numbers[0]))
     else:
-        context.copy.merge(taken, numbers[1], numbers[0])
+        context.copy.merge(
+            taken,
+            positions.Position(0, numbers[1]),
+            positions.Position(0, numbers[0]),
+        )
 
 
 @behave.then('it is at version {version:d} with "{described}"')
 def step_at(context, version, described):
     held = {r.key: r for r in records_of(described)}
-    assert context.copy.version == version, context.copy.version
+    assert context.copy.position.version == version, context.copy.position.version
     assert context.copy.values() == held, context.copy.values()
 
 
 @behave.then('a peer with version {base:d} is given "{given}"')
 def step_given(context, base, given):
-    changes = context.copy.changes_since(base)
+    changes = context.copy.changes_since(positions.Position(0, base))
     if changes is None:
         got = "a snapshot"
     else:
@@ -327,7 +332,7 @@
         """Return every record at the present version."""
         value = self.value or b"v%d" % self.version
         record = records.Record("a", self.version, value)
-        return sync.Changes((record,), self.version)
+        return sync.Changes((record,), positions.Position(0, self.version))
 
     def write(self, value=b""):
         """Write the next version."""
@@ -347,14 +352,14 @@
     async def changes(self, table, after, wait_s):
         """Return changes, or wait for them as long as the call asks for."""
         self.calls += 1
-        self.bases.append(after)
+        self.bases.append(after.version)
         if self.trouble == "history":
             self.trouble = "works"
             raise sync.HistoryLostError("gone")
         if self.trouble == "refuses" and self.failures:
             self.failures -= 1
             raise errors.Unavailable("status 503")
-        if self.version > after and self.trouble != "silent":
+        if self.version > after.version and self.trouble != "silent":
             return self.taken()
         call = defer.Deferred()
         self.waiting.append(call)
@@ -364,7 +369,7 @@
     def _wait_over(self, call):
         if call in self.waiting and self.trouble == "works":
             self.waiting.remove(call)
-            call.callback(sync.Changes((), self.version))
+            call.callback(sync.Changes((), positions.Position(0, self.version)))
 
 
 def no_ages(now_s):
@@ -409,7 +414,7 @@
     context.peers = peers.Peers(
         context.clock, me, context.hub, {TABLE: context.followed}, dict, no_ages
     )
-    assert context.followed.copy.version == 5
+    assert context.followed.copy.position.version == 5
 
 
 @behave.when("the store {trouble} and version 6 is written")
@@ -429,23 +434,29 @@
         store.waiting = []
     store.write()
     if store.trouble == "silent":
-        context.peers.message("peer", types.GatewayReport({}, {TABLE: 6}, 0.1, {}, 0.0))
+        context.peers.message(
+            "peer", types.GatewayReport({}, {TABLE: [0, 6]}, 0.1, {}, 0.0)
+        )
         request = context.hub.sent[-1]
-        assert request == types.RecordRequest(TABLE, 5), request
+        assert request == types.RecordRequest(TABLE, [0, 5]), request
         rows = [["a", 6, b"v6"]]
-        context.peers.message("peer", types.RecordReply(TABLE, 5, 6, rows))
+        context.peers.message("peer", types.RecordReply(TABLE, [0, 5], [0, 6], rows))
 
 
 @behave.then("the copy has version 6 within {within:f} s")
 def step_within(context, within):
     for _ in range(round(within / 0.05)):
         context.clock.advance(0.05)
-    assert context.followed.copy.get("a").version == 6, context.followed.copy.version
+    assert context.followed.copy.get("a").version == 6, (
+        context.followed.copy.position.version
+    )
 
 
 @behave.when("a peer reports version 4")
 def step_behind(context):
-    context.peers.message("peer", types.GatewayReport({}, {TABLE: 4}, 0.1, {}, 0.0))
+    context.peers.message(
+        "peer", types.GatewayReport({}, {TABLE: [0, 4]}, 0.1, {}, 0.0)
+    )
 
 
 @behave.then("the peer is not asked for records")
@@ -456,7 +467,7 @@
 @behave.given("{count:d} peers of its data centre that heard the store {age_s:f} s ago")
 def step_near_peers(context, count, age_s):
     for number in range(count):
-        report = types.GatewayReport({}, {TABLE: 5}, age_s, {}, 0.0)
+        report = types.GatewayReport({}, {TABLE: [0, 5]}, age_s, {}, 0.0)
         context.peers.message(f"a-{number}", report)
 
 
@@ -503,10 +514,10 @@
     context.store.write(context.value)
     # Another instance answers with what this one holds.
     context.clock.advance(0.5)
-    context.peers.message("peer", types.RecordRequest(TABLE, 5))
+    context.peers.message("peer", types.RecordRequest(TABLE, [0, 5]))
     context.reply = context.hub.sent[-1]
     context.followed.copy = records.RecordTable()
-    context.followed.copy.replace((), 5)
+    context.followed.copy.replace((), positions.Position(0, 5))
     context.peers.message("peer", context.reply)
 
 
@@ -519,12 +530,12 @@
 @behave.when("a compressed record of a peer is damaged")
 def step_damaged(context):
     rows = [["a", 6, zlib.compress(b"value" * 1000)[:-8], True]]
-    context.peers.message("peer", types.RecordReply(TABLE, 5, 6, rows))
+    context.peers.message("peer", types.RecordReply(TABLE, [0, 5], [0, 6], rows))
 
 
 @behave.then("the copy still has version 5")
 def step_still_5(context):
-    assert context.followed.copy.version == 5
+    assert context.followed.copy.position.version == 5
 
 
 class Mesh:
--- a/features/steps/gateway_failing_callbacks.py
+++ b/features/steps/gateway_failing_callbacks.py
@@ -5,7 +5,15 @@
 import behave
 from twisted.internet import task, testing
 
-from cicadaplank.gateway import endpoints, peers, polling, records, routes, sync
+from cicadaplank.gateway import (
+    endpoints,
+    peers,
+    polling,
+    positions,
+    records,
+    routes,
+    sync,
+)
 from cicadaplank.messages import types
 from cicadaplank.world import machines
 from features import entries
@@ -29,7 +37,7 @@
         if context.left:
             context.left -= 1
             raise OverflowError("cannot convert float infinity to integer")
-        context.applied.append(context.followed.copy.version)
+        context.applied.append(context.followed.copy.position.version)
 
     context.followed = sync.TableSync(
         clock, context.store, TABLE, apply, context.log.log
@@ -64,11 +72,11 @@
         run(context, 0.25)
     if source == "a peer":
         rows = [["a", version, b"v%d" % version]]
-        reply = types.RecordReply(TABLE, version - 1, version, rows)
+        reply = types.RecordReply(TABLE, [0, version - 1], [0, version], rows)
         context.peers.message("peer", reply)
     else:
         context.store.write()
-    assert context.followed.copy.version == version
+    assert context.followed.copy.position.version == version
 
 
 @behave.when("20 s pass")
@@ -108,7 +116,7 @@
     assert not context.log.of("store_lost"), context.log.lines
     # Each read asks for what comes after the change, and they come no more often than
     # in quiet times; one after the change may wait for a shorter time.
-    version = context.followed.copy.version
+    version = context.followed.copy.position.version
     assert all(base == version for base in context.store.bases), context.store.bases
     passed_s = context.clock.seconds() - context.counted_from_s
     least_s = polling.QUIET_WAIT_SHARES[0] * context.followed.times.poll_s
@@ -162,10 +170,14 @@
 def change(context):
     """Report a change of both tables, as followers do."""
     for table_sync in (context.entry.process.operator, context.entry.process.listed):
-        version = table_sync.copy.version + 1
+        version = table_sync.copy.position.version + 1
         record = records.Record("a", version, b"%d" % version)
         source = sync.Source("store", 0.0)
-        table_sync.apply_from_peer(sync.Changes((record,), version), -1, source)
+        table_sync.apply_from_peer(
+            sync.Changes((record,), positions.Position(0, version)),
+            positions.NOWHERE,
+            source,
+        )
 
 
 @behave.given("an entry process with a configuration, a named version and an endpoint")
@@ -221,7 +233,7 @@
         context.unusable += 1
         if context.unusable == count:
             store.changes = changes
-        return sync.Changes((None,), 10)
+        return sync.Changes((None,), positions.Position(0, 10))
 
     store.changes = unusable
     for _ in range(200):
--- a/features/steps/gateway_hops.py
+++ b/features/steps/gateway_hops.py
@@ -4,6 +4,7 @@
 clocks advance in steps; messages take some time in between.
 """
 
+import base64
 import itertools
 import random
 
@@ -53,12 +54,18 @@
 
     :param clock: stepped clock.
     :param rng: source of the times of late answers.
+    :ivar era: era that its answers name, 0 for none.
     """
 
     def __init__(self, clock, rng):
         self.clock = clock
         self.rng = rng
         self.version = 5
+        self.written = 5
+        self.value = b"5"
+        self.era = 0
+        # Headers of its answers in place of the one that names the era, or None.
+        self.headers = None
         self.oldest = 0
         self.trouble = ""
         self.calls = 0
@@ -75,9 +82,9 @@
             self._reply(call, 503, {})
         elif path == "/v1/rows-get":
             self._reply(call, 200, self._rows())
-        elif call.query["after"] < self.oldest:
+        elif not self.oldest <= call.query["after"] <= self.version:
             self._reply(call, 410, {})
-        elif self.version > call.query["after"]:
+        elif self.written > call.query["after"]:
             self._reply(call, 200, self._rows())
         elif not call.query["wait_ms"]:
             self._reply(call, 200, {"rows": [], "ver": self.version})
@@ -86,7 +93,8 @@
             self.clock.callLater(call.query["wait_ms"] / 1000, self._wait_over, call)
 
     def _rows(self):
-        row = {"key": KEY, "part": "", "ver": self.version, "value": ""}
+        value = base64.b64encode(self.value).decode()
+        row = {"key": KEY, "part": "", "ver": self.written, "value": value}
         return {"rows": [row], "ver": self.version}
 
     def _wait_over(self, call):
@@ -98,11 +106,23 @@
             self.held.remove(call)
         call.is_done = True
         delay_s = self.rng.uniform(0.4, 1.2) if self.trouble == "is slow" else 0.0
-        self.clock.callLater(delay_s, call.answer, status, body)
+        headers = [(b"Store-Era", b"%d" % self.era)] if self.era else []
+        headers = headers if self.headers is None else self.headers
+        self.clock.callLater(delay_s, call.answer, status, headers, body)
+
+    def restore(self, version, names_era=True):
+        """Come back from an older copy; calls that wait are broken off."""
+        self.version = self.written = version
+        self.value = b"%d" % version
+        self.era += names_era
+        for call in self.lose_held():
+            call.cut()
 
-    def write(self):
+    def write(self, value=None):
         """Acknowledge a change and answer the calls that wait for one."""
         self.version += 1
+        self.written = self.version
+        self.value = value or b"%d" % self.version
         for call in list(self.held):
             self._reply(call, 200, self._rows())
 
@@ -138,10 +158,10 @@
         self.failed_dials = 0
         self.lost_answers = 0
 
-    def json(
+    def json_with_headers(
         self, method, path, query=None, body=None, timeout_s=1.5, max_answer_bytes=0
     ):
-        """Send a call; see :meth:`cicadaplank.platform.client.Client.json`."""
+        """Send a call; see :class:`cicadaplank.platform.client.Client`."""
         result = defer.Deferred()
         if self.failed_dials:
             self.failed_dials -= 1
@@ -162,11 +182,11 @@
         def time_out():
             result.errback(errors.AnswerLost("no complete answer"))
 
-        def answer(status, answer_body):
+        def answer(*found):
             if self.lost_answers:
                 self.lost_answers -= 1
                 return
-            network.callLater(NEAR_S, self.entry.deliver, end, (status, answer_body))
+            network.callLater(NEAR_S, self.entry.deliver, end, found)
 
         network = self.store.clock
         timer = self.entry.clock.callLater(timeout_s, time_out)
@@ -374,7 +394,7 @@
                 for entry in self.entries
                 if entry.is_running
                 and not entry.is_frozen
-                and entry.followed.copy.newest_change < self.store.version
+                and entry.followed.copy.newest_change.version < self.store.version
             ]
             passed_s = self.clock.seconds() - started_s
             if not behind or passed_s >= limit_s:
--- a/features/steps/gateway_naming.py
+++ b/features/steps/gateway_naming.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer, testing
 
 from cicadaplank.external import errors
-from cicadaplank.gateway import records, sync
+from cicadaplank.gateway import positions, records, sync
 from cicadaplank.messages import codec, types
 from features import entries
 
@@ -99,7 +99,7 @@
 
     async def changes(self, table, after, wait_s):
         """Return the changed records, or none after the wait."""
-        return await self._call(table, after, wait_s)
+        return await self._call(table, after.version, wait_s)
 
     async def _call(self, table, after, wait_s):
         world, answer = self.world, defer.Deferred()
@@ -277,7 +277,7 @@
                 continue
             late = self.first("answers of the store late", name)
             arrives_s = self.now_s + (late.delay_s if late else 0.0)
-            result = sync.Changes(found, self.named.version)
+            result = sync.Changes(found, positions.Position(0, self.named.version))
             call.instance.inbox.append((arrives_s, answer, call, result))
 
     def run_to(self, time_s):
--- a/features/steps/manifests.py
+++ b/features/steps/manifests.py
@@ -292,7 +292,7 @@
     mesh = context.mesh
     hosts = {SERVICE: dict(mesh.data_centres)}
     notice = types.WeightsNotice(
-        1, 1, {MODEL: 2}, [MODEL], "10.1.0.1:80", {}, hosts, {}
+        1, [0, 1], {MODEL: 2}, [MODEL], "10.1.0.1:80", {}, hosts, {}
     )
     for made in mesh.agents.values():
         made._apply_notice(notice)
--- a/features/steps/odd_messages.py
+++ b/features/steps/odd_messages.py
@@ -12,7 +12,7 @@
 from features import entries
 
 PEER = "10.0.0.9"
-REPORT = types.GatewayReport({"x": 1}, {"op": 1}, 0.1, {"m": [[2, 1.0]]}, 0.5, 1.0)
+REPORT = types.GatewayReport({"x": 1}, {"op": [0, 1]}, 0.1, {"m": [[2, 1.0]]}, 0.5, 1.0)
 
 
 def send(context, message):
--- a/features/steps/odd_rows.py
+++ b/features/steps/odd_rows.py
@@ -345,6 +345,10 @@
         """Answer a call."""
         return defer.succeed((200, self._value))
 
+    def json_with_headers(self, *call, **limits):
+        """Answer a call."""
+        return defer.succeed((200, [], self._value))
+
 
 def documents():
     """Return a strategy of JSON objects as Python values."""
--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -15,7 +15,7 @@
 from twisted.python import failure
 
 from cicadaplank.external import errors
-from cicadaplank.gateway import records, sync
+from cicadaplank.gateway import positions, records, sync
 from cicadaplank.platform import __main__ as commands
 from cicadaplank.platform import client, rows, settings, store
 from features.steps import gateway as gateway_steps
@@ -62,7 +62,10 @@
 
 def table_of(values):
     held = records.RecordTable()
-    held.replace([records.Record(key, 1, value) for key, value in values.items()], 1)
+    held.replace(
+        [records.Record(key, 1, value) for key, value in values.items()],
+        positions.Position(0, 1),
+    )
     return held
 
 
@@ -154,7 +157,7 @@
     context.reactor = testing.MemoryReactorClock()
     held = store.Store(client.Client(context.reactor, "10.0.0.1:80"))
     context.outcome = []
-    call = defer.ensureDeferred(held.changes("op", 5, 1.0))
+    call = defer.ensureDeferred(held.changes("op", positions.Position(0, 5), 1.0))
     call.addBoth(context.outcome.append)
     return context.reactor.tcpClients[0][2]
 
--- a/features/steps/platform_answers.py
+++ b/features/steps/platform_answers.py
@@ -8,6 +8,7 @@
 from twisted.python import failure
 
 from cicadaplank.external import errors
+from cicadaplank.gateway import positions
 from cicadaplank.platform import client, servers, store
 from cicadaplank.replicas import loading
 from features.steps import gateway as gateway_steps
@@ -22,6 +23,7 @@
 }
 MANIFEST = {"model": "m", "version": 2, "chunk_bytes": 3, "digests": ["ab" * 32]}
 REPORT = {"models": [{"name": "m", "version": 1}], "busy": False, "seq": 2, "born": 5}
+POSITION = positions.Position(0, 3)
 ORDER = loading.Order(loading.Target("m", 2, 0.0), 2)
 
 
@@ -32,7 +34,7 @@
 # Each call with the body of its answer, and whether the body is needed.
 CALLS = {
     "snapshot": (lambda c: platform_store(c).snapshot("op"), ROWS, True),
-    "changes": (lambda c: platform_store(c).changes("op", 3, 2.0), ROWS, True),
+    "changes": (lambda c: platform_store(c).changes("op", POSITION, 2.0), ROWS, True),
     "row written": (
         lambda c: platform_store(c).put("entries", "k", b"v"),
         {"ver": 8},
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -271,7 +271,7 @@
 
 @behave.when("{way} names version 3")
 def step_named(context, way):
-    notice = types.WeightsNotice(1, 1, {MODEL: 3}, [MODEL], "", {}, {}, {})
+    notice = types.WeightsNotice(1, [0, 1], {MODEL: 3}, [MODEL], "", {}, {}, {})
     made = context.agent
     if way == "an entry instance":
         hello = types.Hello("entry", "r", "a", 0)
@@ -371,7 +371,7 @@
 
 @behave.when("the agent gets a notice without versions every 0.01 s for 6 s")
 def step_notices_without_versions(context):
-    notice = types.WeightsNotice(1, 1, {}, [MODEL], "10.0.0.8:80", {}, {}, {})
+    notice = types.WeightsNotice(1, [0, 1], {}, [MODEL], "10.0.0.8:80", {}, {}, {})
     for _ in range(600):
         context.agent._apply_notice(notice)
         context.agent.reactor.advance(0.01)
