Bound what a connection may take of a turn, and streams that bring nothing new

Cause: each empty line of a stream was an event of its own, 64 KB were read from each connection in each turn of the event loop, each chunk of a body was passed on by itself, and comments, empty lines and repeated events had no bound.

Evidence: features/gateway/endless_turns.feature on the code before this commit: ASSERT FAILED: 524288 not given up (blank lines, in small chunks too, comments, both, the same id) ASSERT FAILED: 196720, 224901, 120158, 62283 function calls in one turn (new events, events without id, small chunks, heads of other calls)

Change: a run of comments and empty lines is one event; 64 KB of what brings a stream no further end the attempt; parts of a body are passed on once a turn; 16 KB are read in a turn. The same connection class serves calls, the store, model servers and origins; the agent path gets both bounds of its own.

--- a/cicadaplank/external/engines.py
+++ b/cicadaplank/external/engines.py
@@ -25,6 +25,8 @@
 COMMAND_TIMEOUT_S = 120.0
 STAGE_TIMEOUT_S = 30.0
 MAX_EVENT_BYTES = 1024 * 1024
+# Limit of the events between two tokens that are neither a token nor the end.
+MAX_IDLE_BYTES = 64 * 1024
 MAX_CACHE_EVENTS = 10_000
 
 
@@ -472,6 +474,7 @@
         self._on_event = on_event
         self._splitter = event_streams.EventSplitter(MAX_EVENT_BYTES)
         self._next_offset = completion.offset
+        self._idle_bytes = 0
 
     def dataReceived(self, data):
         if self.finished.called:
@@ -520,7 +523,12 @@
         if kind == b"end":
             self._handle_end(document, data)
         elif kind == b"token":
+            self._idle_bytes = 0
             self._handle_token(document, data)
+        else:
+            self._idle_bytes += len(event)
+            if self._idle_bytes > MAX_IDLE_BYTES:
+                raise errors.AnswerLost(f"{self._idle_bytes} bytes without a token")
 
     def _handle_token(self, document, data):
         services.check_attempt(self._completion.attempt, document.get("attempt"))
--- a/cicadaplank/external/event_streams.py
+++ b/cicadaplank/external/event_streams.py
@@ -9,6 +9,8 @@
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r|\n\r\n|\r\n\n")
 # Bytes before the end of the buffer in which an event's end may have begun.
 _END_OVERLAP_BYTES = 3
+# Empty lines and complete comments, which are no part of an event's fields.
+_FILLER = re.compile(rb"(?:[\r\n]|:[^\r\n]*[\r\n])+")
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 
 
@@ -18,15 +20,13 @@
 
     :param identifier: value of its ``id`` line, or empty.
     :param data: raw bytes of the event, including the empty line that ends it.
+    :param is_comment: whether it has comments and empty lines only. Any number of them
+        in a row may be one event.
     """
 
     identifier: bytes
     data: bytes
-
-    @property
-    def is_comment(self):
-        """Whether it has comments and empty lines only."""
-        return all(not line or line.startswith(b":") for line in self.data.splitlines())
+    is_comment: bool = False
 
 
 class EventSplitter:
@@ -72,8 +72,15 @@
         self._buffer += data
         found, start = [], 0
         while match := _EVENT_END.search(self._buffer, max(start, searched)):
-            found.append(_parse_event(bytes(self._buffer[start : match.end()])))
-            start = match.end()
+            filler = _FILLER.match(self._buffer, start)
+            if filler is not None and filler.end() >= match.end():
+                end = filler.end()
+                event = Event(b"", bytes(self._buffer[start:end]), is_comment=True)
+            else:
+                end = match.end()
+                event = _parse_event(bytes(self._buffer[start:end]))
+            found.append(event)
+            start = end
         del self._buffer[:start]
         if len(self._buffer) > self._limit_bytes:
             raise ValueError(f"an event is longer than {self._limit_bytes} bytes")
--- a/cicadaplank/external/http.py
+++ b/cicadaplank/external/http.py
@@ -24,6 +24,8 @@
 MAX_BUFFERED_BYTES = MAX_ANSWER_BYTES
 # Limit on the status line and headers of a response, interim responses included.
 MAX_HEAD_BYTES = 64 * 1024
+# Most bytes that are read from a server in one turn of the event loop.
+TURN_BYTES = 16 * 1024
 # Limit on the body of a response that only reports an error.
 MAX_ERROR_BYTES = 64 * 1024
 # Key of the reason for which the connection of a response was lost, while the end of
@@ -208,6 +210,7 @@
 def _guarded(connection):
     if not hasattr(connection, "guard"):
         connection.guard = _Guard(connection)
+        connection.transport.bufferSize = TURN_BYTES
     return connection
 
 
--- a/cicadaplank/gateway/attempts.py
+++ b/cicadaplank/gateway/attempts.py
@@ -10,6 +10,8 @@
 SOUND_STREAM_S = 0.5
 # Limit of an answer's body that is buffered until it is complete.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Limit of comments, empty lines and repeated events of a stream between two new events.
+MAX_IDLE_BYTES = 64 * 1024
 # The connection of a call that may be retried is broken off when the endpoint's host
 # does not acknowledge the sent bytes within this time. The longest queueing delay seen
 # on the network path was 0.3 s.
@@ -39,6 +41,8 @@
         the last event or part of a body.
     :ivar reply: :class:`cicadaplank.gateway.dialects.ResponseHead`, None before it.
     :ivar body: bytes of an answer that is no stream of events.
+    :ivar idle_bytes: bytes of comments, empty lines and repeated events since the last
+        new event of a stream.
     :ivar splitter: :class:`cicadaplank.external.event_streams.EventSplitter` of a
         stream of events.
     :ivar is_resumed: whether it brings the rest of a stream that has begun.
@@ -56,6 +60,7 @@
         self.last_activity_s = now_s
         self.reply = None
         self.body = bytearray()
+        self.idle_bytes = 0
         self.splitter = None
         self.is_resumed = False
         self.has_progressed = False
--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -384,12 +384,16 @@
         forwarded = []
         has_progressed = False
         fault = ""
+        repeated = 0
         for event in events:
             if not event_streams.is_newer(event.identifier, self._previous_event):
-                self._gateway.count("repeated_events")
-                continue
-            if event.is_comment and self._is_second(attempt):
+                repeated += 1
+                attempt.idle_bytes += len(event.data)
                 continue
+            if event.is_comment:
+                attempt.idle_bytes += len(event.data)
+                if self._is_second(attempt):
+                    continue
             fault = self._join_fault(attempt, event)
             if fault:
                 break
@@ -399,7 +403,12 @@
                 self._numbering.add(event.identifier)
             if not event.is_comment:
                 has_progressed = attempt.has_progressed = True
+                attempt.idle_bytes = 0
                 self._is_place_known = bool(event.identifier)
+        if repeated:
+            self._gateway.count("repeated_events", repeated)
+        if attempt.idle_bytes > attempts.MAX_IDLE_BYTES:
+            fault = fault or f"{attempt.idle_bytes} bytes without a new event"
         # The client gets the head and the events of one attempt.
         if has_progressed or (forwarded and not self._stream_began):
             self._elect(attempt, now_s)
--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -32,6 +32,9 @@
 MAX_REFUSED_ATTEMPTS = 100
 # Bound on the bodies of late responses to earlier calls that precede a response.
 MAX_SKIPPED_BYTES = 256 * 1024
+# Most bytes that are read from an endpoint in one turn of the event loop, so that an
+# endpoint which writes without end does not keep the others waiting.
+TURN_BYTES = 16 * 1024
 
 
 class Receiver(typing.Protocol):
@@ -79,6 +82,8 @@
         self._head = None
         self._headers = []
         self._body_bytes = 0
+        # Parts of the body that were not passed on yet.
+        self._parts = []
         self._received_bytes = 0
         self._skipped_bytes = 0
         self._is_skipping = False
@@ -104,6 +109,7 @@
     def connectionMade(self):
         """Disable Nagle's algorithm, so that small writes are sent at once."""
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = self._pool.turn_bytes
 
     def send(self, data, receiver, has_body=True):
         """Send a request and expect its response.
@@ -119,6 +125,7 @@
         self._headers = []
         self._head = None
         self._body_bytes = 0
+        self._parts = []
         self._received_bytes = 0
         self._skipped_bytes = 0
         self._is_skipping = False
@@ -187,11 +194,18 @@
             self._pool.counts["unasked_bytes"] += 1
             self.is_broken = True
         self._received_bytes += len(data)
+        self._pass_body()
         if self._is_complete:
             self._finish()
         else:
             self._check_bounds()
 
+    def _pass_body(self):
+        """Pass what was received of the body to the receiver, in one piece."""
+        parts, self._parts = self._parts, []
+        if parts and self._receiver is not None:
+            self._receiver.response_data(b"".join(parts))
+
     def _check_bounds(self):
         """Fail a response whose headers or framing do not end."""
         framing_bytes = self._received_bytes - self._body_bytes - self._skipped_bytes
@@ -234,7 +248,7 @@
             self._parser_keeps_open = self._parser.should_keep_alive()
 
     def on_body(self, data):
-        """Pass a part of the body to the receiver (parser callback)."""
+        """Collect a part of the body (parser callback)."""
         if self._is_complete:
             self.is_broken = True
             return
@@ -244,7 +258,7 @@
         if self._receiver is None:
             return
         self._body_bytes += len(data)
-        self._receiver.response_data(data)
+        self._parts.append(data)
 
     def on_message_complete(self):
         """Note that a response is complete (parser callback)."""
@@ -288,6 +302,7 @@
 
     def _fail(self, reason):
         self.is_broken = True
+        self._pass_body()
         receiver, self._receiver = self._receiver, None
         self.transport.abortConnection()
         if receiver is not None:
@@ -360,6 +375,8 @@
     :param connect_timeout_s: timeout of a connection attempt in seconds.
     :param keeps_idle: whether connections stay open for later calls. Not for a server
         that has fewer connections than it has clients.
+    :param turn_bytes: most bytes that are read from a connection in one turn of the
+        event loop.
     """
 
     def __init__(
@@ -371,8 +388,10 @@
         limit,
         connect_timeout_s=CONNECT_TIMEOUT_S,
         keeps_idle=True,
+        turn_bytes=TURN_BYTES,
     ):
         self.dialect = dialect
+        self.turn_bytes = turn_bytes
         self.counts = collections.Counter()
         self.limit = limit
         self._reactor = reactor
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -168,9 +168,9 @@
         """Return the time of day in Unix seconds."""
         return self._reporter.unix_s()
 
-    def count(self, name, **labels):
-        """Add one to a counter."""
-        self._reporter.count(name, **labels)
+    def count(self, name, amount=1, **labels):
+        """Add to a counter."""
+        self._reporter.count(name, amount, **labels)
 
     # Unexpected errors.
 
