Read a connection that brings events without end at a bounded pace

Cause: a flood of new events is an answer; each connection took its turn again and again.

Change: a token bucket for each connection, in events, chunks and blocks of bytes. Sound streams, also with 300 events a second, are never paused.

--- a/cicadaplank/gateway/attempts.py
+++ b/cicadaplank/gateway/attempts.py
@@ -202,6 +202,7 @@
         """Handle a part of the body: buffer it, or pass its complete events on.
 
         :param data: bytes.
+        :returns: number of the events, None when it is not a stream of events.
         """
         if self.splitter is None:
             self.last_activity_s = self._gateway.now_s()
@@ -209,19 +210,20 @@
             if len(self.body) > MAX_ANSWER_BYTES:
                 reason = f"the answer is longer than {MAX_ANSWER_BYTES} bytes"
                 self.break_off(reason)
-                return
+                return None
             self._gateway.buffers.set_held(self, len(self.body))
-            return
+            return None
         try:
             complete = self.splitter.feed(data)
         except ValueError as fault:
             self.break_off(str(fault))
-            return
+            return None
         fault = self._call.events_received(self, complete)
         if fault and not self.is_ended:
             self.break_off(fault)
         elif not self.is_ended:
             self._gateway.buffers.set_held(self, self.splitter.rest_bytes)
+        return len(complete)
 
     @call_errors.ends_call
     def response_ended(self, end):
--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -9,7 +9,7 @@
 from twisted.internet import error, protocol
 from twisted.python import failure
 
-from cicadaplank.gateway import framing
+from cicadaplank.gateway import framing, read_pacing
 
 _log = logger.Logger()
 
@@ -48,7 +48,11 @@
         """
 
     def response_data(self, data):
-        """Process a part of the body, as bytes."""
+        """Process a part of the body.
+
+        :param data: bytes.
+        :returns: number of events that it completed, or None when it has none.
+        """
 
     def response_ended(self, end):
         """Finish the call after a complete response.
@@ -91,6 +95,10 @@
         self._has_body = True
         self._parser_keeps_open = False
         self._responses = 0
+        self._pacer = read_pacing.ReadPacer(pool.now_s())
+        # Timer of a pause of the pacer, and whether the receiver has paused, too.
+        self._pace_timer = None
+        self._is_paused = False
         self.is_broken = False
         self.refused = set()
         self.longest_sent_bytes = 0
@@ -167,11 +175,30 @@
 
     def pause(self):
         """Stop reading from the socket until :meth:`resume`."""
+        self._is_paused = True
         self.transport.pauseProducing()
 
     def resume(self):
-        """Resume reading from the socket."""
-        self.transport.resumeProducing()
+        """Resume reading from the socket, unless it is being read too fast."""
+        self._is_paused = False
+        if self._pace_timer is None:
+            self.transport.resumeProducing()
+
+    def _pace_reading(self, delay_s):
+        """Read no more for a while, as too much was read."""
+        self._pool.counts["reads_paced"] += 1
+        self.transport.pauseProducing()
+        self._pace_timer = self._pool.call_later(delay_s, self._end_pace)
+
+    def _end_pace(self):
+        self._pace_timer = None
+        if not self._is_paused:
+            self.transport.resumeProducing()
+
+    def _stop_pace(self):
+        timer, self._pace_timer = self._pace_timer, None
+        if timer is not None:
+            timer.cancel()
 
     def dataReceived(self, data):
         """Parse a part of the response."""
@@ -194,17 +221,27 @@
             self._pool.counts["unasked_bytes"] += 1
             self.is_broken = True
         self._received_bytes += len(data)
-        self._pass_body()
+        delay_s = self._pass_body(len(data))
         if self._is_complete:
             self._finish()
         else:
             self._check_bounds()
+            if delay_s and self._receiver is not None and self._pace_timer is None:
+                self._pace_reading(delay_s)
 
-    def _pass_body(self):
-        """Pass what was received of the body to the receiver, in one piece."""
+    def _pass_body(self, byte_count):
+        """Pass what was received of the body to the receiver, in one piece.
+
+        :param byte_count: number of bytes that were received.
+        :returns: seconds for which the connection is not to be read.
+        """
         parts, self._parts = self._parts, []
+        events = None
         if parts and self._receiver is not None:
-            self._receiver.response_data(b"".join(parts))
+            events = self._receiver.response_data(b"".join(parts))
+        return self._pacer.record(
+            events or 0, len(parts), byte_count, self._pool.now_s()
+        )
 
     def _check_bounds(self):
         """Fail a response whose headers or framing do not end."""
@@ -284,6 +321,7 @@
     def _finish(self):
         receiver, self._receiver = self._receiver, None
         head = self._head
+        self._stop_pace()
         if receiver is None:
             return
         if head.idle_timeout_s is not None:
@@ -302,7 +340,7 @@
 
     def _fail(self, reason):
         self.is_broken = True
-        self._pass_body()
+        self._pass_body(0)
         receiver, self._receiver = self._receiver, None
         self.transport.abortConnection()
         if receiver is not None:
@@ -321,6 +359,7 @@
         close completes it; any other loss breaks the call.
         """
         self.is_broken = True
+        self._stop_pace()
         self._pool.lost(self)
         receiver, self._receiver = self._receiver, None
         if receiver is None:
@@ -406,6 +445,14 @@
         # Whether the last connection attempt was refused: no process listens there.
         self.was_refused = False
 
+    def now_s(self):
+        """Return the monotonic time in seconds."""
+        return self._reactor.seconds()
+
+    def call_later(self, delay_s, function):
+        """Call a function after some seconds; returns the timer."""
+        return self._reactor.callLater(delay_s, function)
+
     @property
     def open_count(self):
         """Number of connections that are open or being opened."""
--- a/features/gateway/endless_turns.feature
+++ b/features/gateway/endless_turns.feature
@@ -35,3 +35,20 @@
     Given a gateway with 1 endpoints and a route that streams once
     When 40 KB of comments come before each of 5 events
     Then the client has all 5 events
+
+  # Events that are new do not end an attempt: a flood of them is read slowly.
+  Scenario Outline: A connection that brings <part> without end is read as fast as it can write
+    Given a gateway with 1 endpoints and a route that <kind>
+    When <part> come for 3 s as fast as they are read
+    Then no more is read than the pace and one turn allow
+
+    Examples:
+      | part                  | kind           |
+      | new events            | streams once   |
+      | events without id     | streams once   |
+      | bytes in small chunks | runs once only |
+
+  Scenario: A stream with 300 events a second is slowed down
+    Given a gateway with 1 endpoints and a route that streams once
+    When 300 new events come each second for 3 s
+    Then reading was never paused
--- a/features/steps/gateway_endless_turns.py
+++ b/features/steps/gateway_endless_turns.py
@@ -5,6 +5,7 @@
 
 import behave
 
+from cicadaplank.gateway import read_pacing
 from features.steps import gateway as gateway_steps
 from features.steps import gateway_endings
 
@@ -116,3 +117,51 @@
     got = context.world.client_transport.value()
     assert all(b"id: %d\n" % number in got for number in range(1, 6)), got[-200:]
     assert got.endswith(b"0\r\n\r\n"), got[-50:]
+
+
+FLOOD_S = 3.0
+STEP_S = 0.001
+
+
+@behave.when("{part} come for 3 s as fast as they are read")
+def step_flood(context, part):
+    world = context.world
+    protocol, transport = gateway_endings.send_call(world)
+    protocol.dataReceived(STREAM_HEAD)
+    source, pending = PARTS[part](), b""
+    turn_bytes = getattr(transport, "bufferSize", DEFAULT_TURN_BYTES)
+    context.read, context.turn_bytes = 0, turn_bytes
+    until_s = world.reactor.seconds() + FLOOD_S
+    while world.reactor.seconds() < until_s and not transport.disconnecting:
+        while len(pending) < turn_bytes:
+            pending += next(source)
+        if transport.producerState == "producing":
+            block, pending = pending[:turn_bytes], pending[turn_bytes:]
+            is_stream = part != "bytes in small chunks"
+            context.read += block.count(b"\n\n" if is_stream else b"x")
+            protocol.dataReceived(block)
+        world.reactor.advance(STEP_S)
+
+
+@behave.then("no more is read than the pace and one turn allow")
+def step_read(context):
+    paced = read_pacing.BURST_UNITS + FLOOD_S * read_pacing.UNITS_PER_S
+    # The shortest event has 7 bytes, the shortest chunk 6.
+    assert context.read <= paced + context.turn_bytes / 6, context.read
+
+
+@behave.when("300 new events come each second for 3 s")
+def step_sound(context):
+    world = context.world
+    protocol, transport = gateway_endings.send_call(world)
+    protocol.dataReceived(STREAM_HEAD)
+    context.paused = 0
+    for number in range(1, 901):
+        protocol.dataReceived(chunks_of(b"id: %d\ndata: x\n\n" % number))
+        context.paused += transport.producerState != "producing"
+        world.reactor.advance(1.0 / 300)
+
+
+@behave.then("reading was never paused")
+def step_never_paused(context):
+    assert not context.paused, context.paused
