Look up a reset in the socket before an answer ends with its connection

Cause: the event loop reports an error without bytes to read as a clean close. Both ways of requests took that for the end of an answer that has neither a length nor chunks.

Before, features/external/resets.feature: ASSERT FAILED: (200, b'half') on the gateway ASSERT FAILED: (200, b'half') on the agent path

Change: links/sockets.report_resets asks the socket (SO_ERROR) first.

--- a/cicadaplank/external/http.py
+++ b/cicadaplank/external/http.py
@@ -11,6 +11,7 @@
 from twisted.web import http_headers
 
 from cicadaplank.external import errors
+from cicadaplank.links import sockets
 from cicadaplank.world import buffers
 
 SENDER_HEADER = "X-Cicadaplank-Sender"
@@ -211,6 +212,7 @@
     if not hasattr(connection, "guard"):
         connection.guard = _Guard(connection)
         connection.transport.bufferSize = TURN_BYTES
+        sockets.report_resets(connection.transport)
     return connection
 
 
--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -10,6 +10,7 @@
 from twisted.python import failure
 
 from cicadaplank.gateway import framing, read_pacing
+from cicadaplank.links import sockets
 
 _log = logger.Logger()
 
@@ -115,9 +116,10 @@
         return self._responses == 1
 
     def connectionMade(self):
-        """Disable Nagle's algorithm, so that small writes are sent at once."""
+        """Set up the socket; Nagle's algorithm would hold small writes back."""
         self.transport.setTcpNoDelay(True)
         self.transport.bufferSize = self._pool.turn_bytes
+        sockets.report_resets(self.transport)
 
     def send(self, data, receiver, has_body=True):
         """Send a request and expect its response.
--- a/cicadaplank/links/sockets.py
+++ b/cicadaplank/links/sockets.py
@@ -1,7 +1,32 @@
-"""State of a TCP connection that the event loop has not reported yet."""
+"""State of a TCP connection that the event loop has not reported yet, or wrongly."""
 
 import socket
 
+from twisted.internet import error
+from twisted.python import failure
+
+
+def report_resets(transport):
+    """Let a transport report a reset as a lost connection.
+
+    A reset that arrives while the event loop polls shows as an error without bytes to
+    read, which the loop reports as a clean close.
+
+    :param transport: transport of a connection; one that is not on a TCP socket is left
+        as it is.
+    """
+    read_connection_lost = getattr(transport, "readConnectionLost", None)
+    if read_connection_lost is None:
+        return
+
+    def read_lost(reason):
+        if transport.getHandle().getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            transport.connectionLost(failure.Failure(error.ConnectionLost()))
+        else:
+            read_connection_lost(reason)
+
+    transport.readConnectionLost = read_lost
+
 
 def has_peer_left(sock):
     """Tell whether the peer has closed or reset a connection.
