Let a reset overtake the head in the scenario of the request command

Traced: the scripted server resets right behind its bytes, and the reset may come before the head was read. The command then fails with AnswerLost, which is the failure that is asked for.

--- a/features/steps/external_endings.py
+++ b/features/steps/external_endings.py
@@ -271,7 +271,12 @@
         assert (whole["status"], whole["error"]) == (200, False), (framing, whole)
         for ending in ("a close", "a reset"):
             for cut in range(start, len(data)):
-                got = await play_command(context, data[:cut], ending)
+                try:
+                    got = await play_command(context, data[:cut], ending)
+                except errors.AnswerLost as fault:
+                    # The reset came before the head of the answer was read.
+                    assert ending == "a reset", (framing, cut, fault)
+                    continue
                 assert got["error"], (framing, ending, cut, got)
 
 
