Recognise crashes of endpoints whose address still accepts connections

The crash counted only if a new connection was refused. Hypotheses that the trace rules out: late reports and merged crashes (no crash was ever recorded).

Change: attempts that broke while they began count as a crash also when the test connection ends within 0.3 s, and when the endpoint is no longer listed, or is listed with a later start, within 5 s of the break. An endpoint that has said that it leaves does not count, nor one that takes connections and stays.

--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -100,6 +100,8 @@
         # Timer of a pause of the pacer, and whether the receiver has paused, too.
         self._pace_timer = None
         self._is_paused = False
+        # Until when, and to whom, a loss of the connection before any call is told.
+        self._watch = None
         self.is_broken = False
         self.refused = set()
         self.longest_sent_bytes = 0
@@ -145,6 +147,15 @@
         self.longest_sent_bytes = max(self.longest_sent_bytes, len(data))
         self.transport.write(data)
 
+    def watch_life(self, for_s, lost, *args):
+        """Call a function if the endpoint closes the connection soon and unused.
+
+        :param for_s: seconds from now within which it does.
+        :param lost: callable.
+        :param args: its arguments.
+        """
+        self._watch = self._pool.now_s() + for_s, lost, args
+
     def set_unacknowledged_timeout(self, limit_s):
         """Set how long sent bytes may stay unacknowledged (``TCP_USER_TIMEOUT``).
 
@@ -360,9 +371,14 @@
         A response without length and chunks ends with the connection, so that a clean
         close completes it; any other loss breaks the call.
         """
+        watch, was_closed_here = self._watch, self.is_broken
         self.is_broken = True
         self._stop_pace()
         self._pool.lost(self)
+        if watch is not None and not was_closed_here and not self.used:
+            until_s, lost, args = watch
+            if self._pool.now_s() <= until_s:
+                lost(*args)
         receiver, self._receiver = self._receiver, None
         if receiver is None:
             return
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -45,6 +45,12 @@
 SUSPICION_S = 120.0
 # Attempts that broke within this time before a crash was found were part of it.
 CRASH_WINDOW_S = 1.0
+# An endpoint that loses its record, or starts anew, within this time after attempts
+# broke has crashed under them: a proxy may accept connections in its place.
+LISTED_CRASH_S = 5.0
+# A connection that tests an endpoint and ends within this time was accepted in place of
+# one that has crashed.
+PROBE_LIFE_S = 0.3
 # Limit on the attempts of one endpoint that are kept until it is probed.
 MAX_BROKEN_ATTEMPTS = 32
 # Retry time given to clients when no better estimate is known, for example when no
@@ -280,6 +286,7 @@
             listed, now_s, keep_missing, self.unix_s(), was_restored
         )
         for state in changes.removed:
+            self.run(self._record_listed_crash, state, now_s)
             self.run(self._remove_endpoint, state)
         for state in changes.leaving:
             self.run(self._report_leaving, state, now_s, "")
@@ -288,7 +295,6 @@
 
     def _remove_endpoint(self, state):
         name = state.endpoint.name
-        self._broken_attempts.pop(state, None)
         self._wished_until_s.pop(name, None)
         pool = self._pools.pop(state.endpoint.identity, None)
         if pool is not None:
@@ -892,6 +898,8 @@
             broken = self._broken_attempts.setdefault(attempt.state, [])
             broken.append((now_s, call.shared_parts, attempt.has_begun))
             del broken[:-MAX_BROKEN_ATTEMPTS]
+            if attempt.state.is_removed:
+                self._record_listed_crash(attempt.state, now_s)
         name = attempt.endpoint_name
         sent = self.suspects.record_crash(call.fingerprint, name, self.unix_s())
         for action in sent:
@@ -905,11 +913,23 @@
         if call.shared_parts:
             self.crash_causes.record_sound(call.shared_parts, self.now_s())
 
+    def _record_listed_crash(self, state, now_s):
+        """Record a crash of an endpoint that is no longer listed, or started anew.
+
+        :param state: :class:`cicadaplank.gateway.endpoints.EndpointState`, removed.
+        :param now_s: current time in seconds.
+        """
+        attempts = self._broken_attempts.get(state)
+        is_leaving = state.endpoint.is_draining or state.word.is_leaving
+        if attempts and not is_leaving and now_s - attempts[-1][0] <= LISTED_CRASH_S:
+            self._record_crash(state)
+        self._broken_attempts.pop(state, None)
+
     def _record_crash(self, state):
         """Record that an endpoint has crashed, with the attempts that broke there."""
         now_s = self.now_s()
         attempts = self._broken_attempts.pop(state, ())
-        recent = [a for a in attempts if now_s - a[0] <= CRASH_WINDOW_S]
+        recent = [a for a in attempts if attempts[-1][0] - a[0] <= CRASH_WINDOW_S]
         run = f"{state.endpoint.name}/{state.endpoint.started_ms}"
         begun = [parts for _, parts, has_begun in recent if has_begun]
         waiting = [parts for _, parts, has_begun in recent if not has_begun]
@@ -1216,6 +1236,7 @@
         def opened(connection):
             state.is_being_probed = False
             state.record_connect_success(self.now_s())
+            connection.watch_life(PROBE_LIFE_S, self._record_crash, state)
             connection.release()
             self.dispatch(state.endpoint.service)
 
--- a/features/gateway/crash_causes.feature
+++ b/features/gateway/crash_causes.feature
@@ -29,6 +29,22 @@
       | 0.2   | answered 503 unsent |
       | 0.7   | sent                |
 
+  Scenario Outline: After a crash the address of the endpoint <behaves>
+    Given a gateway with 2 endpoints and a route that streams once
+    And sound requests with parts "system,other" are answered between crashes
+    When 3 endpoints crash under parts "system,bad" and their address <behaves>
+    Then a request with parts "system,bad" is <outcome>
+
+    # A proxy may take connections in place of a process that has crashed. A connection
+    # that was cut proves nothing while its endpoint goes on.
+    Examples:
+      | behaves                                    | outcome             |
+      | accepts a connection and closes it         | answered 503 unsent |
+      | accepts a connection and is no longer listed | answered 503 unsent |
+      | accepts a connection and is listed anew    | answered 503 unsent |
+      | accepts a connection and stays             | sent                |
+      | accepts a connection and leaves            | sent                |
+
   Scenario: A call with a part that is blocked while it waits is not sent
     Given a gateway with 2 endpoints and a route that streams once
     And sound requests with parts "system,other" are answered between crashes
--- a/features/steps/gateway_crash_causes.py
+++ b/features/steps/gateway_crash_causes.py
@@ -110,6 +110,49 @@
         answer_once(context.world, context.sound)
 
 
+def crash_behind_proxy(world, parts, behaviour):
+    """Let a call break as its answer begins, and its address accept connections."""
+    body = send(world, parts)
+    protocol = take_call(world, body)
+    host = next(host for host, made, _ in world.sent if made is protocol)
+    protocol.dataReceived(gateway.stream_head())
+    gateway.reset(protocol)
+    while world.has_dial:
+        accepted, _ = world.accept()
+        if behaviour == "closes it":
+            gateway.end(accepted)
+    name = next(n for n, e in world.listed.items() if e.host == host)
+    listed, endpoint = dict(world.listed), world.listed[name]
+    if behaviour == "is no longer listed":
+        del listed[name]
+    elif behaviour == "leaves":
+        listed[name] = dataclasses.replace(endpoint, is_draining=True)
+        world.gateway.set_endpoints(listed, False)
+        del listed[name]
+    elif behaviour == "is listed anew":
+        started_ms = endpoint.started_ms + 1
+        listed[name] = dataclasses.replace(endpoint, started_ms=started_ms)
+    world.gateway.set_endpoints(listed, False)
+    world.run(RESTART_S)
+    # It is listed again with a start of its own, so that there is an endpoint to use.
+    started_ms = world.listed[name].started_ms + 2
+    world.listed[name] = dataclasses.replace(endpoint, started_ms=started_ms)
+    if behaviour not in ("closes it", "stays"):
+        world.gateway.set_endpoints(world.listed, False)
+    world.run(RESTART_S)
+    take_connections(world)
+
+
+@behave.when(
+    '{count:d} endpoints crash under parts "{parts}" and their address accepts a'
+    " connection and {behaviour}"
+)
+def step_crash_behind_proxy(context, count, parts, behaviour):
+    for _ in range(count):
+        crash_behind_proxy(context.world, parts.split(","), behaviour)
+        answer_once(context.world, context.sound)
+
+
 @behave.when('a request with parts "{parts}" waits during another crash')
 def step_waits(context, parts):
     world = context.world
