Keep blocked parts of prompts in the store, beyond the entry instances

What callers saw: a part of prompts that had been blocked crashed servers again after entries had restarted; with all of them restarted, at least three more servers each time.

Cause: crashes and blocks were known to running entries only. An entry that is back serves for up to 1 s before its peers connect, and knows nothing; when all are replaced nobody knows anything.

Change: one row of a table of our own holds the blocked parts, each with the time of the store's steady clock at which the block ends. It is written under a condition by an entry that saw a crash itself, at once, by others 1 to 2 s later unless they hear that it is there; rewritten after a restore of the store; a part that is answered after all is taken out. A process that starts reads the row (one call) and is not ready before; calls with shared parts get 503 "not run" with a Retry-After until then, for 2 s at most, so that an unreachable store stops nothing. A peer that knows tells it too. In calm nothing is written and nothing polled. requests/block_records.py decides, without input and output; gateway/block_keeping.py carries out; adopted blocks hold at once, not with the next tick (a trace showed sends within these 50 ms).

The store's stand-in learned conditions, refusals of writes and a steady clock.

--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -30,7 +30,12 @@
 )
 from cicadaplank.members import draining
 from cicadaplank.messages import types
-from cicadaplank.requests import answer_times, crash_causes, crash_tracking
+from cicadaplank.requests import (
+    answer_times,
+    block_records,
+    crash_causes,
+    crash_tracking,
+)
 from cicadaplank.world import buffers
 
 _log = logger.Logger()
@@ -128,6 +133,8 @@
         self.is_current = lambda: False
         # Returns why this instance has stopped serving, an empty string if it has not.
         self.stop_reason = lambda: ""
+        # Returns whether it is not known yet which parts of prompts are blocked.
+        self.awaits_blocks = lambda: False
         self.broadcast = lambda message, exclude: None
         self.send_to_peer = lambda peer, message: None
         self._reactor = reactor
@@ -400,6 +407,11 @@
             return None
         service = self._choose_service(admitted.route)
         self.budget(service).record_request(self.now_s())
+        if request.head.shared_parts and self.awaits_blocks():
+            self._reporter.count("refused_before_blocks")
+            reason = "it is not known yet which parts of prompts are blocked"
+            self._reject(client, request, 503, reason, block_records.READ_AGAIN_S)
+            return None
         blocked_s = self.crash_causes.blocked_for_s(
             request.head.shared_parts, self.now_s()
         )
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -13,6 +13,7 @@
 from twisted.logger import LogLevel, globalLogPublisher
 
 from cicadaplank.gateway import (
+    block_keeping,
     clients,
     gateway,
     guarded_calls,
@@ -198,9 +199,13 @@
     :param dialect: :class:`cicadaplank.gateway.dialects.Dialect`.
     :param reload: callable that returns the settings read anew, or raises
         ``ValueError``.
+    :param blocks: :class:`block_keeping.BlockRegistry`, or None when the blocked parts
+        of prompts are not recorded.
     """
 
-    def __init__(self, reactor, settings, store, decoder, members, dialect, reload):
+    def __init__(
+        self, reactor, settings, store, decoder, members, dialect, reload, blocks=None
+    ):
         self.reactor = reactor
         self.settings = settings
         self.events = events.Events(settings.name)
@@ -238,6 +243,9 @@
             reporter,
             draining.Draining(stop_limits(settings.grace_s)),
         )
+        self.block_keeper = block_keeping.BlockKeeper(
+            reactor, blocks, self.gateway.crash_causes, random.Random(), self._log
+        )
         self.listener = clients.Listener(reactor, self.gateway, self._request_rejected)
         self.operator = sync.TableSync(
             reactor,
@@ -285,7 +293,9 @@
         self._apply_settings(settings)
         self.gateway.is_current = self.is_current
         self.gateway.stop_reason = self._stop_reason
+        self.gateway.awaits_blocks = lambda: self.block_keeper.is_awaited
         self.gateway.broadcast = self.peers.broadcast
+        self.block_keeper.broadcast = self.peers.broadcast
         self.gateway.send_to_peer = self.hub.send
         self._stop_handlers = {
             # Load balancers read the readiness page, which shows the stop.
@@ -390,10 +400,16 @@
 
     @property
     def is_ready(self):
-        """Whether both tables are known, are not too old, and no shutdown has begun."""
+        """Whether calls can be served.
+
+        Both tables and the blocked parts are known, the tables are not too old, and no
+        shutdown has begun.
+        """
         has_tables = self.gateway.route_index is not None and self.listed.copy.is_known
         is_stopping = self.gateway.draining.is_stopping
-        return has_tables and not is_stopping and not self._stop_reason()
+        if is_stopping or self.block_keeper.is_awaited:
+            return False
+        return has_tables and not self._stop_reason()
 
     def _ready_page(self):
         code = 200 if self.is_ready else 503
@@ -431,6 +447,7 @@
         metric.set_gauge("peak_memory_bytes", metrics.peak_memory_bytes())
         self.gateway.update_metrics(metric)
         self.hub.update_metrics(metric)
+        self.block_keeper.update_metrics(metric)
         self._unreadable.update_metrics(metric)
         for guarded in (self._guarded, self.operator.guarded, self.listed.guarded):
             guarded.update_metrics(metric)
@@ -611,6 +628,7 @@
 
     def _endpoints_restored(self):
         """Look at the endpoints again, also when the restored records are the same."""
+        self.block_keeper.store_restored()
         self.reactor.callLater(0, self._endpoints_changed, set())
 
     def _check_missing(self):
@@ -671,6 +689,8 @@
             self.gateway.merge_crash(message)
         elif isinstance(message, types.SoundPartsReport):
             self.gateway.merge_sound(message)
+        elif isinstance(message, types.BlockedPartsReport):
+            self.block_keeper.receive(message)
         elif isinstance(message, types.LeavingReport):
             self.gateway.merge_leaving(connection.peer, message)
         elif isinstance(message, types.LimitReport):
@@ -687,6 +707,9 @@
         causes = self.gateway.crash_causes
         for message in causes.messages_for_new_peer(self.reactor.seconds()):
             connection.send(message)
+        blocks = self.block_keeper.message_for_new_peer()
+        if blocks is not None:
+            connection.send(blocks)
 
     def _record_suspicion(self, peer, report):
         """Record a crash that a peer observed.
@@ -731,6 +754,7 @@
             members, silent = self.peers.permit_members(now_s)
             self.gateway.set_permit_members(self.instance.name, members, silent)
         self.gateway.check_timeouts()
+        self.block_keeper.tick()
         self.peers.tick()
         self._update_stale_guard()
         now_s = self.reactor.seconds()
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -433,6 +433,20 @@
     ages_s: dict
 
 
+@dataclasses.dataclass(frozen=True)
+class BlockedPartsReport:
+    """Parts of prompts that are blocked since they crash endpoints.
+
+    It is sent to an instance that connects, and to all when the store was told.
+
+    :param left_s: maps each part to the seconds for which it is blocked.
+    :param is_recorded: whether the store has exactly these blocks.
+    """
+
+    left_s: dict = dataclasses.field(metadata={"items": (str, float)})
+    is_recorded: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class LeavingReport:
     """An endpoint has told the sender in an answer that it leaves.
--- a/cicadaplank/platform/__main__.py
+++ b/cicadaplank/platform/__main__.py
@@ -72,6 +72,13 @@
     return rows_store, rows.RowDecoder(), store.InstanceRegistry(rows_store)
 
 
+def _block_registry(rows_store):
+    """Return the row of the store with the blocked parts of prompts."""
+    from cicadaplank.platform import store
+
+    return store.BlockRegistry(rows_store)
+
+
 class Roles:
     """Commands that run a process on the platform or check its settings."""
 
@@ -85,12 +92,14 @@
         from cicadaplank.gateway import process
         from cicadaplank.platform import headers, settings
 
+        adapters = _store_adapters(reactor, address)
         entry = process.EntryProcess(
             reactor,
             checked,
-            *_store_adapters(reactor, address),
+            *adapters,
             headers.PlatformDialect(),
             lambda: settings.entry(settings.read(path)),
+            _block_registry(adapters[0]),
         )
         _run_process(reactor, entry)
 
--- a/cicadaplank/platform/store.py
+++ b/cicadaplank/platform/store.py
@@ -8,6 +8,7 @@
 from cicadaplank.external import errors
 from cicadaplank.gateway import positions, records, sync
 from cicadaplank.platform import client, documents
+from cicadaplank.requests import block_records
 from cicadaplank.world import machines
 
 # Maximum number of rows in one answer of the store.
@@ -18,6 +19,10 @@
 ERA_HEADER = b"store-era"
 # Table of this system's own in which entry instances register.
 MEMBER_TABLE = "entries"
+# Table and key of the row with the blocked parts of prompts.
+BLOCK_TABLE, BLOCK_KEY = "blocked_parts", "all"
+# A block that ends later than this is no block of this system.
+MAX_BLOCK_MS = 600_000
 
 
 class Store:
@@ -101,6 +106,41 @@
         rows = [r for r in map(_parse_record, answer["rows"]) if r is not None]
         return sync.Changes(tuple(rows), positions.Position(era, answer["ver"]))
 
+    async def read_row(self, table, key):
+        """Read one row of a table of this system's own.
+
+        :param table: table name.
+        :param key: key of the row.
+        :returns: tuple of its bytes, None when there is none, its version, 0 when there
+            is none, and the time of the store's steady clock in milliseconds.
+        :raises PlatformError: when the call fails.
+        """
+        query = {"table": table, "part": "", "from": key, "limit": 1}
+        answer, _ = await self._get("/v1/rows-get", query, client.TIMEOUT_S)
+        now_ms = answer.get("now_ms")
+        if not _is_version(now_ms):
+            raise errors.AnswerLost("rows-get: answer without a valid now_ms")
+        found = [r for r in map(_parse_record, answer["rows"]) if r is not None]
+        for record in found:
+            if record.key == key and record.value is not None:
+                return record.value, record.version, now_ms
+        return None, 0, now_ms
+
+    async def replace_row(self, table, key, value, version):
+        """Write one row if it still has the version that was read.
+
+        :param table: table name.
+        :param key: key of the row.
+        :param value: bytes.
+        :param version: version that the row must have, 0 when it must not exist.
+        :raises PlatformError: when the call fails, or the row was written meanwhile.
+        """
+        row = {"table": table, "part": "", "key": key}
+        expected = [{**row, "ver": version}]
+        row["value"] = base64.b64encode(value).decode()
+        body = {"expected": expected, "puts": [row], "remove": []}
+        await self._write(body)
+
     async def put(self, table, key, value):
         """Write one row of a table of this system's own, whatever its present version.
 
@@ -111,7 +151,9 @@
         """
         row = {"table": table, "part": "", "key": key}
         row["value"] = base64.b64encode(value).decode()
-        body = {"expected": [], "puts": [row], "remove": []}
+        await self._write({"expected": [], "puts": [row], "remove": []})
+
+    async def _write(self, body):
         status, _ = await self._client.json("POST", "/v1/rows-tx", body=body)
         if status in (429, 503):
             raise errors.Unavailable(f"rows-tx: status {status}")
@@ -218,6 +260,62 @@
         return found
 
 
+class BlockRegistry:
+    """Row of the store with the blocked parts of prompts.
+
+    The row holds, for each part, the time of the store's steady clock in milliseconds
+    at which its block ends.
+
+    :param store: :class:`Store`.
+    """
+
+    def __init__(self, store):
+        self._store = store
+
+    async def read(self):
+        """Return a dict from each blocked part to the seconds for which it is blocked.
+
+        :raises PlatformError: when the call fails.
+        """
+        left_s, _, _ = await self._read()
+        return left_s
+
+    async def write(self, order):
+        """Write blocks, beside those that the row has.
+
+        :param order: :class:`cicadaplank.requests.block_records.Write`.
+        :returns: the blocks that the row has now, as in :meth:`read`.
+        :raises PlatformError: when a call fails, or another instance wrote meanwhile.
+        """
+        found, version, now_ms = await self._read()
+        merged = block_records.merged(found, order)
+        if merged != found:
+            until_ms = {p: now_ms + int(1000 * s) for p, s in merged.items()}
+            value = json.dumps(until_ms).encode()
+            await self._store.replace_row(BLOCK_TABLE, BLOCK_KEY, value, version)
+        return merged
+
+    async def _read(self):
+        row = await self._store.read_row(BLOCK_TABLE, BLOCK_KEY)
+        value, version, now_ms = row
+        return _parse_blocks(value, now_ms), version, now_ms
+
+
+def _parse_blocks(value, now_ms):
+    """Return the blocks of a row that still hold; an unreadable row has none."""
+    try:
+        until_ms = json.loads(value or b"{}")
+    except ValueError:
+        return {}
+    if not isinstance(until_ms, dict):
+        return {}
+    return {
+        part: (each - now_ms) / 1000
+        for part, each in until_ms.items()
+        if type(each) is int and now_ms < each <= now_ms + MAX_BLOCK_MS
+    }
+
+
 _INSTANCE = documents.Decoder(documents.Instance)
 
 
--- a/cicadaplank/requests/crash_causes.py
+++ b/cicadaplank/requests/crash_causes.py
@@ -51,11 +51,13 @@
     :ivar crashed_s: time of the crash in seconds.
     :ivar begun: parts of the prompts whose answers had begun shortly before.
     :ivar waiting: parts of the prompts that had no answer yet.
+    :ivar is_own: whether this instance has observed it.
     """
 
     crashed_s: float
     begun: set
     waiting: set
+    is_own: bool = False
 
     @property
     def parts(self):
@@ -85,6 +87,8 @@
         # Time in seconds at which each blocked part was blocked last.
         self._blocked_s = {}
         self._blocked = {}
+        # End of each block in seconds that was found before this instance started.
+        self._adopted = {}
         self._is_outdated = False
 
     def __len__(self):
@@ -107,6 +111,38 @@
         until_s = max((self._blocked.get(p, now_s) for p in parts), default=now_s)
         return max(0.0, until_s - now_s)
 
+    def blocked_left_s(self, now_s):
+        """Return a dict from each blocked part to the seconds for which it is blocked.
+
+        :param now_s: current time in seconds.
+        """
+        return {p: until_s - now_s for p, until_s in self._blocked.items()}
+
+    @property
+    def observed(self):
+        """Parts of the crashes that this instance has observed itself."""
+        own = (crash for crash in self._crashes.values() if crash.is_own)
+        return {part for crash in own for part in crash.parts}
+
+    def adopt(self, left_s, now_s):
+        """Block parts that were blocked before this instance started.
+
+        A sound answer ends such a block like any other one.
+
+        :param left_s: maps each part to the seconds for which it is blocked.
+        :param now_s: current time in seconds.
+        """
+        for part, each_s in left_s.items():
+            until_s = now_s + min(SUSPICION_S, each_s)
+            if each_s <= 0.0 or len(self._adopted) >= MAX_CRASHES:
+                continue
+            self._adopted[part] = max(until_s, self._adopted.get(part, until_s))
+            crashed_s = until_s - SUSPICION_S
+            self._crashed_s[part] = max(crashed_s, self._crashed_s.get(part, crashed_s))
+            self._blocked_s[part] = now_s
+        # Requests may come before the next tick.
+        self._update(now_s)
+
     def record_crash(self, run, begun, waiting, now_s):
         """Record a crash that this instance observed.
 
@@ -121,6 +157,7 @@
         if not begun and not waiting:
             return ()
         self._add(run, begun, waiting, now_s)
+        self._crashes[run].is_own = True
         return (Broadcast(types.CrashReport(run, 0.0, begun, waiting)),)
 
     def merge_crash(self, report, now_s):
@@ -156,7 +193,7 @@
         :param parts: parts of the prompt.
         :param now_s: current time in seconds.
         """
-        if not self._crashes:
+        if not self._crashes and not self._adopted:
             return
         suspects = [p for p in parts if self._is_suspect(p)]
         if not suspects:
@@ -233,7 +270,11 @@
         for run, crash in list(self._crashes.items()):
             if crash.crashed_s + SUSPICION_S <= now_s:
                 del self._crashes[run]
+        for part, until_s in list(self._adopted.items()):
+            if until_s <= now_s or not self._is_suspect(part):
+                del self._adopted[part]
         suspected = {p for crash in self._crashes.values() for p in crash.parts}
+        suspected |= self._adopted.keys()
         for times_s in (self._sound_s, self._crashed_s, self._told_at_s):
             for part in times_s.keys() - suspected:
                 del times_s[part]
@@ -241,6 +282,8 @@
             if at_s + RECIDIVISM_S <= now_s:
                 del self._blocked_s[part]
         self._blocked = self._blame()
+        for part, until_s in self._adopted.items():
+            self._blocked[part] = max(until_s, self._blocked.get(part, until_s))
         for part in self._blocked:
             self._blocked_s[part] = now_s
         while len(self._blocked_s) > MAX_FORMER:
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -86,6 +86,24 @@
             self._rows[table, key] = {**row, "ver": self.version}
             self._changed.notify_all()
 
+    def transact(self, expected, puts):
+        """Write rows if others have the versions that are expected, 0 for no row.
+
+        :returns: whether they were written.
+        """
+        with self._changed:
+            for row in expected:
+                if self._version_of(row["table"], row["key"]) != row["ver"]:
+                    return False
+            for row in puts:
+                value = json.loads(base64.b64decode(row["value"]))
+                self.put(row["table"], row["key"], value)
+            return True
+
+    def _version_of(self, table, key):
+        row = self._rows.get((table, key), {"deleted": True})
+        return 0 if row.get("deleted") else row["ver"]
+
     def hold_polls(self):
         """Answer no long poll until the history is dropped."""
         self._is_holding = True
@@ -122,6 +140,10 @@
                 self._changed.wait(left_s)
 
 
+def _now_ms():
+    return int(1000 * time.monotonic())
+
+
 class _StoreHandler(_Handler):
     def do_GET(self):
         """Answer reads."""
@@ -138,16 +160,21 @@
         if self.server.is_down:
             self.reply(503, b"")
             return
-        answer = {"rows": found, "has_more": False, "ver": version, "now_ms": 1}
+        answer = {"rows": found, "has_more": False, "ver": version}
+        answer["now_ms"] = _now_ms()
         self.reply(200, json.dumps(answer).encode())
 
     def do_POST(self):
         """Answer writes."""
         body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-        for row in body["puts"]:
-            value = json.loads(base64.b64decode(row["value"]))
-            self.server.put(row["table"], row["key"], value)
-        self.reply(200, json.dumps({"ver": self.server.version, "now_ms": 1}).encode())
+        if self.server.is_down:
+            self.reply(503, b"")
+            return
+        if not self.server.transact(body["expected"], body["puts"]):
+            self.reply(412, b"{}")
+            return
+        answer = {"ver": self.server.version, "now_ms": _now_ms()}
+        self.reply(200, json.dumps(answer).encode())
 
 
 class BackEnd(_Server):
