Tell peers of blocked parts only where these are recorded

An entry without a registry of blocks sent a report about them to each peer that connects. Such an entry knows its crashes, which it sends as before; the report is the sign for those that wait for blocks, which entries without a registry never do.

--- a/cicadaplank/gateway/block_keeping.py
+++ b/cicadaplank/gateway/block_keeping.py
@@ -95,7 +95,7 @@
 
     def message_for_new_peer(self):
         """Return what an instance needs that has just started, None if unknown here."""
-        if self.is_awaited:
+        if self._registry is None or self.is_awaited:
             return None
         left_s = self._causes.blocked_left_s(self._reactor.seconds())
         return types.BlockedPartsReport(left_s, False)
