Date a crash of an endpoint by the break of its connections

What callers saw: sound requests could be refused with "a part of the prompt crashed several endpoints" when servers were only cut off, or were lost long after a connection of theirs had broken.

Cause: since an endpoint that loses its record within 5 s after attempts broke counts as crashed, at the time at which the record was lost. Endpoints of one data centre that are cut off break their connections at one moment, but their records lapse one after another, so that they were no longer merged as one cause (SAME_CAUSE_S). Attempts that broke also stayed with an endpoint which goes on, and a test connection that was refused at any later time took them for part of that crash.

Change: a crash has the time at which the newest of its attempts broke, for this instance and, by the age in the report, for the others. Attempts that broke more than 5 s ago are no part of a crash, however the crash is found.

The time at which connections break is the same for endpoints that fail together, whatever order the records lapse in.

--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -50,8 +50,9 @@
 SUSPICION_S = 120.0
 # Attempts that broke within this time before a crash was found were part of it.
 CRASH_WINDOW_S = 1.0
-# An endpoint that loses its record, or starts anew, within this time after attempts
-# broke has crashed under them: a proxy may accept connections in its place.
+# An endpoint that refuses connections, loses its record or starts anew within this
+# time after attempts broke has crashed under them: a proxy may accept connections in
+# its place.
 LISTED_CRASH_S = 5.0
 # A connection that tests an endpoint and ends within this time was accepted in place of
 # one that has crashed.
@@ -293,7 +294,7 @@
             listed, now_s, keep_missing, self.unix_s(), was_restored
         )
         for state in changes.removed:
-            self.run(self._record_listed_crash, state, now_s)
+            self.run(self._record_listed_crash, state)
             self.run(self._remove_endpoint, state)
         for state in changes.leaving:
             self.run(self._report_leaving, state, now_s, "")
@@ -911,7 +912,7 @@
             broken.append((now_s, call.shared_parts, attempt.has_begun))
             del broken[:-MAX_BROKEN_ATTEMPTS]
             if attempt.state.is_removed:
-                self._record_listed_crash(attempt.state, now_s)
+                self._record_listed_crash(attempt.state)
         name = attempt.endpoint_name
         sent = self.suspects.record_crash(call.fingerprint, name, self.unix_s())
         for action in sent:
@@ -925,27 +926,32 @@
         if call.shared_parts:
             self.crash_causes.record_sound(call.shared_parts, self.now_s())
 
-    def _record_listed_crash(self, state, now_s):
+    def _record_listed_crash(self, state):
         """Record a crash of an endpoint that is no longer listed, or started anew.
 
         :param state: :class:`cicadaplank.gateway.endpoints.EndpointState`, removed.
-        :param now_s: current time in seconds.
         """
-        attempts = self._broken_attempts.get(state)
         is_leaving = state.endpoint.is_draining or state.word.is_leaving
-        if attempts and not is_leaving and now_s - attempts[-1][0] <= LISTED_CRASH_S:
+        if not is_leaving:
             self._record_crash(state)
         self._broken_attempts.pop(state, None)
 
     def _record_crash(self, state):
         """Record that an endpoint has crashed, with the attempts that broke there."""
         now_s = self.now_s()
-        attempts = self._broken_attempts.pop(state, ())
-        recent = [a for a in attempts if attempts[-1][0] - a[0] <= CRASH_WINDOW_S]
+        attempts = self._broken_attempts.pop(state, None)
+        if attempts is None:
+            return
+        # The loss is often found later than it happened, at each endpoint after another
+        # time, while endpoints that are cut off together broke at the same moment.
+        crashed_s = attempts[-1][0]
+        if now_s - crashed_s > LISTED_CRASH_S:
+            return
+        recent = [a for a in attempts if crashed_s - a[0] <= CRASH_WINDOW_S]
         run = f"{state.endpoint.name}/{state.endpoint.started_ms}"
         begun = [parts for _, parts, has_begun in recent if has_begun]
         waiting = [parts for _, parts, has_begun in recent if not has_begun]
-        sent = self.crash_causes.record_crash(run, begun, waiting, now_s)
+        sent = self.crash_causes.record_crash(run, begun, waiting, now_s, crashed_s)
         for action in sent:
             self.broadcast(action.message, "")
         if sent:
--- a/cicadaplank/requests/crash_causes.py
+++ b/cicadaplank/requests/crash_causes.py
@@ -143,7 +143,7 @@
         # Requests may come before the next tick.
         self._update(now_s)
 
-    def record_crash(self, run, begun, waiting, now_s):
+    def record_crash(self, run, begun, waiting, now_s, crashed_s=None):
         """Record a crash that this instance observed.
 
         :param run: name of the run of the endpoint that has crashed.
@@ -151,14 +151,17 @@
             before.
         :param waiting: prompts that had no answer yet.
         :param now_s: current time in seconds.
+        :param crashed_s: time of the crash in seconds, None for ``now_s``.
         :returns: tuple of :class:`Broadcast`.
         """
+        crashed_s = now_s if crashed_s is None else crashed_s
         begun, waiting = _valid_prompts(begun), _valid_prompts(waiting)
         if not begun and not waiting:
             return ()
-        self._add(run, begun, waiting, now_s)
+        self._add(run, begun, waiting, crashed_s)
         self._crashes[run].is_own = True
-        return (Broadcast(types.CrashReport(run, 0.0, begun, waiting)),)
+        age_s = now_s - crashed_s
+        return (Broadcast(types.CrashReport(run, age_s, begun, waiting)),)
 
     def merge_crash(self, report, now_s):
         """Record a crash that another instance observed.
--- a/features/gateway/crash_causes.feature
+++ b/features/gateway/crash_causes.feature
@@ -38,12 +38,23 @@
     # A proxy may take connections in place of a process that has crashed. A connection
     # that was cut proves nothing while its endpoint goes on.
     Examples:
-      | behaves                                    | outcome             |
-      | accepts a connection and closes it         | answered 503 unsent |
+      | behaves                                      | outcome             |
+      | accepts a connection and closes it           | answered 503 unsent |
       | accepts a connection and is no longer listed | answered 503 unsent |
-      | accepts a connection and is listed anew    | answered 503 unsent |
-      | accepts a connection and stays             | sent                |
-      | accepts a connection and leaves            | sent                |
+      | accepts a connection and is listed anew      | answered 503 unsent |
+      | accepts a connection and stays               | sent                |
+      | accepts a connection and leaves              | sent                |
+
+  Scenario: Broken connections do not count when their endpoints end much later
+    Given a gateway with 2 endpoints and a route that streams once
+    And sound requests with parts "system,other" are answered between crashes
+    When 3 endpoints break a connection under parts "system,bad" and refuse others 30.0 s later
+    Then a request with parts "system,bad" is sent
+
+  Scenario: Endpoints that are cut off together and unlisted in turn block no part
+    Given a gateway with 6 endpoints and a route that streams once
+    When 4 endpoints break connections at once under parts "system,bad" and are unlisted 0.3 s apart
+    Then a request with parts "system,bad" is sent
 
   Scenario: A call with a part that is blocked while it waits is not sent
     Given a gateway with 2 endpoints and a route that streams once
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -168,7 +168,7 @@
             name: endpoints.Endpoint(
                 name, SERVICE, f"10.0.0.{n}", 80, "a", 1, False, {}
             )
-            for n, name in enumerate(["x", "y"][:count], 1)
+            for n, name in enumerate("xyzuvw"[:count], 1)
         }
         self.listed = listed
         self.gateway.set_endpoints(listed, False)
--- a/features/steps/gateway_crash_causes.py
+++ b/features/steps/gateway_crash_causes.py
@@ -65,6 +65,11 @@
         world.run(0.1)
     gateway.lose(protocol, error.ConnectionDone())
     refuse(world)
+    list_anew(world, host)
+
+
+def list_anew(world, host):
+    """List the endpoint of a host as started anew."""
     for name, endpoint in list(world.listed.items()):
         if endpoint.host == host:
             started_ms = endpoint.started_ms + 1
@@ -153,6 +158,51 @@
         answer_once(context.world, context.sound)
 
 
+@behave.when(
+    '{count:d} endpoints break a connection under parts "{parts}" and refuse others'
+    " {after_s:f} s later"
+)
+def step_break(context, count, parts, after_s):
+    world = context.world
+    for _ in range(count):
+        protocol = take_call(world, send(world, parts.split(",")))
+        host = next(host for host, made, _ in world.sent if made is protocol)
+        protocol.dataReceived(gateway.stream_head())
+        gateway.reset(protocol)
+        take_connections(world)
+        world.run(after_s)
+        # A silent call has the endpoint probed.
+        state = next(
+            s for s in world.gateway.endpoints.all() if s.endpoint.host == host
+        )
+        world.gateway._probe(state)
+        refuse(world)
+        list_anew(world, host)
+        world.run(RESTART_S)
+        answer_once(world, context.sound)
+
+
+@behave.when(
+    '{count:d} endpoints break connections at once under parts "{parts}" and are'
+    " unlisted {gap_s:f} s apart"
+)
+def step_cut_off(context, count, parts, gap_s):
+    world = context.world
+    protocols = [take_call(world, send(world, parts.split(","))) for _ in range(count)]
+    hosts = [h for p in protocols for h, made, _ in world.sent if made is p]
+    assert len(set(hosts)) == count, hosts
+    for protocol in protocols:
+        protocol.dataReceived(gateway.stream_head())
+    for protocol in protocols:
+        gateway.reset(protocol)
+    take_connections(world)
+    for host in hosts:
+        world.run(gap_s)
+        world.listed = {n: e for n, e in world.listed.items() if e.host != host}
+        world.gateway.set_endpoints(world.listed, False)
+    world.run(0.1)
+
+
 @behave.when('a request with parts "{parts}" waits during another crash')
 def step_waits(context, parts):
     world = context.world
