Let only instances that have ended a block take it out of the store

After an entry instance had missed the reports of the crashes, a blocked part was taken out of the store within 1 to 2 s, so that the next instances to start would have sent requests with it again.

Cause: an instance took a recorded part that it does not block for one that was answered after all. One that was cut off or frozen while the crashes were reported does not block it either, and it hears of the record from the instance that wrote it.

Change: crash_causes.CrashCauses keeps the parts whose block it has ended before its time, bounded and for as long as a crash counts, and only those are taken out. Instances that run adopt recorded blocks too, as long as they have not ended them, so that a lost report of a crash no longer leaves an instance without the block. A block that is told again extends an older one only by 1 s or more. An instance that has only stopped waiting for the store no longer tells new ones that nothing is blocked.

Failed before: blocked_parts.feature, "Instances that know nothing of the crashes do not take back their block", with the condition of put back: "ASSERT FAILED: {}" (the record was empty). With the change, the block stays recorded and all six instances block the part with at most 4 calls to the store. 16 scenarios of blocked_parts.feature and 33 of crash_causes.feature pass.

--- a/cicadaplank/gateway/block_keeping.py
+++ b/cicadaplank/gateway/block_keeping.py
@@ -61,7 +61,8 @@
             return
         now_s = self._reactor.seconds()
         left_s = self._causes.blocked_left_s(now_s)
-        order = self.records.tick(left_s, self._causes.observed, now_s)
+        causes = self._causes
+        order = self.records.tick(left_s, causes.observed, causes.released, now_s)
         if order is not None:
             defer.ensureDeferred(self._carry_out(order))
 
@@ -85,9 +86,9 @@
             return
         now_s = self._reactor.seconds()
         self.records.done(found_left_s, now_s)
+        self._causes.adopt(found_left_s, now_s)
         parts = ",".join(sorted(found_left_s))
         if is_read:
-            self._causes.adopt(found_left_s, now_s)
             self._log("blocked_parts_read", parts=parts)
             return
         self._log("blocked_parts_written", parts=parts)
@@ -95,21 +96,18 @@
 
     def message_for_new_peer(self):
         """Return what an instance needs that has just started, None if unknown here."""
-        if self.is_awaited:
+        if not self.records.is_known:
             return None
         left_s = self._causes.blocked_left_s(self._reactor.seconds())
         return types.BlockedPartsReport(left_s, False)
 
     def receive(self, report):
-        """Learn from another instance.
-
-        One that has been running has the crashes themselves.
+        """Learn from another instance, also when the reports of crashes were lost.
 
         :param report: :class:`cicadaplank.messages.types.BlockedPartsReport`.
         """
         now_s = self._reactor.seconds()
-        if not self.records.is_known:
-            self._causes.adopt(report.left_s, now_s)
+        self._causes.adopt(report.left_s, now_s)
         if report.is_recorded:
             self.records.learn(report.left_s, now_s)
         else:
--- a/cicadaplank/requests/block_records.py
+++ b/cicadaplank/requests/block_records.py
@@ -101,7 +101,7 @@
         """Count all blocks as not written: the store has lost its latest changes."""
         self._recorded_until_s.clear()
 
-    def tick(self, blocked_left_s, observed, now_s):
+    def tick(self, blocked_left_s, observed, released, now_s):
         """Return the next order, or None.
 
         One order is carried out at a time; :meth:`done` or :meth:`failed` follows.
@@ -109,6 +109,8 @@
         :param blocked_left_s: maps each blocked part to the seconds for which it is
             blocked.
         :param observed: parts of crashes that this instance has observed itself.
+        :param released: parts whose block this instance has ended. One that does not
+            block a part may only have missed its crashes.
         :param now_s: current time in seconds.
         :returns: :class:`Read`, :class:`Write` or None.
         """
@@ -123,11 +125,11 @@
         if self._read_at_s is not None and self._read_at_s <= now_s:
             self._is_busy = True
             return Read()
-        order = self._due_write(blocked_left_s, observed, now_s)
+        order = self._due_write(blocked_left_s, observed, released, now_s)
         self._is_busy = order is not None
         return order
 
-    def _due_write(self, blocked_left_s, observed, now_s):
+    def _due_write(self, blocked_left_s, observed, released, now_s):
         known = self._recorded_until_s
         for part in [p for p, until_s in known.items() if until_s <= now_s]:
             del known[part]
@@ -139,7 +141,7 @@
         answered = {
             part
             for part, until_s in known.items()
-            if part not in blocked_left_s and until_s > now_s + RENEW_AFTER_S
+            if part in released and until_s > now_s + RENEW_AFTER_S
         }
         for part in self._write_at_s.keys() - missing.keys() - answered:
             del self._write_at_s[part]
--- a/cicadaplank/requests/crash_causes.py
+++ b/cicadaplank/requests/crash_causes.py
@@ -27,6 +27,8 @@
 # that hears of an answer in the meantime says nothing.
 HOLD_OFF_PER_INSTANCE_S = 0.002
 MAX_HOLD_OFF_S = 1.0
+# A block that is told again is extended by no less: messages take some time.
+MIN_EXTENSION_S = 1.0
 MAX_CRASHES = 64
 MAX_PROMPTS = 32
 MAX_PARTS = 16
@@ -70,7 +72,8 @@
 
     :param random: ``random.Random``, which spreads messages of several instances.
     :ivar members: number of instances, this one included.
-    :ivar evicted: number of crashes dropped because of ``MAX_CRASHES``.
+    :ivar evicted: number of crashes and adopted blocks that were dropped because of
+        ``MAX_CRASHES``.
     """
 
     def __init__(self, random):
@@ -89,6 +92,8 @@
         self._blocked = {}
         # End of each block in seconds that was found before this instance started.
         self._adopted = {}
+        # Time in seconds at which a block was ended before its time by part.
+        self._released_s = {}
         self._is_outdated = False
 
     def __len__(self):
@@ -124,17 +129,27 @@
         own = (crash for crash in self._crashes.values() if crash.is_own)
         return {part for crash in own for part in crash.parts}
 
+    @property
+    def released(self):
+        """Parts that were blocked here, until they were answered or another blamed."""
+        return self._released_s.keys()
+
     def adopt(self, left_s, now_s):
-        """Block parts that were blocked before this instance started.
+        """Block parts whose crashes this instance may not know.
 
-        A sound answer ends such a block like any other one.
+        A sound answer ends such a block like any other one. Parts that were released
+        here are not blocked again.
 
         :param left_s: maps each part to the seconds for which it is blocked.
         :param now_s: current time in seconds.
         """
         for part, each_s in left_s.items():
             until_s = now_s + min(SUSPICION_S, each_s)
-            if each_s <= 0.0 or len(self._adopted) >= MAX_CRASHES:
+            known_s = self._blocked.get(part, now_s)
+            if part in self._released_s or until_s <= known_s + MIN_EXTENSION_S:
+                continue
+            if len(self._adopted) >= MAX_CRASHES:
+                self.evicted += 1
                 continue
             self._adopted[part] = max(until_s, self._adopted.get(part, until_s))
             crashed_s = until_s - SUSPICION_S
@@ -284,14 +299,28 @@
         for part, at_s in list(self._blocked_s.items()):
             if at_s + RECIDIVISM_S <= now_s:
                 del self._blocked_s[part]
-        self._blocked = self._blame()
+        blocked = self._blame()
         for part, until_s in self._adopted.items():
-            self._blocked[part] = max(until_s, self._blocked.get(part, until_s))
+            blocked[part] = max(until_s, blocked.get(part, until_s))
+        self._record_releases(self._blocked, blocked, now_s)
+        self._blocked = blocked
         for part in self._blocked:
             self._blocked_s[part] = now_s
         while len(self._blocked_s) > MAX_FORMER:
             del self._blocked_s[min(self._blocked_s, key=self._blocked_s.get)]
 
+    def _record_releases(self, before, blocked, now_s):
+        """Record the parts whose block has ended before its time."""
+        released_s = self._released_s
+        for part, until_s in before.items():
+            if until_s > now_s and part not in blocked:
+                released_s[part] = now_s
+        for part, at_s in list(released_s.items()):
+            if part in blocked or at_s + SUSPICION_S <= now_s:
+                del released_s[part]
+        while len(released_s) > MAX_FORMER:
+            del released_s[min(released_s, key=released_s.get)]
+
     def _blame(self):
         """Return a dict from each blocked part to the time until which it is.
 
--- a/features/gateway/blocked_parts.feature
+++ b/features/gateway/blocked_parts.feature
@@ -54,3 +54,11 @@
     When 20 s pass in which nothing fails
     And the part is answered and 20 s pass
     Then no block is recorded
+
+  Scenario: Instances that know nothing of the crashes do not take back their block
+    Given 3 instances that have found a block, of which 1 saw a crash
+    And 3 more instances to which the reports of the crashes were lost
+    When 20 s pass in which nothing fails
+    Then the block is recorded
+    And every instance blocks the part
+    And the store got at most 4 calls
--- a/features/steps/gateway_blocked_parts.py
+++ b/features/steps/gateway_blocked_parts.py
@@ -202,7 +202,8 @@
         """Carry out what is due; return the blocks that it has written, or None."""
         self.causes.tick(now_s)
         left_s = self.causes.blocked_left_s(now_s)
-        order = self.records.tick(left_s, self.causes.observed, now_s)
+        causes = self.causes
+        order = self.records.tick(left_s, causes.observed, causes.released, now_s)
         if order is None:
             return None
         found = store.carry_out(order, now_s)
@@ -210,10 +211,13 @@
             self.records.failed(order, now_s)
             return None
         self.records.done(found, now_s)
-        if isinstance(order, block_records.Read):
-            self.causes.adopt(found, now_s)
-            return None
-        return found
+        self.causes.adopt(found, now_s)
+        return None if isinstance(order, block_records.Read) else found
+
+    def receive(self, left_s, now_s):
+        """Learn which blocks another instance has written."""
+        self.causes.adopt(left_s, now_s)
+        self.records.learn(left_s, now_s)
 
 
 @behave.given('a block of the part "{part}" that is recorded {recorded}')
@@ -275,6 +279,14 @@
     context.start_s = 1.0
 
 
+@behave.given("{count:d} more instances to which the reports of the crashes were lost")
+def step_unaware(context, count):
+    members = [Member(len(context.members) + number) for number in range(count)]
+    for member in members:
+        member.records.done({}, 0.0)
+    context.members += members
+
+
 @behave.when("20 s pass in which {trouble}")
 def step_pass(context, trouble):
     if trouble == "the observers end before they write":
@@ -298,7 +310,8 @@
             if written is None or trouble == "every message is lost":
                 continue
             for other in context.members:
-                other.records.learn(written, now_s)
+                if other.is_up:
+                    other.receive(written, now_s)
 
 
 @behave.when("the part is answered and 20 s pass")
@@ -314,6 +327,12 @@
     assert "bad" in context.store.left_s(context.start_s), context.store.until_s
 
 
+@behave.then("every instance blocks the part")
+def step_all_block(context):
+    for member in context.members:
+        assert member.causes.blocked == ["bad"], member.causes.blocked
+
+
 @behave.then("no block is recorded")
 def step_not_recorded(context):
     left_s = context.store.left_s(context.start_s)
