Count only time in which the instance ran for sound answers

An entry instance that stands still (frozen, or its loop late) while a server crashes told all others that the deadly part is sound, which ends its block everywhere and clears the crashes counted so far.

Cause: an answer that has gone on for 0.5 s shows its prompt to be sound. The time ran on the clock: the head was read before the standstill, the bytes that the server had written before its crash were read after it, and the 0.5 s had passed without any sign of the server. The break that followed was then not counted either, as the answer was "sound".

Change: Gateway.awake_s() is the time that has passed while checks ran, with at most 0.1 s between two of them, and attempts measure their answers by it. Nothing else uses it.

A standstill adds at most 0.1 s to the time measured, far less than the 0.5 s.

--- a/cicadaplank/gateway/attempts.py
+++ b/cicadaplank/gateway/attempts.py
@@ -71,7 +71,7 @@
         self._call = call
         self._connection = None
         self._dial = None
-        self._answer_began_s = None
+        self._answer_began_awake_s = None
         state.call_started()
         self._permit = state.allowance.take(now_s)
 
@@ -83,19 +83,20 @@
     @property
     def has_begun(self):
         """Whether the answer has begun."""
-        return self._answer_began_s is not None
+        return self._answer_began_awake_s is not None
 
     @property
     def is_inside_event(self):
         """Whether a part of an event has arrived that is not complete."""
         return self.splitter is not None and self.splitter.is_inside_event
 
-    def is_sound(self, now_s):
-        """Tell whether the endpoint has answered for :data:`SOUND_STREAM_S`.
-
-        :param now_s: current time in seconds.
-        """
-        return self.has_begun and now_s - self._answer_began_s >= SOUND_STREAM_S
+    @property
+    def is_sound(self):
+        """Whether the endpoint has answered for :data:`SOUND_STREAM_S`."""
+        if not self.has_begun:
+            return False
+        answered_s = self._gateway.awake_s() - self._answer_began_awake_s
+        return answered_s >= SOUND_STREAM_S
 
     # Sending.
 
@@ -179,7 +180,7 @@
         gateway.record_word(call, self.state, head, self.sent_s)
         self.last_activity_s = gateway.now_s()
         if 200 <= head.status < 300:
-            self._answer_began_s = self.last_activity_s
+            self._answer_began_awake_s = gateway.awake_s()
         self.reply = head
         is_stream = call.route.is_stream and call.request.head.method != b"HEAD"
         has_events = head.status == 200 and head.is_event_stream
--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -426,7 +426,7 @@
             attempt.last_activity_s = now_s
             self._last_event_s = self._last_activity_s = now_s
             self._forward(attempt, b"".join(forwarded), now_s)
-            if attempt.is_sound(now_s):
+            if attempt.is_sound:
                 self._gateway.record_sound(self)
         return fault
 
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -59,6 +59,8 @@
 PROBE_LIFE_S = 0.3
 # Limit on the attempts of one endpoint that are kept until it is probed.
 MAX_BROKEN_ATTEMPTS = 32
+# Longest time between two checks that counts as time in which this process ran.
+MAX_AWAKE_STEP_S = 0.1
 # Retry time given to clients when no better estimate is known, for example when no
 # endpoint can serve a call.
 DEFAULT_RETRY_AFTER_S = 1.0
@@ -152,6 +154,8 @@
         # Time of the last check of time-outs, and by how much it was late, in seconds.
         self._checked_s = None
         self._late_s = 0.0
+        # Time in seconds that has passed while the event loop ran.
+        self._awake_s = 0.0
         # Time until which this instance does not wish for another permit, by endpoint.
         self._wished_until_s = {}
         # Last report of each other entry instance: calls in progress by endpoint name.
@@ -178,6 +182,16 @@
             return now_s
         return self._checked_s - self._late_s
 
+    def awake_s(self):
+        """Return the time in seconds that has passed while this process ran.
+
+        Data that had arrived before a standstill is read after it.
+        """
+        if self._checked_s is None:
+            return self._awake_s
+        passed_s = self.now_s() - self._checked_s
+        return self._awake_s + min(passed_s, MAX_AWAKE_STEP_S)
+
     def unix_s(self):
         """Return the time of day in Unix seconds."""
         return self._reporter.unix_s()
@@ -907,7 +921,7 @@
         if not call.fingerprint:
             call.fingerprint = self._fingerprint(call.request, call.admitted)
         now_s = self.now_s()
-        if call.shared_parts and not attempt.is_sound(now_s):
+        if call.shared_parts and not attempt.is_sound:
             broken = self._broken_attempts.setdefault(attempt.state, [])
             broken.append((now_s, call.shared_parts, attempt.has_begun))
             del broken[:-MAX_BROKEN_ATTEMPTS]
@@ -1278,6 +1292,7 @@
         self.run(self._tick_crash_causes, now_s)
         if self._checked_s is not None:
             self._late_s = now_s - self._checked_s - TIMEOUT_CHECK_INTERVAL_S
+            self._awake_s = self.awake_s()
         self._checked_s = now_s
         for call in list(self._calls):
             call_errors.run(call, self._check_time, call, now_s)
--- a/features/gateway/crash_causes.feature
+++ b/features/gateway/crash_causes.feature
@@ -45,6 +45,13 @@
       | accepts a connection and stays               | sent                |
       | accepts a connection and leaves              | sent                |
 
+  Scenario: Answers that were read after the instance stood still show no part to be sound
+    Given a gateway with 2 endpoints and a route that streams once
+    And sound requests with parts "system,other" are answered between crashes
+    When 2 different requests with parts "system,bad" crash their endpoints
+    And another one does while the instance stands still for 3.0 s
+    Then a request with parts "system,bad" is answered 503 unsent
+
   Scenario: Broken connections do not count when their endpoints end much later
     Given a gateway with 2 endpoints and a route that streams once
     And sound requests with parts "system,other" are answered between crashes
--- a/features/steps/gateway_crash_causes.py
+++ b/features/steps/gateway_crash_causes.py
@@ -57,9 +57,8 @@
 
 
 def crash(world, protocol, after_s=0.0):
-    """Let the endpoint of a connection begin an answer, crash and start anew."""
+    """Let the endpoint of a connection go on with an answer, crash and start anew."""
     host = next(host for host, made, _ in world.sent if made is protocol)
-    protocol.dataReceived(gateway.stream_head())
     for number in range(round(after_s / 0.1)):
         protocol.dataReceived(gateway.chunk(gateway.event(number + 1)))
         world.run(0.1)
@@ -79,8 +78,9 @@
 
 def crash_once(world, parts, after_s=0.0):
     """Send a request under which its endpoint crashes, and wait for the restart."""
-    body = send(world, parts)
-    crash(world, take_call(world, body), after_s)
+    protocol = take_call(world, send(world, parts))
+    protocol.dataReceived(gateway.stream_head())
+    crash(world, protocol, after_s)
     world.run(RESTART_S)
     take_connections(world)
 
@@ -115,6 +115,19 @@
         answer_once(context.world, context.sound)
 
 
+@behave.when("another one does while the instance stands still for {still_s:f} s")
+def step_still(context, still_s):
+    world = context.world
+    protocol = take_call(world, send(world, ["system", "bad"]))
+    protocol.dataReceived(gateway.stream_head())
+    # Nothing is read and no timer runs meanwhile.
+    world.reactor.advance(still_s)
+    protocol.dataReceived(gateway.chunk(gateway.event(1)))
+    crash(world, protocol)
+    world.run(RESTART_S)
+    take_connections(world)
+
+
 def crash_behind_proxy(world, parts, behaviour):
     """Let a call break as its answer begins, and its address accept connections."""
     body = send(world, parts)
@@ -211,6 +224,7 @@
         first = take_call(world, body)
     context.body = send(world, parts.split(","))
     context.transport = world.client_transport
+    first.dataReceived(gateway.stream_head())
     crash(world, first)
     world.run(0.1)
 
