Settle blocks on which entry instances disagree

Cause: the sound answer is reported once. An entry that was frozen or cut off at that time still blocks the part; it finds the record gone and writes it again, the other one finds an answered part recorded and takes it out, at each tick. Entries that start meanwhile take over what the row holds just then. In the trace edge-0 writes "bad" and edge-1 "bad, document-2" in turn, and both start again with document-2, which nobody answers then.

Change: a part counts as released only after a sound answer, no longer when its crashes were dropped from the table. An entry that finds a block gone from the record, in its own call or a report, treats that as the sound answer whose report it missed, at most 2 s old, the longest time for which such a write is held back; later crashes count as before. A block that was taken out is written again no sooner than 10 s later.

--- a/cicadaplank/gateway/block_keeping.py
+++ b/cicadaplank/gateway/block_keeping.py
@@ -85,7 +85,8 @@
             self._log("block_record_failed", call="internal", reason=detail)
             return
         now_s = self._reactor.seconds()
-        self.records.done(found_left_s, now_s)
+        taken_out = self.records.done(found_left_s, now_s)
+        self._causes.retract(taken_out, block_records.MAX_HOLD_OFF_S, now_s)
         self._causes.adopt(found_left_s, now_s)
         parts = ",".join(sorted(found_left_s))
         if is_read:
@@ -109,7 +110,8 @@
         now_s = self._reactor.seconds()
         self._causes.adopt(report.left_s, now_s)
         if report.is_recorded:
-            self.records.learn(report.left_s, now_s)
+            taken_out = self.records.learn(report.left_s, now_s)
+            self._causes.retract(taken_out, block_records.MAX_HOLD_OFF_S, now_s)
         else:
             self.records.inform()
 
--- a/cicadaplank/requests/block_records.py
+++ b/cicadaplank/requests/block_records.py
@@ -21,8 +21,12 @@
 # time and a random one, unless another instance has told that it is written.
 OTHERS_WRITE_AFTER_S = 1.0
 OTHERS_SPREAD_S = 1.0
+MAX_HOLD_OFF_S = OTHERS_WRITE_AFTER_S + OTHERS_SPREAD_S
 # A block is written again when it ends later than its record by this time.
 RENEW_AFTER_S = 30.0
+# A block that another instance has taken out is written again after this time, so that
+# instances that know of different crashes do not undo each other's writes all the time.
+CONTEST_S = 10.0
 # Bounds of the records that are kept and of the length of a part.
 MAX_RECORDS = 64
 MAX_PART_CHARS = 200
@@ -67,6 +71,8 @@
         self._recorded_until_s = {}
         # Time in seconds from which this instance may write a block.
         self._write_at_s = {}
+        # Time in seconds at which each block was found to be taken out.
+        self._taken_out_s = {}
 
     def __len__(self):
         return len(self._recorded_until_s)
@@ -92,10 +98,23 @@
 
         :param left_s: maps each part to the seconds for which it is blocked.
         :param now_s: current time in seconds.
+        :returns: set of the parts whose block was taken out since.
         """
         self._is_known = True
+        known = self._recorded_until_s
+        # Clocks differ a little: a block that ends was not taken out.
+        taken_out = {
+            part
+            for part, until_s in known.items()
+            if part not in left_s and until_s > now_s + RENEW_AFTER_S
+        }
+        self._taken_out_s.update(dict.fromkeys(taken_out, now_s))
+        for part, at_s in list(self._taken_out_s.items()):
+            if at_s + CONTEST_S <= now_s:
+                del self._taken_out_s[part]
         kept = sorted(left_s, key=left_s.get, reverse=True)[:MAX_RECORDS]
         self._recorded_until_s = {part: now_s + left_s[part] for part in kept}
+        return taken_out
 
     def forget(self):
         """Count all blocks as not written: the store has lost its latest changes."""
@@ -147,7 +166,10 @@
             del self._write_at_s[part]
         for part in (*missing, *answered):
             if part not in self._write_at_s:
-                self._write_at_s[part] = now_s + self._hold_off_s(part in observed)
+                at_s = now_s + self._hold_off_s(part in observed)
+                if part in missing and part in self._taken_out_s:
+                    at_s = max(at_s, self._taken_out_s[part] + CONTEST_S)
+                self._write_at_s[part] = at_s
         if now_s < self._not_before_s:
             return None
         due = {part for part, at_s in self._write_at_s.items() if at_s <= now_s}
@@ -166,11 +188,12 @@
 
         :param found_left_s: blocks that the store has now, as in :class:`Write`.
         :param now_s: current time in seconds.
+        :returns: as :meth:`learn`.
         """
         self._is_busy = False
         self._read_at_s = None
         self._write_again_s = WRITE_AGAIN_S
-        self.learn(found_left_s, now_s)
+        return self.learn(found_left_s, now_s)
 
     def failed(self, order, now_s):
         """Handle a failed order: it is repeated.
--- a/cicadaplank/requests/crash_causes.py
+++ b/cicadaplank/requests/crash_causes.py
@@ -92,7 +92,7 @@
         self._blocked = {}
         # End of each block in seconds that was found before this instance started.
         self._adopted = {}
-        # Time in seconds at which a block was ended before its time by part.
+        # Time in seconds at which the block of a part ended with a sound answer.
         self._released_s = {}
         self._is_outdated = False
 
@@ -131,7 +131,7 @@
 
     @property
     def released(self):
-        """Parts that were blocked here, until they were answered or another blamed."""
+        """Parts that were blocked here until they were answered."""
         return self._released_s.keys()
 
     def adopt(self, left_s, now_s):
@@ -158,6 +158,17 @@
         # Requests may come before the next tick.
         self._update(now_s)
 
+    def retract(self, parts, age_s, now_s):
+        """End blocks that another instance has ended after a sound answer.
+
+        The report of the answer may have been lost. Later crashes count as before.
+
+        :param parts: parts that were blocked.
+        :param age_s: most seconds since their answers.
+        :param now_s: current time in seconds.
+        """
+        self.merge_sound(types.SoundPartsReport(dict.fromkeys(parts, age_s)), now_s)
+
     def record_crash(self, run, begun, waiting, now_s, crashed_s=None):
         """Record a crash that this instance observed.
 
@@ -285,6 +296,7 @@
 
     def _update(self, now_s):
         """Work out the blocked parts from the crashes and sound answers."""
+        self._record_releases(now_s)
         for run, crash in list(self._crashes.items()):
             if crash.crashed_s + SUSPICION_S <= now_s:
                 del self._crashes[run]
@@ -302,22 +314,21 @@
         blocked = self._blame()
         for part, until_s in self._adopted.items():
             blocked[part] = max(until_s, blocked.get(part, until_s))
-        self._record_releases(self._blocked, blocked, now_s)
         self._blocked = blocked
         for part in self._blocked:
             self._blocked_s[part] = now_s
         while len(self._blocked_s) > MAX_FORMER:
             del self._blocked_s[min(self._blocked_s, key=self._blocked_s.get)]
 
-    def _record_releases(self, before, blocked, now_s):
-        """Record the parts whose block has ended before its time."""
+    def _record_releases(self, now_s):
+        """Record the blocked parts that have been answered."""
         released_s = self._released_s
-        for part, until_s in before.items():
-            if until_s > now_s and part not in blocked:
-                released_s[part] = now_s
         for part, at_s in list(released_s.items()):
-            if part in blocked or at_s + SUSPICION_S <= now_s:
+            if self._is_suspect(part) or at_s + SUSPICION_S <= now_s:
                 del released_s[part]
+        for part in self._blocked:
+            if part in self._sound_s and not self._is_suspect(part):
+                released_s[part] = now_s
         while len(released_s) > MAX_FORMER:
             del released_s[min(released_s, key=released_s.get)]
 
--- a/features/gateway/blocked_parts.feature
+++ b/features/gateway/blocked_parts.feature
@@ -62,3 +62,21 @@
     Then the block is recorded
     And every instance blocks the part
     And the store got at most 4 calls
+
+  Scenario: A block ends everywhere with an answer whose report was lost
+    Given 3 instances that have found a block, of which 1 saw a crash
+    And 3 more instances to which the reports of the crashes were lost
+    When 20 s pass in which nothing fails
+    And the part is answered at one instance, which the others do not hear
+    And 20 s pass in which nothing fails
+    Then no block is recorded
+    And no instance blocks a part
+    And the store got at most 12 calls
+
+  Scenario: Instances that disagree on a block do not rewrite it all the time
+    Given 3 instances that have found a block, of which 1 saw a crash
+    When 20 s pass in which nothing fails
+    And the part is answered at one instance, which the others do not hear
+    And another one sees it crash an endpoint, which the first does not hear
+    And 20 s pass in which nothing fails
+    Then the store got at most 20 calls
--- a/features/steps/gateway_blocked_parts.py
+++ b/features/steps/gateway_blocked_parts.py
@@ -210,14 +210,16 @@
         if found is None:
             self.records.failed(order, now_s)
             return None
-        self.records.done(found, now_s)
+        taken_out = self.records.done(found, now_s)
+        self.causes.retract(taken_out, block_records.MAX_HOLD_OFF_S, now_s)
         self.causes.adopt(found, now_s)
         return None if isinstance(order, block_records.Read) else found
 
     def receive(self, left_s, now_s):
         """Learn which blocks another instance has written."""
         self.causes.adopt(left_s, now_s)
-        self.records.learn(left_s, now_s)
+        taken_out = self.records.learn(left_s, now_s)
+        self.causes.retract(taken_out, block_records.MAX_HOLD_OFF_S, now_s)
 
 
 @behave.given('a block of the part "{part}" that is recorded {recorded}')
@@ -327,6 +329,25 @@
     assert "bad" in context.store.left_s(context.start_s), context.store.until_s
 
 
+@behave.when("the part is answered at one instance, which the others do not hear")
+def step_answered_once(context):
+    context.members[0].causes.record_sound(("system", "bad"), context.start_s)
+
+
+@behave.when("another one sees it crash an endpoint, which the first does not hear")
+def step_crash_unheard(context):
+    causes = context.members[1].causes
+    for crash in range(3):
+        at_s = context.start_s + 0.1 * crash
+        causes.record_crash(f"later-{crash}", [("system", "bad")], [], at_s)
+
+
+@behave.then("no instance blocks a part")
+def step_none_block(context):
+    for member in context.members:
+        assert not member.causes.blocked, member.causes.blocked
+
+
 @behave.then("every instance blocks the part")
 def step_all_block(context):
     for member in context.members:
