--- a/bench/burst.py
+++ b/bench/burst.py
@@ -13,7 +13,7 @@
 import itertools
 import random
 
-from cicadaplank.gateway import endpoints, placement, waiting
+from cicadaplank.gateway import calls, endpoints, placement, waiting
 
 DAY_S = 41.0
 ENTRIES = 6
@@ -41,6 +41,13 @@
 GAP_OBJECTIVE_S = 0.3
 DEADLINE_S = 6.07
 ZONES = ("a", "b", "c")
+# Calls beyond its slots that an engine holds; it turns further ones away.
+ENGINE_QUEUE = 4
+# Speeds of machines that engines share with others: time that work takes relative to
+# the usual time, and the mean time for which one speed holds.
+EVEN = (1.0,)
+UNEVEN = (0.8, 1.0, 1.0, 1.3, 2.5)
+PACE_S = 0.4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -130,7 +137,9 @@
 class Engine:
     """One engine; its calls run in batches."""
 
-    def __init__(self, number, ready_s):
+    def __init__(self, number, ready_s, paces=EVEN):
+        self.pace = 1.0
+        self.paces = paces
         self.name = f"engine-{number}"
         self.ready_s = ready_s
         self.zone = ZONES[number % len(ZONES)]
@@ -157,9 +166,8 @@
                 written.append(request)
         context = sum(request.written for request in self.running) / 1000
         step_ms = STEP_MS + STREAM_MS * len(self.running) + CONTEXT_MS * context
-        return (
-            step_ms + (CHUNK_TOKENS - budget) / PROMPT_TOKENS_PER_MS
-        ) / 1000, written
+        read_ms = (CHUNK_TOKENS - budget) / PROMPT_TOKENS_PER_MS
+        return self.pace * (step_ms + read_ms) / 1000, written
 
 
 class Entry:
@@ -225,13 +233,22 @@
     :param choose: choice of an endpoint, as :func:`placement.choose`.
     :param answer_time: callable that returns a :class:`waiting.AnswerTimeAverage`.
     :param engines: number of engines at the start and at the end.
+    :param paces: speeds between which engines change; at other than :data:`EVEN` they
+        turn away what exceeds :data:`ENGINE_QUEUE`.
+    :ivar turned_away: number of calls that engines turned away.
     """
 
     def __init__(
-        self, seed, choose, answer_time=waiting.AnswerTimeAverage, engines=ENGINES
+        self,
+        seed,
+        choose,
+        answer_time=waiting.AnswerTimeAverage,
+        engines=ENGINES,
+        paces=EVEN,
     ):
         self.now_s = 0.0
         self.refused = 0
+        self.turned_away = 0
         self.requests = traffic(seed)
         self._rng = random.Random(seed + 1)
         self._entries = [
@@ -246,7 +263,7 @@
         for number in range(last):
             late = max(0, number - first + 1)
             ready_s = START_S + START_GAP_S * late if late else 0.0
-            self._at(ready_s, self._add, Engine(number, ready_s))
+            self._at(ready_s, self._add, Engine(number, ready_s, paces))
         self._at(0.0, self._report)
 
     def _at(self, time_s, function, *args):
@@ -272,6 +289,15 @@
         for load_s in LOADS_S:
             self._at(load_s + LOAD_GAP_S * number, self._load, engine)
 
+        if engine.paces is not EVEN:
+            self._change_pace(engine)
+
+    def _change_pace(self, engine):
+        engine.pace = self._rng.choice(engine.paces)
+        next_s = self.now_s + self._rng.expovariate(1 / PACE_S)
+        if next_s < DAY_S + DEADLINE_S:
+            self._at(next_s, self._change_pace, engine)
+
     def _load(self, engine):
         """Cut the streams of an engine that loads weights; they are resumed."""
         engine.loads.append(self.now_s)
@@ -293,8 +319,9 @@
             for number, load in enumerate(loads):
                 if self._entries[number] is entry:
                     continue
-                for name, calls in load.items():
-                    entry.states[name].set_peer_load(str(number), calls, self.now_s)
+                for name, in_flight in load.items():
+                    state = entry.states[name]
+                    state.set_peer_load(str(number), in_flight, self.now_s)
         if self.now_s < DAY_S + DEADLINE_S:
             self._at(self.now_s + REPORT_S, self._report)
 
@@ -353,6 +380,14 @@
         self._at(self.now_s + HOP_S, self._reach, engine, request)
 
     def _reach(self, engine, request):
+        held = len(engine.running) + len(engine.queue)
+        if engine.paces is not EVEN and held >= SLOTS + ENGINE_QUEUE:
+            self.turned_away += 1
+            state = self._entries[request.entry].states[engine.name]
+            state.record_refusal(self.now_s, calls.FULL_BACK_OFF_S)
+            self._left(engine, request)
+            self._place(request)
+            return
         engine.queue.append(request)
         self._wake(engine)
 
