Place generations by the predicted time to the first event

Callers of engines that share their machines with others got answers after up to 1.6 s although other engines were faster at that moment: the placement compared calls per slot only, and the load and pace that servers report were not read.

The figures of the engines are read from the configuration, the work of a call from its token counts and its estimate, and the load report with its fourth figure from answers. For endpoints that have stated a pace the cost is the predicted time to the first event in parts of the call's objective; for all others it is the load per slot, as before. A client's own figures are bounded by the usual work.

--- a/bench/burst.py
+++ b/bench/burst.py
@@ -13,7 +13,7 @@
 import itertools
 import random
 
-from cicadaplank.gateway import calls, endpoints, placement, waiting
+from cicadaplank.gateway import calls, endpoints, placement, service_times, waiting
 
 DAY_S = 41.0
 ENTRIES = 6
@@ -89,6 +89,7 @@
     returned: bool = False
     written: int = 0
     sent_s: float = 0.0
+    unread_tokens: float = 0.0
     last_event_s: float | None = None
     is_late: bool = False
     ended_s: float | None = None
@@ -107,6 +108,24 @@
         self.last_event_s = now_s
 
 
+# Figures that the engines publish.
+FIGURES = service_times.EngineFigures(
+    step_s=STEP_MS / 1000,
+    step_per_call_s=STREAM_MS / 1000,
+    step_per_token_s=CONTEXT_MS / 1e6,
+    read_tokens_per_s=PROMPT_TOKENS_PER_MS * 1000,
+    chunk_tokens=CHUNK_TOKENS,
+    steps_per_pass=TOKENS_PER_EVENT,
+    usual=service_times.Work(
+        sum(kind.rate_per_s * kind.prompt_tokens for kind in KINDS)
+        / sum(kind.rate_per_s for kind in KINDS),
+        sum(kind.rate_per_s * kind.events for kind in KINDS)
+        * TOKENS_PER_EVENT
+        / sum(kind.rate_per_s for kind in KINDS),
+    ),
+)
+
+
 def rate_share(now_s):
     """Return the part of the full rate at a time."""
     return [share for start_s, share in SHAPE if start_s <= now_s][-1]
@@ -189,9 +208,9 @@
             )
         )
 
-    def choose(self, now_s):
+    def choose(self, now_s, generation=None):
         """Return the state that a request is sent to, or None."""
-        demand = placement.Demand("s", self.zone)
+        demand = placement.Demand("s", self.zone, generation=generation)
         return self._choose(list(self.states.values()), demand, now_s, self._rng)
 
 
@@ -235,6 +254,7 @@
     :param engines: number of engines at the start and at the end.
     :param paces: speeds between which engines change; at other than :data:`EVEN` they
         turn away what exceeds :data:`ENGINE_QUEUE`.
+    :param reports: whether engines report their load with the first event.
     :ivar turned_away: number of calls that engines turned away.
     """
 
@@ -245,11 +265,14 @@
         answer_time=waiting.AnswerTimeAverage,
         engines=ENGINES,
         paces=EVEN,
+        reports=False,
     ):
+        self._reports = reports
         self.now_s = 0.0
         self.refused = 0
         self.turned_away = 0
         self.requests = traffic(seed)
+        self._seed = seed
         self._rng = random.Random(seed + 1)
         self._entries = [
             Entry(number, choose, self._rng, answer_time()) for number in range(ENTRIES)
@@ -290,13 +313,13 @@
             self._at(load_s + LOAD_GAP_S * number, self._load, engine)
 
         if engine.paces is not EVEN:
-            self._change_pace(engine)
+            self._change_pace(engine, random.Random(f"{self._seed} {engine.name}"))
 
-    def _change_pace(self, engine):
-        engine.pace = self._rng.choice(engine.paces)
-        next_s = self.now_s + self._rng.expovariate(1 / PACE_S)
+    def _change_pace(self, engine, rng):
+        engine.pace = rng.choice(engine.paces)
+        next_s = self.now_s + rng.expovariate(1 / PACE_S)
         if next_s < DAY_S + DEADLINE_S:
-            self._at(next_s, self._change_pace, engine)
+            self._at(next_s, self._change_pace, engine, rng)
 
     def _load(self, engine):
         """Cut the streams of an engine that loads weights; they are resumed."""
@@ -341,7 +364,8 @@
 
     def _place(self, request):
         entry = self._entries[request.entry]
-        state = None if len(entry.queue) else entry.choose(self.now_s)
+        generation = self._generation(request)
+        state = None if len(entry.queue) else entry.choose(self.now_s, generation)
         if state is not None:
             entry.queue.record_start(self.now_s)
             self._send(request, entry, state)
@@ -352,6 +376,13 @@
             return
         self._at(self._queue_entry(request).wait_until_s, self._expire, entry)
 
+    def _generation(self, request):
+        if not self._reports:
+            return None
+        work = service_times.Work(request.prompt_left, request.tokens)
+        work = service_times.bounded_work(FIGURES, work)
+        return placement.Generation(FIGURES, work, request.kind.objective_s)
+
     def _refuse(self, request, expected_s):
         self.refused += 1
         if request.returned:
@@ -367,7 +398,7 @@
 
     def _dispatch(self, entry):
         for queued_call in entry.queue.by_urgency(self.now_s):
-            state = entry.choose(self.now_s)
+            state = entry.choose(self.now_s, self._generation(queued_call.call))
             if state is None:
                 return
             entry.queue.dequeue(queued_call, self.now_s)
@@ -375,6 +406,8 @@
 
     def _send(self, request, entry, state):
         state.call_started()
+        request.unread_tokens = request.prompt_left
+        state.load.call_sent(request.unread_tokens)
         request.sent_s = self.now_s
         engine = self._engines[state.endpoint.name]
         self._at(self.now_s + HOP_S, self._reach, engine, request)
@@ -386,6 +419,7 @@
             state = self._entries[request.entry].states[engine.name]
             state.record_refusal(self.now_s, calls.FULL_BACK_OFF_S)
             self._left(engine, request)
+            self._report_load(engine, request)
             self._place(request)
             return
         engine.queue.append(request)
@@ -410,6 +444,7 @@
             if request.written == TOKENS_PER_EVENT:
                 answers = self._entries[request.entry].answers
                 answers.record_answer(self.now_s - request.sent_s)
+                self._report_load(engine, request)
             if request.written % TOKENS_PER_EVENT == 0:
                 request.event(self.now_s)
             is_done = request.written >= request.tokens
@@ -421,7 +456,20 @@
         self._wake(engine)
 
     def _left(self, engine, request):
-        self._entries[request.entry].states[engine.name].call_ended()
+        state = self._entries[request.entry].states[engine.name]
+        state.call_ended()
+        state.load.call_read(request.unread_tokens)
+        request.unread_tokens = 0.0
+
+    def _report_load(self, engine, request):
+        state = self._entries[request.entry].states[engine.name]
+        state.load.call_read(request.unread_tokens)
+        request.unread_tokens = 0.0
+        if self._reports:
+            report = service_times.LoadReport(
+                len(engine.running), len(engine.queue), SLOTS, engine.pace
+            )
+            state.load.record(report, state.in_flight, self.now_s)
 
 
 def _served(request):
--- a/cicadaplank/gateway/attempts.py
+++ b/cicadaplank/gateway/attempts.py
@@ -72,6 +72,12 @@
         self._connection = None
         self._dial = None
         self._answer_began_s = None
+        # Prompt tokens that count as unread at the endpoint.
+        self._unread_tokens = 0.0
+        generation = call.generation()
+        if generation is not None:
+            self._unread_tokens = generation.work.prompt_tokens
+        state.load.call_sent(self._unread_tokens)
         state.call_started()
         self._permit = state.allowance.take(now_s)
 
@@ -178,6 +184,7 @@
             return False
         gateway.record_word(call, self.state, head, self.sent_s)
         self.last_activity_s = gateway.now_s()
+        self._count_read()
         if 200 <= head.status < 300:
             self._answer_began_s = self.last_activity_s
         self.reply = head
@@ -187,6 +194,11 @@
             self.splitter = event_streams.EventSplitter()
         return True
 
+    def _count_read(self):
+        """Count the prompt as read."""
+        tokens, self._unread_tokens = self._unread_tokens, 0.0
+        self.state.load.call_read(tokens)
+
     def _is_own(self, head):
         """Tell whether an answer belongs to this attempt.
 
@@ -292,6 +304,7 @@
         if self.is_ended:
             return
         self.is_ended = True
+        self._count_read()
         permit, self._permit = self._permit, None
         self._connection = self._dial = None
         self.state.call_ended()
--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -23,6 +23,7 @@
     outcomes,
     placement,
     routes,
+    service_times,
     waiting,
 )
 from cicadaplank.requests import verdicts
@@ -263,8 +264,17 @@
             self._gateway.min_version(self._model),
             self.excluded,
             self._gateway.members,
+            self.generation(),
         )
 
+    def generation(self):
+        """Return the :class:`placement.Generation`, None without published figures."""
+        engine = self._gateway.engine(self.service)
+        if engine is None or not self.route.is_generation:
+            return None
+        work = service_times.bounded_work(engine, self.request.head.work)
+        return placement.Generation(engine, work, self.route.objective_s)
+
     @property
     def _model(self):
         """Model whose weights the call needs, or empty."""
--- a/cicadaplank/gateway/dialects.py
+++ b/cicadaplank/gateway/dialects.py
@@ -7,6 +7,8 @@
 import dataclasses
 import typing
 
+from cicadaplank.gateway import service_times
+
 
 class BadRequestError(ValueError):
     """A request with an invalid request line or invalid headers.
@@ -37,6 +39,8 @@
     :param headers: list of ``(name, value)`` to forward.
     :param shared_parts: identifiers of the parts of the prompt that other requests may
         share, from its start.
+    :param work: :class:`cicadaplank.gateway.service_times.Work` that the client states,
+        or None.
     """
 
     method: bytes
@@ -50,6 +54,7 @@
     model: str
     headers: list
     shared_parts: tuple = ()
+    work: service_times.Work | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -99,6 +104,8 @@
     :param limit_per_s: requests a second that the endpoint takes from all entry
         instances together, or None when it names no limit that can be read.
     :param names_limit: whether it names a limit, which may be malformed.
+    :param load: :class:`cicadaplank.gateway.service_times.LoadReport`, None when the
+        endpoint reports no load that can be read.
     :param malformed: names of the headers about the endpoint that cannot be read.
     """
 
@@ -119,6 +126,7 @@
     limit_per_s: float | None = None
     names_limit: bool = False
     malformed: tuple = ()
+    load: service_times.LoadReport | None = None
 
     @property
     def is_valid_success(self):
--- a/cicadaplank/gateway/endpoints.py
+++ b/cicadaplank/gateway/endpoints.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 
+from cicadaplank.gateway import service_times
 from cicadaplank.requests import announcements, limit_shares
 
 # Weight of the newest call in the moving average of an endpoint's failure share.
@@ -112,10 +113,12 @@
     :ivar word: :class:`cicadaplank.requests.announcements.Word` of the endpoint.
     :ivar allowance: :class:`cicadaplank.requests.limit_shares.Allowance` that decides
         whether a limit leaves room for a call.
+    :ivar load: :class:`cicadaplank.gateway.service_times.ReportedLoad`.
     """
 
     def __init__(self, endpoint):
         self.endpoint = endpoint
+        self.load = service_times.ReportedLoad()
         self.in_flight = 0
         self.failure_share = 0.0
         self.failures_in_a_row = 0
@@ -183,7 +186,29 @@
 
     def calls(self, now_s):
         """Return an estimate of the calls in progress of all entry instances."""
-        return self.in_flight + self.peer_calls(now_s)
+        known = self.in_flight + self.peer_calls(now_s)
+        return max(known, self.load.calls(self.in_flight, now_s))
+
+    def situation(self, figures, now_s):
+        """Return what a prediction of the time of a call is based on.
+
+        Of the calls of other instances, as many are taken to be unread as of the usual
+        time of a call goes to reading.
+
+        :param figures: :class:`cicadaplank.gateway.service_times.EngineFigures`.
+        :param now_s: current time in seconds.
+        :returns: :class:`cicadaplank.gateway.service_times.Situation`.
+        """
+        slots = max(1, self.endpoint.slots)
+        calls = self.calls(now_s)
+        usual, full_s = (
+            figures.usual,
+            service_times.call_s(figures, figures.usual, slots),
+        )
+        read_s = usual.prompt_tokens / figures.read_tokens_per_s
+        others = max(0, calls - self.in_flight) * min(1.0, read_s / max(full_s, read_s))
+        unread = self.load.unread_tokens + others * usual.prompt_tokens
+        return service_times.Situation(calls, slots, unread, self.load.pace(now_s))
 
     # Failures.
 
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -259,6 +259,8 @@
             metrics.set_gauge(
                 "repeats_rejected", retry_budget.rejected, service=service
             )
+        stating = sum(1 for s in self.endpoints.all() if s.load.states_pace)
+        metrics.set_gauge("endpoints_stating_pace", stating)
         for kind, count in self.draining.counts.items():
             metrics.set_gauge("stop_decisions", count, kind=kind)
         metrics.set_gauge("answers_buffered_bytes", self.buffers.total_bytes)
@@ -272,6 +274,15 @@
         for kind, count in self.endpoints.limits.counts.items():
             metrics.set_gauge("limit_permits", count, kind=kind)
 
+    def engine(self, service):
+        """Return the published figures of a service's engines.
+
+        :param service: service name.
+        :returns: :class:`cicadaplank.gateway.service_times.EngineFigures`, or None.
+        """
+        found = self.route_index.configuration.services.get(service)
+        return found.engine if found else None
+
     @property
     def limits(self):
         """Return the :class:`cicadaplank.gateway.routes.ClientLimits` in force."""
@@ -1017,6 +1028,8 @@
         if head.is_misdirected:
             return
         now_s = self.now_s()
+        if head.load is not None:
+            state.load.record(head.load, state.in_flight, now_s)
         if head.is_leaving and self.endpoints.record_leaving(state, now_s):
             self._report_leaving(state, now_s, call.name)
             if not state.word.is_said_to_leave(now_s):
@@ -1201,6 +1214,7 @@
         self._reporter.attempt_failed(call, state, ending, reason, now_s)
         if ending is outcomes.Ending.REFUSED:
             state.record_refusal(now_s, calls.FULL_BACK_OFF_S)
+            self._reporter.count("endpoint_full", service=state.endpoint.service)
             is_announced = state.word.is_leaving or state.word.is_busy(now_s)
             if is_announced or state.calls(now_s) >= state.endpoint.slots / 2:
                 return
--- a/cicadaplank/gateway/placement.py
+++ b/cicadaplank/gateway/placement.py
@@ -3,12 +3,16 @@
 Load pattern: bursts of generations of very different size on engines that slow down
 with each concurrent call. The endpoint with the lowest relative load is chosen: the
 calls that all entry instances have in progress there, divided by its slots, plus
-penalties for another data centre, failures, recent refusals and warm-up. Scenarios in
+penalties for another data centre, failures, recent refusals and warm-up. For endpoints
+that state their pace, the predicted time to the first event relative to the call's
+objective takes the place of the relative load. Scenarios in
 ``features/gateway`` compare this with round robin and random choice.
 """
 
 import dataclasses
 
+from cicadaplank.gateway import service_times
+
 # Share of its slots by which an endpoint of another data centre has to be less loaded
 # to be preferred; an endpoint that is warming up gets the same penalty. Links between
 # regions have little bandwidth, and calls that cross them fail in a partition. Each
@@ -30,6 +34,30 @@
 MAX_SPREAD = 0.4
 
 
+@dataclasses.dataclass(frozen=True)
+class Generation:
+    """Work of a call at engines whose speed is published.
+
+    :param engine: :class:`cicadaplank.gateway.service_times.EngineFigures`.
+    :param work: :class:`cicadaplank.gateway.service_times.Work`.
+    :param objective_s: time in seconds to the first event that is on time.
+    """
+
+    engine: service_times.EngineFigures
+    work: service_times.Work
+    objective_s: float
+
+    def relative_time(self, state, now_s):
+        """Return the predicted time to the first event in parts of the objective.
+
+        :param state: :class:`cicadaplank.gateway.endpoints.EndpointState`.
+        :param now_s: current time in seconds.
+        """
+        situation = state.situation(self.engine, now_s)
+        time_s = service_times.first_event_s(self.engine, self.work, situation)
+        return time_s / self.objective_s
+
+
 @dataclasses.dataclass(frozen=True)
 class Demand:
     """Requirements of a call on its endpoint.
@@ -40,6 +68,7 @@
     :param min_version: oldest version of the weights that is allowed, 0 for any.
     :param excluded: names of the endpoints that have already been tried.
     :param instances: number of entry instances that place calls.
+    :param generation: :class:`Generation`, or None.
     """
 
     service: str
@@ -48,6 +77,7 @@
     min_version: int = 0
     excluded: frozenset = frozenset()
     instances: int = 1
+    generation: Generation | None = None
 
 
 def serves(endpoint, demand):
@@ -101,10 +131,14 @@
     :param state: :class:`cicadaplank.gateway.endpoints.EndpointState`.
     :param demand: :class:`Demand`.
     :param now_s: current time in seconds.
-    :returns: calls in progress per slot, plus penalties; lower is better.
+    :returns: calls in progress per slot, or the predicted time of an endpoint that
+        states its pace, plus penalties; lower is better.
     """
     endpoint = state.endpoint
-    load = state.calls(now_s) / max(1, endpoint.slots)
+    if demand.generation is not None and state.load.states_pace:
+        load = demand.generation.relative_time(state, now_s)
+    else:
+        load = state.calls(now_s) / max(1, endpoint.slots)
     if endpoint.data_centre != demand.data_centre:
         load += min(
             MAX_REMOTE_PENALTY,
--- a/cicadaplank/gateway/routes.py
+++ b/cicadaplank/gateway/routes.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from cicadaplank.gateway import service_times
+
 
 class RetryPolicy(enum.Enum):
     """Retry policy of a route, for calls that may already have run.
@@ -84,6 +86,8 @@
     :param has_engines: whether its endpoints are model engines.
     :param origin: ``host:port`` of an origin of weights, or empty.
     :param models: tuple of the names of the models that its engines serve.
+    :param engine: :class:`cicadaplank.gateway.service_times.EngineFigures`, None when
+        the figures are not published.
     """
 
     name: str
@@ -91,6 +95,7 @@
     has_engines: bool
     origin: str
     models: tuple = ()
+    engine: service_times.EngineFigures | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/cicadaplank/platform/documents.py
+++ b/cicadaplank/platform/documents.py
@@ -122,12 +122,26 @@
     name: PathName
 
 
+class UsualTokens(msgspec.Struct, frozen=True):
+    """Mean token counts of a request."""
+
+    prompt: Number
+    answer: Number
+
+
 class Engine(msgspec.Struct, frozen=True):
     """Description of the engines of a service."""
 
     models: Annotated[list[EngineModel], msgspec.Meta(max_length=MAX_MODELS)] | None = (
         None
     )
+    step_ms: DurationMs | None = None
+    per_seq_ms: DurationMs | None = None
+    context_per_k: DurationMs | None = None
+    read_per_s: Number | None = None
+    chunk: Integer | None = None
+    stride: Integer | None = None
+    usual: UsualTokens | None = None
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/cicadaplank/platform/headers.py
+++ b/cicadaplank/platform/headers.py
@@ -2,7 +2,7 @@
 
 import urllib.parse
 
-from cicadaplank.gateway import dialects
+from cicadaplank.gateway import dialects, service_times
 
 ATTEMPT = b"x-attempt-id"
 DEADLINE = b"x-deadline-ms"
@@ -12,6 +12,9 @@
 PRIORITY = b"x-request-priority"
 MODEL = b"x-model"
 PROMPT_PARTS = b"x-prefix-hash"
+TOKEN_COUNTS = b"x-token-counts"
+LENGTH_HINT = b"x-length-hint"
+SERVER_LOAD = b"x-server-load"
 LAST_EVENT = b"last-event-id"
 SIGNATURE = b"x-server-signature"
 NOT_EXECUTED = b"x-not-executed"
@@ -125,6 +128,7 @@
             resume_after=first.get(LAST_EVENT, b""),
             model=first.get(MODEL, b"").decode("latin-1"),
             shared_parts=_read_shared_parts(first.get(PROMPT_PARTS, b"")),
+            work=_read_work(first.get(TOKEN_COUNTS, b""), first.get(LENGTH_HINT)),
             headers=passed,
         )
 
@@ -170,6 +174,8 @@
         malformed = () if is_leaving_valid else ("Server-Leaving",)
         malformed += () if is_busy_valid else ("Retry-After",)
         malformed += () if is_limit_valid else ("Server-Limit",)
+        load = _read_load(first.get(SERVER_LOAD))
+        malformed += ("X-Server-Load",) if SERVER_LOAD in first and not load else ()
         return dialects.ResponseHead(
             status=status,
             headers=passed,
@@ -188,6 +194,7 @@
             limit_per_s=limit_per_s,
             names_limit=LIMIT in first,
             malformed=malformed,
+            load=load,
         )
 
     def write_response(self, head, length, closes, uses_chunks=True):
@@ -242,6 +249,33 @@
     return tuple(entry.partition(":")[0].strip() for entry in entries)
 
 
+def _read_work(counts, hint):
+    """Read the work of a request, None unless both of its token counts are valid.
+
+    The estimate of the client, if it is valid, bounds the tokens to write.
+    """
+    prompt, comma, most = counts.partition(b",")
+    prompt_tokens, most_tokens = _parse_number(prompt), _parse_number(most)
+    if not comma or prompt_tokens is None or most_tokens is None:
+        return None
+    hint_tokens = _parse_number(hint)
+    if hint_tokens is not None:
+        most_tokens = min(most_tokens, hint_tokens)
+    return service_times.Work(prompt_tokens, most_tokens)
+
+
+def _read_load(value):
+    """Read the load that a server reports, None when it is absent or malformed."""
+    numbers = [_parse_number(part) for part in (value or b"").split(b",")[:5]]
+    if len(numbers) not in (3, 4) or None in numbers:
+        return None
+    running, waiting, slots, *percent = numbers
+    if percent == [0.0]:
+        return None
+    pace = percent[0] / 100.0 if percent else None
+    return service_times.LoadReport(int(running), int(waiting), int(slots), pace)
+
+
 def _read_attempt(fields):
     """Read the identifier of the attempt that a server answers, empty if none.
 
--- a/cicadaplank/platform/rows.py
+++ b/cicadaplank/platform/rows.py
@@ -5,7 +5,7 @@
 
 import collections
 
-from cicadaplank.gateway import endpoints, routes
+from cicadaplank.gateway import endpoints, routes, service_times
 from cicadaplank.platform import documents
 
 CONFIGURATION_KEY = "config"
@@ -13,6 +13,8 @@
 DRAINING = "draining"
 # Limit on the decoded rows that are kept; rows beyond it are decoded at each read.
 MAX_CACHED_ROWS = 10_000
+# Prompt tokens that an engine reads in a step when its figures name no limit.
+MAX_CHUNK_TOKENS = 1_000_000
 
 
 class RowDecoder:
@@ -194,6 +196,24 @@
         has_engines=models is not None,
         origin=value.origin or "",
         models=tuple(model.name for model in models or ()),
+        engine=_engine_figures(value.engine),
+    )
+
+
+def _engine_figures(engine):
+    """Return the speed of a service's engines, None unless it is published."""
+    if engine is None or not (engine.step_ms and engine.read_per_s and engine.usual):
+        return None
+    if not (engine.usual.prompt and engine.usual.answer):
+        return None
+    return service_times.EngineFigures(
+        step_s=engine.step_ms / 1000.0,
+        step_per_call_s=(engine.per_seq_ms or 0.0) / 1000.0,
+        step_per_token_s=(engine.context_per_k or 0.0) / 1e6,
+        read_tokens_per_s=engine.read_per_s,
+        chunk_tokens=engine.chunk or MAX_CHUNK_TOKENS,
+        steps_per_pass=engine.stride or 1,
+        usual=service_times.Work(engine.usual.prompt, engine.usual.answer),
     )
 
 
--- /dev/null
+++ b/features/steps/too_little_room.py
@@ -0,0 +1,135 @@
+"""Steps for the decisions of the gateway when there is too little room."""
+
+import behave
+
+from bench import burst
+from cicadaplank.gateway import endpoints, placement, service_times
+from cicadaplank.platform import headers
+
+NOW_S = 10.0
+
+
+def figures(**changed):
+    """Return the figures of an engine."""
+    given = {
+        "step_s": 0.008,
+        "step_per_call_s": 0.0,
+        "step_per_token_s": 0.0,
+        "read_tokens_per_s": 30_000.0,
+        "chunk_tokens": 2048,
+        "steps_per_pass": 5,
+        "usual": service_times.Work(900, 100),
+    }
+    return service_times.EngineFigures(**given | changed)
+
+
+def state(slots=12):
+    """Return the state of an endpoint."""
+    return endpoints.EndpointState(
+        endpoints.Endpoint("x", "s", "10.0.0.1", 80, "a", slots, False, {})
+    )
+
+
+@behave.given("the replay of a burst on uneven engines, seed {seed:d}")
+def step_uneven_burst(context, seed):
+    context.seed = seed
+
+
+@behave.when("it is played with and without the load that engines report")
+def step_play_both(context):
+    context.days = {}
+    for reports in (False, True):
+        day = burst.Day(
+            context.seed, placement.choose, paces=burst.UNEVEN, reports=reports
+        )
+        context.days[reports] = (day.run(), day)
+
+
+@behave.then("fewer calls are late, and fewer are turned away by full engines")
+def step_fewer(context):
+    late, away = (
+        {reports: count(day) for reports, (_, day) in context.days.items()}
+        for count in (
+            lambda day: sum(request.is_late for request in day.requests),
+            lambda day: day.turned_away,
+        )
+    )
+    assert late[True] < late[False], late
+    assert away[True] < away[False], away
+
+
+@behave.then("more worth is served with the reports than without them")
+def step_worth_of_reports(context):
+    worth = {reports: worth for reports, (worth, _) in context.days.items()}
+    assert worth[True] > worth[False], worth
+
+
+@behave.given(
+    "engines that read {rate:d} tokens a second in steps of {step_ms:d} ms,"
+    " {steps:d} steps a pass"
+)
+def step_engines(context, rate, step_ms, steps):
+    context.figures = figures(
+        read_tokens_per_s=rate, step_s=step_ms / 1000, steps_per_pass=steps
+    )
+
+
+@behave.when(
+    "a prompt of {prompt:d} tokens goes to one with {calls:d} of {slots:d} calls,"
+    " {unread:d} tokens to read and pace {pace:f}"
+)
+def step_prompt(context, prompt, calls, slots, unread, pace):
+    situation = service_times.Situation(calls, slots, unread, pace)
+    work = service_times.Work(prompt, 100)
+    context.predicted_s = service_times.first_event_s(context.figures, work, situation)
+
+
+@behave.then("its first event is predicted after {low:f} to {high:f} s")
+def step_predicted(context, low, high):
+    assert low <= context.predicted_s <= high, context.predicted_s
+
+
+@behave.given("an endpoint that reported the paces {paces}")
+def step_paces(context, paces):
+    context.state = state()
+    for pace in paces.replace(" and ", ", ").split(", "):
+        report = service_times.LoadReport(1, 0, 12, float(pace))
+        context.state.load.record(report, 0, NOW_S)
+
+
+@behave.then(
+    "its pace is near {first:f} at once and below {later:f} after {wait_s:d} s"
+)
+def step_pace(context, first, later, wait_s):
+    assert abs(context.state.load.pace(NOW_S) - first) < 0.2
+    assert context.state.load.pace(NOW_S + wait_s) < later
+
+
+@behave.given(
+    "an endpoint with {slots:d} slots that reported {running:d} running calls"
+)
+def step_reported_full(context, slots, running):
+    context.state = state(slots)
+    report = service_times.LoadReport(running, 0, slots, 1.0)
+    context.state.load.record(report, 0, NOW_S)
+
+
+@behave.then("it has no free slot at once and one after {wait_s:d} s")
+def step_free_later(context, wait_s):
+    assert not placement.has_free_slot(context.state, NOW_S)
+    assert placement.has_free_slot(context.state, NOW_S + wait_s)
+
+
+@behave.then('the load report "{value}" is read as {read}')
+def step_load_report(context, value, read):
+    fields = [(b"X-Server-Load", value.encode())]
+    head = headers.PlatformDialect().read_response(200, fields)
+    if read == "malformed":
+        assert head.malformed == ("X-Server-Load",), head
+        assert head.load is None
+        return
+    *counts, _, pace = read.split()
+    pace = None if pace == "pace" else float(pace)
+    running, waiting_, slots = map(int, counts)
+    assert not head.malformed
+    assert head.load == service_times.LoadReport(running, waiting_, slots, pace)
