Order waiting calls by priority and work where endpoints state their pace

When for seconds more calls arrive than can start, calls of a more urgent priority that had become late waited behind less urgent ones, a full queue refused an urgent arrival, and a call whose turn could not come in time held its client until its limit. The queue knew neither the work of a call nor the order of the priorities among late calls.

gateway/shedding.py decides by priority first. Only calls that have certainly not run are refused. It acts in queues of services with an endpoint that has stated its pace; all others are ordered as before.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -298,8 +298,17 @@
         arrived_s = self.request.arrived_s
         answer_time = self._gateway.answer_times[self.service]
         start_by_s = answer_time.start_by_s(arrived_s, self.objective_s)
+        generation, work_s = self.generation(), 0.0
+        if generation is not None:
+            work_s = service_times.work_s(generation.engine, generation.work)
         return waiting.QueuedCall(
-            self, self.priority, arrived_s, start_by_s, wait_until_s
+            self,
+            self.priority,
+            arrived_s,
+            start_by_s,
+            wait_until_s,
+            work_s,
+            self.may_be_refused,
         )
 
     def send(self, state, now_s):
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -573,6 +573,7 @@
                 queue.record_start(now_s)
                 call.send(state, now_s)
                 return
+        queue.sheds = any(state.load.states_pace for state in states)
         queue_entry = call.queue_entry()
         if self._refuse_unservable(call, queue_entry, states, now_s):
             return
@@ -581,9 +582,12 @@
         if is_told:
             longest_s = PERMIT_WAIT_MARGIN * expected_s
         else:
-            longest_s = expected_s = queue.expected_wait_s(now_s)
+            longest_s = expected_s = queue.expected_wait_s(now_s, call.priority)
         if self.refuse_if_late(call, now_s, longest_s):
             return
+        displaced = queue.displace(queue_entry, now_s)
+        if displaced is not None:
+            call_errors.run(displaced.call, self._refuse_displaced, displaced, now_s)
         reason = queue.admit(queue_entry, now_s, longest_s)
         if reason:
             call.refuse(reason, now_s, expected_s, is_told)
@@ -1307,6 +1311,13 @@
             self.broadcast(action.message, "")
         self._apply_blocked_parts()
 
+    def _refuse_displaced(self, displaced, now_s):
+        """Refuse a call whose place in a queue a more urgent one takes."""
+        call = displaced.call
+        queue = self._queues[call.service]
+        expected_s = queue.expected_wait_s(now_s, displaced.priority)
+        call.refuse("displaced by a more urgent call", now_s, expected_s)
+
     def _refuse_expired(self, call, now_s):
         """Refuse a call that has waited too long in a queue."""
         states = self.endpoints.of_service(call.service)
--- a/cicadaplank/gateway/service_times.py
+++ b/cicadaplank/gateway/service_times.py
@@ -46,6 +46,7 @@
     :param chunk_tokens: prompt tokens that are read in one step at most.
     :param steps_per_pass: writing steps between two times at which calls are taken.
     :param usual: mean :class:`Work` of a call.
+    :param slots: number of calls that an engine processes at once.
     """
 
     step_s: float
@@ -55,6 +56,7 @@
     chunk_tokens: int
     steps_per_pass: int
     usual: Work
+    slots: int = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -136,6 +138,17 @@
     return written_s + share * read_s
 
 
+def work_s(figures, work):
+    """Return the part of the time of a full engine that a call takes, in seconds.
+
+    :param figures: :class:`EngineFigures`.
+    :param work: :class:`Work` of the call.
+    """
+    slots = max(1, figures.slots)
+    written_s = work.output_tokens * step_s(figures, slots) / slots
+    return work.prompt_tokens / figures.read_tokens_per_s + written_s
+
+
 def first_event_s(figures, work, situation):
     """Return the time from sending a call to its first event, in seconds.
 
--- a/cicadaplank/gateway/waiting.py
+++ b/cicadaplank/gateway/waiting.py
@@ -6,12 +6,15 @@
 they have to start; calls that are too late for it follow by priority and then in
 order of arrival. A call that would wait longer than its limit at the current start rate
 is refused on arrival with a retry time, and a waiting call is removed at that limit.
+A queue that sheds is ordered by :mod:`cicadaplank.gateway.shedding` instead.
 """
 
 import collections
 import dataclasses
 import itertools
 
+from cicadaplank.gateway import shedding
+
 # Limit of the calls that wait for one service at one entry instance.
 MAX_WAITING = 400
 # Sliding window over which the rate of started calls is measured.
@@ -82,6 +85,8 @@
     :param arrived_s: time of arrival in seconds.
     :param start_by_s: time in seconds by which it has to start to meet its objective.
     :param wait_until_s: time in seconds at which it is removed from the queue.
+    :param work_s: time in seconds for which it takes an endpoint, 0 when unknown.
+    :param may_be_refused: whether it has certainly not run.
     """
 
     call: object
@@ -89,15 +94,21 @@
     arrived_s: float
     start_by_s: float
     wait_until_s: float
+    work_s: float = 0.0
+    may_be_refused: bool = True
 
 
 class CallQueue:
     """Queue of the calls that wait for one service.
 
     :ivar refused: number of refused calls by reason.
+    :ivar sheds: whether order and refusals are decided by
+        :mod:`cicadaplank.gateway.shedding`.
     """
 
     def __init__(self):
+        self.sheds = False
+        self._starts = 0
         self.refused = collections.Counter()
         self._sequence = itertools.count()
         self._queued_calls = {}
@@ -110,6 +121,7 @@
 
     def record_start(self, now_s):
         """Record that a call was sent to an endpoint; this sets the start rate."""
+        self._starts += 1
         self._start_times_s.append(now_s)
         self._drop_old(now_s)
 
@@ -117,10 +129,15 @@
         while self._start_times_s and self._start_times_s[0] < now_s - RATE_WINDOW_S:
             self._start_times_s.popleft()
 
-    def expected_wait_s(self, now_s):
+    def _starts_per_s(self, now_s):
+        self._drop_old(now_s)
+        return len(self._start_times_s) / RATE_WINDOW_S
+
+    def expected_wait_s(self, now_s, priority=None):
         """Estimate how long a call that arrives now would wait.
 
         :param now_s: current time in seconds.
+        :param priority: its priority, which counts in a queue that sheds.
         :returns: seconds; infinite when calls have waited for :data:`RATE_WINDOW_S` or
             longer and none was started in that window.
         """
@@ -132,7 +149,11 @@
             # No rate is known before a whole window has passed. After one without a
             # start, no call is expected to start.
             return 0.0 if waited_s < RATE_WINDOW_S else float("inf")
-        return (len(self._queued_calls) + 1) * RATE_WINDOW_S / len(self._start_times_s)
+        ahead = len(self._queued_calls)
+        if self.sheds and priority is not None:
+            entries = self._queued_calls.values()
+            ahead = sum(1 for each in entries if each.priority <= priority)
+        return (ahead + 1) * RATE_WINDOW_S / len(self._start_times_s)
 
     def admit(self, queued_call, now_s, expected_s=None):
         """Add a call to the queue, or refuse it.
@@ -146,7 +167,7 @@
         """
         reason = ""
         if expected_s is None:
-            expected_s = self.expected_wait_s(now_s)
+            expected_s = self.expected_wait_s(now_s, queued_call.priority)
         if len(self._queued_calls) >= MAX_WAITING:
             reason = "queue_full"
         elif now_s + expected_s > queued_call.wait_until_s:
@@ -161,6 +182,24 @@
         self._numbers[queued_call.call] = number
         return ""
 
+    def displace(self, queued_call, now_s):
+        """Remove a less urgent call from a full queue that sheds.
+
+        :param queued_call: :class:`QueuedCall` that arrives.
+        :param now_s: current time in seconds.
+        :returns: the removed :class:`QueuedCall`, whose call has not run, or None.
+        """
+        if not self.sheds or len(self._queued_calls) < MAX_WAITING:
+            return None
+        expected_s = self.expected_wait_s(now_s, queued_call.priority)
+        if now_s + expected_s > queued_call.wait_until_s:
+            return None
+        found = shedding.victim(list(self._queued_calls.values()), queued_call)
+        if found is not None:
+            self.withdraw(found.call)
+            self.refused["displaced"] += 1
+        return found
+
     def withdraw(self, call):
         """Remove a call from the queue.
 
@@ -179,6 +218,10 @@
         Calls that can still start in time come first, by priority and then by
         ``start_by_s``; late ones follow by priority and then in order of arrival.
         """
+        if self.sheds:
+            entries = list(self._queued_calls.values())
+            starts_per_s = self._starts_per_s(now_s)
+            return shedding.order(entries, now_s, starts_per_s, self._starts)
 
         def order(entry):
             number, queued_call = entry
@@ -199,6 +242,8 @@
     def pop_expired(self, now_s):
         """Remove the calls whose ``wait_until_s`` has passed.
 
+        A queue that sheds also removes those that are expected to wait until then.
+
         :param now_s: current time in seconds.
         :returns: list of their :class:`QueuedCall`.
         """
@@ -206,6 +251,14 @@
         for queued_call in overdue:
             self.withdraw(queued_call.call)
             self.refused["waited_too_long"] += 1
+        if self.sheds:
+            ordered = self.by_urgency(now_s)
+            starts_per_s = self._starts_per_s(now_s)
+            late = shedding.unservable(ordered, now_s, starts_per_s)
+            for queued_call in late:
+                self.withdraw(queued_call.call)
+                self.refused["overload"] += 1
+            overdue += late
         return overdue
 
 
--- a/cicadaplank/platform/documents.py
+++ b/cicadaplank/platform/documents.py
@@ -135,6 +135,7 @@
     models: Annotated[list[EngineModel], msgspec.Meta(max_length=MAX_MODELS)] | None = (
         None
     )
+    slots: Slots | None = None
     step_ms: DurationMs | None = None
     per_seq_ms: DurationMs | None = None
     context_per_k: DurationMs | None = None
--- a/cicadaplank/platform/rows.py
+++ b/cicadaplank/platform/rows.py
@@ -214,6 +214,7 @@
         chunk_tokens=engine.chunk or MAX_CHUNK_TOKENS,
         steps_per_pass=engine.stride or 1,
         usual=service_times.Work(engine.usual.prompt, engine.usual.answer),
+        slots=int(engine.slots or 1),
     )
 
 
--- a/features/gateway/room.feature
+++ b/features/gateway/room.feature
@@ -47,3 +47,19 @@
       | 3,0,8,-1      | malformed         |
       | 3,0,8,0       | malformed         |
       | nan,0,8,100   | malformed         |
+  Scenario: More urgent calls go first and displace less urgent ones
+    Given a full waiting room with calls of priority 2
+    When a call of priority 0 arrives there
+    Then a call of priority 2 is turned away in its place
+    And the call of priority 0 starts next
+
+  Scenario: A call of the same priority displaces nothing
+    Given a full waiting room with calls of priority 2
+    When a call of priority 2 arrives there
+    Then it is refused as "queue_full"
+
+  Scenario: Long prompts are passed over and still served
+    Given calls with short prompts and half as many with long ones, more than can be served
+    When they are replayed for 60 s by the order of arrival and by the work of the calls
+    Then more calls start in time by the work
+    And long prompts start at least half as often as all
--- a/features/steps/too_little_room.py
+++ b/features/steps/too_little_room.py
@@ -1,9 +1,11 @@
 """Steps for the decisions of the gateway when there is too little room."""
 
+import random
+
 import behave
 
 from bench import burst
-from cicadaplank.gateway import endpoints, placement, service_times
+from cicadaplank.gateway import endpoints, placement, service_times, waiting
 from cicadaplank.platform import headers
 
 NOW_S = 10.0
@@ -19,6 +21,7 @@
         "chunk_tokens": 2048,
         "steps_per_pass": 5,
         "usual": service_times.Work(900, 100),
+        "slots": 12,
     }
     return service_times.EngineFigures(**given | changed)
 
@@ -133,3 +136,100 @@
     running, waiting_, slots = map(int, counts)
     assert not head.malformed
     assert head.load == service_times.LoadReport(running, waiting_, slots, pace)
+
+
+def queued(name, priority=1, arrived_s=0.0, start_by_s=0.4, work_s=0.1):
+    """Return the queue entry of a call that may wait for 5 s."""
+    return waiting.QueuedCall(
+        name, priority, arrived_s, start_by_s, arrived_s + 5.0, work_s
+    )
+
+
+@behave.given("a full waiting room with calls of priority {priority:d}")
+def step_full_room(context, priority):
+    context.queue = waiting.CallQueue()
+    context.queue.sheds = True
+    for number in range(waiting.MAX_WAITING):
+        assert not context.queue.admit(queued(number, priority), 0.0)
+
+
+@behave.when("a call of priority {priority:d} arrives there")
+def step_arrives_there(context, priority):
+    context.displaced = context.queue.displace(queued("new", priority), 0.0)
+    context.reason = context.queue.admit(queued("new", priority), 0.0)
+
+
+@behave.then("a call of priority {priority:d} is turned away in its place")
+def step_displaced(context, priority):
+    assert context.displaced.priority == priority
+    assert not context.reason
+    assert len(context.queue) == waiting.MAX_WAITING
+    assert context.queue.refused["displaced"] == 1
+
+
+@behave.then("the call of priority {priority:d} starts next")
+def step_next(context, priority):
+    assert context.queue.by_urgency(0.0)[0].priority == priority
+
+
+@behave.given(
+    "calls with short prompts and half as many with long ones, more than can be served"
+)
+def step_mixed_prompts(context):
+    context.short_s, context.long_s = 0.05, 0.25
+
+
+def replay(context, sheds, seed=1):
+    """Serve calls one after the other, each for the time of its work.
+
+    :returns: lists of the names of calls that started in time, and of all that started.
+    """
+    rng = random.Random(seed)
+    mean_s = (2 * context.short_s + context.long_s) / 3
+    queue, now_s, free_s = waiting.CallQueue(), 0.0, 0.0
+    queue.sheds = sheds
+    in_time, started, asked = [], [], []
+    while now_s < 60.0:
+        # One and a half times the calls that can be served.
+        now_s += rng.expovariate(1.5 / mean_s)
+        while free_s <= now_s and len(queue):
+            entry = queue.by_urgency(free_s)[0]
+            queue.dequeue(entry, free_s)
+            started.append(entry.call)
+            if free_s <= entry.start_by_s:
+                in_time.append(entry.call)
+            free_s += entry.work_s
+            queue.pop_expired(free_s)
+        free_s = max(free_s, now_s)
+        is_long = rng.randrange(3) == 0
+        name = ("long" if is_long else "short", len(asked))
+        work_s = context.long_s if is_long else context.short_s
+        asked.append(name)
+        queue.admit(queued(name, 1, now_s, now_s + 0.4, work_s), now_s, 0.0)
+    return in_time, started, asked
+
+
+@behave.when(
+    "they are replayed for 60 s by the order of arrival and by the work of the calls"
+)
+def step_replay_prompts(context):
+    context.by_arrival = replay(context, False)
+    context.by_work = replay(context, True)
+
+
+@behave.then("more calls start in time by the work")
+def step_more_in_time(context):
+    by_arrival, by_work = len(context.by_arrival[0]), len(context.by_work[0])
+    assert by_work > by_arrival, (by_work, by_arrival)
+
+
+@behave.then("long prompts start at least half as often as all")
+def step_long_prompts(context):
+    _, started, asked = context.by_work
+    share = {
+        kind: sum(1 for name in started if name[0] in kind)
+        / sum(1 for name in asked if name[0] in kind)
+        for kind in (("long",), ("long", "short"))
+    }
+    long, every = share.values()
+    assert long >= 0.5 * every, share
