--- a/bench/burst.py
+++ b/bench/burst.py
@@ -13,7 +13,7 @@
 import itertools
 import random
 
-from cicadaplank.gateway import endpoints, placement, waiting
+from cicadaplank.gateway import calls, endpoints, placement, service_times, waiting
 
 DAY_S = 41.0
 ENTRIES = 6
@@ -41,6 +41,13 @@
 GAP_OBJECTIVE_S = 0.3
 DEADLINE_S = 6.07
 ZONES = ("a", "b", "c")
+# Calls beyond its slots that an engine holds; it turns further ones away.
+ENGINE_QUEUE = 4
+# Speeds of machines that engines share with others: time that work takes relative to
+# the usual time, and the mean time for which one speed holds.
+EVEN = (1.0,)
+UNEVEN = (0.8, 1.0, 1.0, 1.3, 2.5)
+PACE_S = 0.4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,6 +89,7 @@
     returned: bool = False
     written: int = 0
     sent_s: float = 0.0
+    unread_tokens: float = 0.0
     last_event_s: float | None = None
     is_late: bool = False
     ended_s: float | None = None
@@ -100,6 +108,24 @@
         self.last_event_s = now_s
 
 
+# Figures that the engines publish.
+FIGURES = service_times.EngineFigures(
+    step_s=STEP_MS / 1000,
+    step_per_call_s=STREAM_MS / 1000,
+    step_per_token_s=CONTEXT_MS / 1e6,
+    read_tokens_per_s=PROMPT_TOKENS_PER_MS * 1000,
+    chunk_tokens=CHUNK_TOKENS,
+    steps_per_pass=TOKENS_PER_EVENT,
+    usual=service_times.Work(
+        sum(kind.rate_per_s * kind.prompt_tokens for kind in KINDS)
+        / sum(kind.rate_per_s for kind in KINDS),
+        sum(kind.rate_per_s * kind.events for kind in KINDS)
+        * TOKENS_PER_EVENT
+        / sum(kind.rate_per_s for kind in KINDS),
+    ),
+)
+
+
 def rate_share(now_s):
     """Return the part of the full rate at a time."""
     return [share for start_s, share in SHAPE if start_s <= now_s][-1]
@@ -130,7 +156,9 @@
 class Engine:
     """One engine; its calls run in batches."""
 
-    def __init__(self, number, ready_s):
+    def __init__(self, number, ready_s, paces=EVEN):
+        self.pace = 1.0
+        self.paces = paces
         self.name = f"engine-{number}"
         self.ready_s = ready_s
         self.zone = ZONES[number % len(ZONES)]
@@ -157,9 +185,8 @@
                 written.append(request)
         context = sum(request.written for request in self.running) / 1000
         step_ms = STEP_MS + STREAM_MS * len(self.running) + CONTEXT_MS * context
-        return (
-            step_ms + (CHUNK_TOKENS - budget) / PROMPT_TOKENS_PER_MS
-        ) / 1000, written
+        read_ms = (CHUNK_TOKENS - budget) / PROMPT_TOKENS_PER_MS
+        return self.pace * (step_ms + read_ms) / 1000, written
 
 
 class Entry:
@@ -181,9 +208,9 @@
             )
         )
 
-    def choose(self, now_s):
+    def choose(self, now_s, generation=None):
         """Return the state that a request is sent to, or None."""
-        demand = placement.Demand("s", self.zone)
+        demand = placement.Demand("s", self.zone, generation=generation)
         return self._choose(list(self.states.values()), demand, now_s, self._rng)
 
 
@@ -225,14 +252,27 @@
     :param choose: choice of an endpoint, as :func:`placement.choose`.
     :param answer_time: callable that returns a :class:`waiting.AnswerTimeAverage`.
     :param engines: number of engines at the start and at the end.
+    :param paces: speeds between which engines change; at other than :data:`EVEN` they
+        turn away what exceeds :data:`ENGINE_QUEUE`.
+    :param reports: whether engines report their load with the first event.
+    :ivar turned_away: number of calls that engines turned away.
     """
 
     def __init__(
-        self, seed, choose, answer_time=waiting.AnswerTimeAverage, engines=ENGINES
+        self,
+        seed,
+        choose,
+        answer_time=waiting.AnswerTimeAverage,
+        engines=ENGINES,
+        paces=EVEN,
+        reports=False,
     ):
+        self._reports = reports
         self.now_s = 0.0
         self.refused = 0
+        self.turned_away = 0
         self.requests = traffic(seed)
+        self._seed = seed
         self._rng = random.Random(seed + 1)
         self._entries = [
             Entry(number, choose, self._rng, answer_time()) for number in range(ENTRIES)
@@ -246,7 +286,7 @@
         for number in range(last):
             late = max(0, number - first + 1)
             ready_s = START_S + START_GAP_S * late if late else 0.0
-            self._at(ready_s, self._add, Engine(number, ready_s))
+            self._at(ready_s, self._add, Engine(number, ready_s, paces))
         self._at(0.0, self._report)
 
     def _at(self, time_s, function, *args):
@@ -272,6 +312,15 @@
         for load_s in LOADS_S:
             self._at(load_s + LOAD_GAP_S * number, self._load, engine)
 
+        if engine.paces is not EVEN:
+            self._change_pace(engine, random.Random(f"{self._seed} {engine.name}"))
+
+    def _change_pace(self, engine, rng):
+        engine.pace = rng.choice(engine.paces)
+        next_s = self.now_s + rng.expovariate(1 / PACE_S)
+        if next_s < DAY_S + DEADLINE_S:
+            self._at(next_s, self._change_pace, engine, rng)
+
     def _load(self, engine):
         """Cut the streams of an engine that loads weights; they are resumed."""
         engine.loads.append(self.now_s)
@@ -293,8 +342,9 @@
             for number, load in enumerate(loads):
                 if self._entries[number] is entry:
                     continue
-                for name, calls in load.items():
-                    entry.states[name].set_peer_load(str(number), calls, self.now_s)
+                for name, in_flight in load.items():
+                    state = entry.states[name]
+                    state.set_peer_load(str(number), in_flight, self.now_s)
         if self.now_s < DAY_S + DEADLINE_S:
             self._at(self.now_s + REPORT_S, self._report)
 
@@ -314,7 +364,8 @@
 
     def _place(self, request):
         entry = self._entries[request.entry]
-        state = None if len(entry.queue) else entry.choose(self.now_s)
+        generation = self._generation(request)
+        state = None if len(entry.queue) else entry.choose(self.now_s, generation)
         if state is not None:
             entry.queue.record_start(self.now_s)
             self._send(request, entry, state)
@@ -325,6 +376,13 @@
             return
         self._at(self._queue_entry(request).wait_until_s, self._expire, entry)
 
+    def _generation(self, request):
+        if not self._reports:
+            return None
+        work = service_times.Work(request.prompt_left, request.tokens)
+        work = service_times.bounded_work(FIGURES, work)
+        return placement.Generation(FIGURES, work, request.kind.objective_s)
+
     def _refuse(self, request, expected_s):
         self.refused += 1
         if request.returned:
@@ -340,7 +398,7 @@
 
     def _dispatch(self, entry):
         for queued_call in entry.queue.by_urgency(self.now_s):
-            state = entry.choose(self.now_s)
+            state = entry.choose(self.now_s, self._generation(queued_call.call))
             if state is None:
                 return
             entry.queue.dequeue(queued_call, self.now_s)
@@ -348,11 +406,22 @@
 
     def _send(self, request, entry, state):
         state.call_started()
+        request.unread_tokens = request.prompt_left
+        state.load.call_sent(request.unread_tokens)
         request.sent_s = self.now_s
         engine = self._engines[state.endpoint.name]
         self._at(self.now_s + HOP_S, self._reach, engine, request)
 
     def _reach(self, engine, request):
+        held = len(engine.running) + len(engine.queue)
+        if engine.paces is not EVEN and held >= SLOTS + ENGINE_QUEUE:
+            self.turned_away += 1
+            state = self._entries[request.entry].states[engine.name]
+            state.record_refusal(self.now_s, calls.FULL_BACK_OFF_S)
+            self._left(engine, request)
+            self._report_load(engine, request)
+            self._place(request)
+            return
         engine.queue.append(request)
         self._wake(engine)
 
@@ -375,6 +444,7 @@
             if request.written == TOKENS_PER_EVENT:
                 answers = self._entries[request.entry].answers
                 answers.record_answer(self.now_s - request.sent_s)
+                self._report_load(engine, request)
             if request.written % TOKENS_PER_EVENT == 0:
                 request.event(self.now_s)
             is_done = request.written >= request.tokens
@@ -386,7 +456,20 @@
         self._wake(engine)
 
     def _left(self, engine, request):
-        self._entries[request.entry].states[engine.name].call_ended()
+        state = self._entries[request.entry].states[engine.name]
+        state.call_ended()
+        state.load.call_read(request.unread_tokens)
+        request.unread_tokens = 0.0
+
+    def _report_load(self, engine, request):
+        state = self._entries[request.entry].states[engine.name]
+        state.load.call_read(request.unread_tokens)
+        request.unread_tokens = 0.0
+        if self._reports:
+            report = service_times.LoadReport(
+                len(engine.running), len(engine.queue), SLOTS, engine.pace
+            )
+            state.load.record(report, state.in_flight, self.now_s)
 
 
 def _served(request):
--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -23,6 +23,7 @@
     outcomes,
     placement,
     routes,
+    service_times,
     waiting,
 )
 from cicadaplank.requests import verdicts
@@ -263,8 +264,17 @@
             self._gateway.min_version(self._model),
             self.excluded,
             self._gateway.members,
+            self.generation(),
         )
 
+    def generation(self):
+        """Return the :class:`placement.Generation`, None without published figures."""
+        engine = self._gateway.engine(self.service)
+        if engine is None or not self.route.is_generation:
+            return None
+        work = service_times.bounded_work(engine, self.request.head.work)
+        return placement.Generation(engine, work, self.route.objective_s)
+
     @property
     def _model(self):
         """Model whose weights the call needs, or empty."""
@@ -288,8 +298,17 @@
         arrived_s = self.request.arrived_s
         answer_time = self._gateway.answer_times[self.service]
         start_by_s = answer_time.start_by_s(arrived_s, self.objective_s)
+        generation, work_s = self.generation(), 0.0
+        if generation is not None:
+            work_s = service_times.work_s(generation.engine, generation.work)
         return waiting.QueuedCall(
-            self, self.priority, arrived_s, start_by_s, wait_until_s
+            self,
+            self.priority,
+            arrived_s,
+            start_by_s,
+            wait_until_s,
+            work_s,
+            self.may_be_refused,
         )
 
     def send(self, state, now_s):
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -274,6 +274,8 @@
             metrics.set_gauge(
                 "repeats_rejected", retry_budget.rejected, service=service
             )
+        stating = sum(1 for s in self.endpoints.all() if s.load.states_pace)
+        metrics.set_gauge("endpoints_stating_pace", stating)
         for kind, count in self.draining.counts.items():
             metrics.set_gauge("stop_decisions", count, kind=kind)
         metrics.set_gauge("answers_buffered_bytes", self.buffers.total_bytes)
@@ -287,6 +289,15 @@
         for kind, count in self.endpoints.limits.counts.items():
             metrics.set_gauge("limit_permits", count, kind=kind)
 
+    def engine(self, service):
+        """Return the published figures of a service's engines.
+
+        :param service: service name.
+        :returns: :class:`cicadaplank.gateway.service_times.EngineFigures`, or None.
+        """
+        found = self.route_index.configuration.services.get(service)
+        return found.engine if found else None
+
     @property
     def limits(self):
         """Return the :class:`cicadaplank.gateway.routes.ClientLimits` in force."""
@@ -577,6 +588,7 @@
                 queue.record_start(now_s)
                 call.send(state, now_s)
                 return
+        queue.sheds = any(state.load.states_pace for state in states)
         queue_entry = call.queue_entry()
         if self._refuse_unservable(call, queue_entry, states, now_s):
             return
@@ -585,9 +597,12 @@
         if is_told:
             longest_s = PERMIT_WAIT_MARGIN * expected_s
         else:
-            longest_s = expected_s = queue.expected_wait_s(now_s)
+            longest_s = expected_s = queue.expected_wait_s(now_s, call.priority)
         if self.refuse_if_late(call, now_s, longest_s):
             return
+        displaced = queue.displace(queue_entry, now_s)
+        if displaced is not None:
+            call_errors.run(displaced.call, self._refuse_displaced, displaced, now_s)
         reason = queue.admit(queue_entry, now_s, longest_s)
         if reason:
             call.refuse(reason, now_s, expected_s, is_told)
@@ -1038,6 +1053,8 @@
         if head.is_misdirected:
             return
         now_s = self.now_s()
+        if head.load is not None:
+            state.load.record(head.load, state.in_flight, now_s)
         if head.is_leaving and self.endpoints.record_leaving(state, now_s):
             self._report_leaving(state, now_s, call.name)
             if not state.word.is_said_to_leave(now_s):
@@ -1222,6 +1239,7 @@
         self._reporter.attempt_failed(call, state, ending, reason, now_s)
         if ending is outcomes.Ending.REFUSED:
             state.record_refusal(now_s, calls.FULL_BACK_OFF_S)
+            self._reporter.count("endpoint_full", service=state.endpoint.service)
             is_announced = state.word.is_leaving or state.word.is_busy(now_s)
             if is_announced or state.calls(now_s) >= state.endpoint.slots / 2:
                 return
@@ -1315,6 +1333,13 @@
             self.broadcast(action.message, "")
         self._apply_blocked_parts()
 
+    def _refuse_displaced(self, displaced, now_s):
+        """Refuse a call whose place in a queue a more urgent one takes."""
+        call = displaced.call
+        queue = self._queues[call.service]
+        expected_s = queue.expected_wait_s(now_s, displaced.priority)
+        call.refuse("displaced by a more urgent call", now_s, expected_s)
+
     def _refuse_expired(self, call, now_s):
         """Refuse a call that has waited too long in a queue."""
         states = self.endpoints.of_service(call.service)
