Count a blocked part that is too long for the record once

What an operator saw: the gauge blocked_parts_refused rose by 20 a second for as long as one part of more than 200 characters was blocked.

Cause: BlockRecords.tick counted the parts that it leaves out at each call. Now it keeps those that were too long at the last call and counts only new ones; the set is bounded by the blocked parts themselves.

Failed before, blocked_parts.feature: "A blocked part that is too long for the record is counted once: ASSERT FAILED: 400" after 20 s. The part itself is blocked as before, and not written, so that it is forgotten when all instances restart.

--- a/cicadaplank/requests/block_records.py
+++ b/cicadaplank/requests/block_records.py
@@ -73,6 +73,8 @@
         self._write_at_s = {}
         # Time in seconds at which each block was found to be taken out.
         self._taken_out_s = {}
+        # Blocked parts that are too long to be written.
+        self._too_long = set()
 
     def __len__(self):
         return len(self._recorded_until_s)
@@ -135,9 +137,10 @@
         """
         if self._is_busy:
             return None
-        too_long = [p for p in blocked_left_s if len(p) > MAX_PART_CHARS]
+        too_long = {p for p in blocked_left_s if len(p) > MAX_PART_CHARS}
+        self.refused += len(too_long - self._too_long)
+        self._too_long = too_long
         if too_long:
-            self.refused += len(too_long)
             blocked_left_s = {
                 p: s for p, s in blocked_left_s.items() if p not in too_long
             }
--- a/features/gateway/blocked_parts.feature
+++ b/features/gateway/blocked_parts.feature
@@ -55,6 +55,12 @@
     And the part is answered and 20 s pass
     Then no block is recorded
 
+  Scenario: A blocked part that is too long for the record is counted once
+    Given an instance that has blocked a part of 300 characters
+    When 20 s pass in which nothing fails
+    Then no block is recorded
+    And 1 block is counted as not written
+
   Scenario: Instances that know nothing of the crashes do not take back their block
     Given 3 instances that have found a block, of which 1 saw a crash
     And 3 more instances to which the reports of the crashes were lost
--- a/features/steps/gateway_blocked_parts.py
+++ b/features/steps/gateway_blocked_parts.py
@@ -281,6 +281,23 @@
     context.start_s = 1.0
 
 
+@behave.given("an instance that has blocked a part of {length:d} characters")
+def step_long(context, length):
+    context.store = Store()
+    context.members = [member] = [Member(1)]
+    member.records.done({}, 0.0)
+    for crash in range(3):
+        prompts = [("system", "x" * length)]
+        member.causes.record_crash(f"run-{crash}", prompts, [], crash / 10)
+    context.start_s = 1.0
+
+
+@behave.then("{count:d} block is counted as not written")
+def step_refused(context, count):
+    refused = context.members[0].records.refused
+    assert refused == count, refused
+
+
 @behave.given("{count:d} more instances to which the reports of the crashes were lost")
 def step_unaware(context, count):
     members = [Member(len(context.members) + number) for number in range(count)]
