--- a/features/gateway/room.feature
+++ b/features/gateway/room.feature
@@ -67,3 +67,20 @@
   Scenario: An endpoint that has not reported is compared by the same measure
     Given an endpoint that reported the paces 1.0 and 1.0
     Then one with 1 calls that has not reported costs a generation more
+
+  Scenario Outline: What a client states of its work counts within a range: <stated>
+    Given engines whose usual prompt has 900 tokens
+    Then a call that states <stated> tokens counts as <counted>
+
+    Examples:
+      | stated     | counted |
+      | no         | 900     |
+      | 1          | 225     |
+      | 1300       | 1300    |
+      | 1000000000 | 18000   |
+
+  Scenario: A call that would wait beyond its limit is refused at once, the others wait
+    Given calls of priority 1 that can start at 10 a second, and 60 that wait
+    When the room is checked
+    Then the last ones are refused
+    And those that stay are expected to start within their limit
--- a/features/steps/too_little_room.py
+++ b/features/steps/too_little_room.py
@@ -245,3 +245,48 @@
     demand = placement.Demand("s", "a", generation=generation)
     costs = [placement.cost(each, demand, NOW_S) for each in (context.state, other)]
     assert costs[0] < costs[1], costs
+
+
+@behave.given("engines whose usual prompt has {tokens:d} tokens")
+def step_usual_prompt(context, tokens):
+    context.figures = figures(usual=service_times.Work(tokens, 100))
+
+
+@behave.then("a call that states {stated} tokens counts as {counted:d}")
+def step_counted_work(context, stated, counted):
+    claimed = None if stated == "no" else service_times.Work(float(stated), 100)
+    work = service_times.bounded_work(context.figures, claimed)
+    assert work.prompt_tokens == counted, work
+
+
+@behave.given(
+    "calls of priority {priority:d} that can start at {starts:d} a second,"
+    " and {count:d} that wait"
+)
+def step_waiting_calls(context, priority, starts, count):
+    context.queue = waiting.CallQueue()
+    context.queue.sheds = True
+    for _ in range(starts):
+        context.queue.record_start(NOW_S)
+    context.calls = [queued(number, priority, NOW_S) for number in range(count)]
+    for entry in context.calls:
+        assert not context.queue.admit(entry, NOW_S, 0.0)
+
+
+@behave.when("the room is checked")
+def step_check_room(context):
+    context.refused = context.queue.pop_expired(NOW_S + 0.1)
+
+
+@behave.then("the last ones are refused")
+def step_last_refused(context):
+    names = [entry.call for entry in context.refused]
+    assert names
+    assert sorted(names) == list(range(min(names), len(context.calls))), names
+
+
+@behave.then("those that stay are expected to start within their limit")
+def step_stay(context):
+    stay = context.queue.by_urgency(NOW_S + 0.1)
+    last_s = NOW_S + 0.1 + len(stay) / 10
+    assert len(stay) and last_s <= max(entry.wait_until_s for entry in stay)
