--- a/features/steps/platform_process.py
+++ b/features/steps/platform_process.py
@@ -144,6 +144,7 @@
             "version_ms": 8000,
             "grace_s": 8,
         },
+        **getattr(context, "machine", {}),
     }
 
 
