Bound the memory and the connections of all clients together

A crowd of 240 clients, each within the size limits of one request, took an entry process beyond the memory of a machine of 80 MB, by heads of short lines, unfinished bodies, pipelined requests or unread answers; 450 idle connections took its descriptors. Only incomplete bodies were bounded, by a constant of 48 MiB and in bytes of the wire. A chunk of one byte cost a list entry, a header of five bytes some 150 bytes in objects.

One account per process now counts what each connection holds, in bytes of the interpreter, against a share of the machine's memory (memory_mb of the settings, 200 when absent). Its plain decision cuts first what stands still, then what holds most for longest, and requests in progress last. Headers of an incomplete head are kept packed, bodies in one buffer, requests sent far ahead unparsed. Connections are bounded under max_fds; the oldest idle one gives way. An answer of which nothing is read is given up after 15 s, a stream after 3 s. A request that is cut while it is read is told that it did not run; the other connections are reset.

The stand-in's listen backlog was raised from 5 to 512 during the work, so that a crowd's calls reach it: with 5 most of the unread answers and streams never began. Not covered: a bound for each address or client account, and the other listeners of the process.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -5,17 +5,30 @@
 import httptools
 from twisted.internet import protocol
 
-from cicadaplank.gateway import calls, dialects
+from cicadaplank.gateway import calls, dialects, memory_account
 from cicadaplank.links import sockets
-from cicadaplank.world import buffers
 
 # Pipelined requests behind the one in progress from which on a client is not read.
 MAX_PIPELINED = 8
 # Bytes of chunk sizes and trailers that a request may have for each byte of its body,
 # beyond the limit of its headers. Chunks of single bytes have 5 each.
 MAX_FRAMING_SHARE = 8
-# Limit on the incomplete request bodies of all clients together.
-MAX_BODIES_BYTES = 48 * 1024 * 1024
+# Most bytes that are parsed at once. Requests sent far ahead stay unparsed.
+PARSE_BYTES = 8 * 1024
+# Headers of an incomplete head from which on they are kept as bytes, not as objects.
+MAX_UNPACKED_HEADERS = 64
+# Memory of a connection up to which it is not counted.
+MIN_COUNTED_BYTES = 4096
+# Memory of a queued request besides its headers and body.
+REQUEST_BYTES = 2048
+# Length of a body up to which it is sent in one piece with its head.
+MAX_JOINED_BYTES = 64 * 1024
+# Time after which a connection is reset whose client reads nothing of its answer, and
+# the interval at which this is checked. Engines break off a stream that is not read,
+# and clients abandon one after a gap of 2 s.
+UNREAD_TIMEOUT_S = 15.0
+UNREAD_STREAM_TIMEOUT_S = 3.0
+UNREAD_CHECK_S = 0.5
 # Retry time of a client whose request was dropped for memory or met an error.
 RETRY_AFTER_S = 1.0
 NOT_RUN_ERROR = "not run: internal error; send it again later"
@@ -58,9 +71,18 @@
         self._framing_bytes = 0
         self._target = b""
         self._headers = []
-        self._body = []
+        # Headers of an incomplete head, each name and value followed by a line feed.
+        self._packed_headers = bytearray()
+        self._head_bytes = 0
+        self._body = b""
         self._body_bytes = 0
         self._head = None
+        # Received bytes behind a full queue of requests, and the parse that is due.
+        self._unparsed = b""
+        self._parse_timer = None
+        # Memory of the request in progress, and of what its client has not read.
+        self._call_bytes = 0
+        self._unread_bytes = 0
         self._error = None
         self._keeps_open = True
         self._timer = None
@@ -79,7 +101,8 @@
         """Drop queued requests and abandon the call in progress."""
         self._is_disconnected = True
         self._stop_timer()
-        self._listener.bodies.release(self)
+        self._drop_received()
+        self._listener.memory.release(self)
         self._listener.disconnected(self)
         call, self._call = self._call, None
         if call is not None:
@@ -106,7 +129,7 @@
     def is_idle(self):
         """Whether no request is being read or answered."""
         is_waiting = self._is_busy or bool(self._queue) or self._error is not None
-        return not is_waiting and not self._is_reading
+        return not is_waiting and not self._is_reading and not self._unparsed
 
     @property
     def has_queued_requests(self):
@@ -147,6 +170,30 @@
         """Parse received bytes, then start the next request or reject a bad one."""
         if self._is_closing or self._error is not None or not self._takes_requests:
             return
+        if self._unparsed or len(data) > PARSE_BYTES:
+            self._unparsed += data
+            self._parse_rest()
+            return
+        self._parse(data)
+        self._start_next()
+        self._count_memory()
+
+    def _parse_rest(self):
+        """Parse what was received, in parts, until enough requests are queued."""
+        self._parse_timer = None
+        rest, self._unparsed = self._unparsed, b""
+        start = 0
+        while start < len(rest) and len(self._queue) < MAX_PIPELINED:
+            if self._error is not None or not self._takes_requests or self._is_closing:
+                start = len(rest)
+                break
+            self._parse(rest[start : start + PARSE_BYTES])
+            start += PARSE_BYTES
+        self._unparsed = rest[start:]
+        self._start_next()
+        self._count_memory()
+
+    def _parse(self, data):
         self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -162,7 +209,81 @@
             self._error = self._error or (error.status, str(error))
         if self._error is None:
             self._error = self._framing_error()
-        self._start_next()
+        if self._error is not None:
+            self._drop_received()
+        elif self._head is None and len(self._headers) > MAX_UNPACKED_HEADERS:
+            self._pack_headers()
+
+    def _pack_headers(self):
+        """Keep the headers of an incomplete head as bytes: objects take 30 times more.
+
+        Neither a name nor a value contains a line feed.
+        """
+        for pair in self._headers:
+            self._packed_headers += b"%b\n%b\n" % pair
+        self._headers = []
+
+    def _take_headers(self):
+        """Return the headers of a head that is complete."""
+        headers, self._headers = self._headers, []
+        if self._packed_headers:
+            texts = bytes(self._packed_headers).split(b"\n")
+            headers = list(zip(texts[:-1:2], texts[1:-1:2], strict=True)) + headers
+            self._packed_headers = bytearray()
+        return headers
+
+    def _drop_received(self):
+        """Drop what was received of a request that will not be read to its end."""
+        self._headers = []
+        self._packed_headers = bytearray()
+        self._head = None
+        self._head_bytes = 0
+        self._body = b""
+        self._unparsed = b""
+
+    # Memory.
+
+    def _count_memory(self, has_advanced=True):
+        """Tell the memory account what this connection holds."""
+        if self._is_disconnected:
+            return
+        self._unread_bytes = sockets.unsent_bytes(self.transport)
+        held_bytes = len(self._unparsed) + len(self._body) + self._head_bytes
+        held_bytes += len(self._packed_headers)
+        if self._headers:
+            held_bytes += memory_account.headers_bytes(self._headers)
+        kind = memory_account.Holds.REQUEST
+        if self._unread_bytes:
+            kind = memory_account.Holds.ANSWER
+        elif self._is_busy:
+            kind = memory_account.Holds.CALL
+        held_bytes += self._unread_bytes + self._call_bytes
+        held_bytes += sum(_request_bytes(request) for request, _, _ in self._queue)
+        self._listener.record_held(self, held_bytes, kind, has_advanced)
+
+    def check_unread(self, now_s):
+        """Update what the client has not read; reset a connection that stands still.
+
+        :param now_s: current time in seconds.
+        """
+        before = self._unread_bytes
+        self._count_memory(sockets.unsent_bytes(self.transport) < before)
+        holding = self._listener.memory.holding(self)
+        if holding is None or holding.kind is not memory_account.Holds.ANSWER:
+            return
+        is_streaming = self._call is not None
+        limit_s = UNREAD_STREAM_TIMEOUT_S if is_streaming else UNREAD_TIMEOUT_S
+        if now_s - holding.advanced_s >= limit_s:
+            self._gateway.count("clients_cut", cause="unread")
+            self.cut()
+
+    def cut(self):
+        """Reset the connection, and give up the call in progress."""
+        call, self._call = self._call, None
+        self._drop_received()
+        self.abort()
+        if call is not None:
+            call.client_left()
 
     def _framing_error(self):
         """Return status and message for headers or framing without end, or None."""
@@ -180,7 +301,9 @@
         self._is_reading = True
         self._target = b""
         self._headers = []
-        self._body = []
+        self._packed_headers = bytearray()
+        self._head_bytes = 0
+        self._body = b""
         self._body_bytes = 0
         self._head = None
         if not self._is_busy:
@@ -203,20 +326,22 @@
         self._framing_bytes = 0
         if self._error is not None:
             return
-        size = len(self._target) + sum(len(n) + len(v) + 4 for n, v in self._headers)
+        headers = self._take_headers()
+        size = len(self._target) + sum(len(n) + len(v) + 4 for n, v in headers)
         if size > self._gateway.limits.max_header_bytes:
             self._error = (431, "the headers are too long")
             return
         try:
             self._head = self._gateway.dialect.read_request(
-                self._parser.get_method(), self._target, self._headers
+                self._parser.get_method(), self._target, headers
             )
+            self._head_bytes = memory_account.headers_bytes(self._head.headers)
         except dialects.BadRequestError as error:
             self._error = (error.status, str(error))
             return
         expects = any(
             name.lower() == b"expect" and value.lower() == b"100-continue"
-            for name, value in self._headers
+            for name, value in headers
         )
         if expects and not self._is_busy:
             self.transport.write(CONTINUE)
@@ -227,31 +352,45 @@
         self._framing_bytes -= len(data)
         if self._body_bytes > self._gateway.limits.max_body_bytes:
             self._error = self._error or (413, "the body is too long")
-            self._body = []
+            self._body = b""
             return
-        self._body.append(data)
-        self._listener.bodies.set_held(self, self._body_bytes)
-
-    def drop_buffer(self, reason):
-        """Reject the request being read, as the bodies take too much memory."""
-        self._error = (503, f"not run: {reason}; send it again later")
-        self._body = []
-        if not self._is_busy and not self._queue:
-            self._reject(*self._error)
+        if not self._body:
+            self._body = data
+            return
+        if isinstance(self._body, bytes):
+            self._body = bytearray(self._body)
+        self._body += data
+
+    def free_memory(self, holding):
+        """Give up what the connection holds, as all take too much memory.
+
+        A request that is being read is refused. A connection with queued or unread
+        bytes is reset: nothing can be said on it.
+
+        :param holding: :class:`cicadaplank.gateway.memory_account.Holding`.
+        """
+        self._gateway.count("clients_cut", cause=f"memory_{holding.kind.value}")
+        is_only_read = not self._is_busy and not self._queue
+        if holding.kind is not memory_account.Holds.REQUEST or not is_only_read:
+            self.cut()
+            return
+        self._drop_received()
+        self._error = (503, "not run: too little memory; send it again later")
+        self._reject(*self._error)
 
     def on_message_complete(self):
         """Queue a complete request (parser callback)."""
         self._is_reading = False
         self._framing_bytes = 0
-        self._listener.bodies.release(self)
         if self._error is not None or self._head is None:
             return
         version = self._parser.get_http_version()
         keeps_open = version == "1.1" and self._parser.should_keep_alive()
         self._takes_requests = keeps_open
         arrived_s = self._gateway.arrival_s()
-        request = calls.Request(self._head, b"".join(self._body), arrived_s)
-        self._body = []
+        request = calls.Request(self._head, bytes(self._body), arrived_s)
+        self._body = b""
+        self._head_bytes = 0
         self._queue.append((request, keeps_open, version))
 
     def _start_next(self):
@@ -261,6 +400,7 @@
             self._is_http_1_0 = version != "1.1"
             self._is_head_request = request.head.method == b"HEAD"
             self._is_busy = True
+            self._call_bytes = _request_bytes(request)
             self._has_begun = False
             self._stop_timer()
             self._attempt_id = request.head.attempt
@@ -285,6 +425,9 @@
     def _pace_reading(self):
         """Stop reading while enough requests are queued."""
         is_full = len(self._queue) >= MAX_PIPELINED
+        if self._unparsed and not is_full and self._parse_timer is None:
+            self._parse_timer = self._listener.reactor.callLater(0, self._parse_rest)
+        is_full = is_full or bool(self._unparsed)
         if is_full and not self._is_read_paused:
             self._gateway.count("client_reads_paused")
             self.transport.pauseProducing()
@@ -296,7 +439,7 @@
         """Refuse a request that cannot be read, and close the connection."""
         if self._is_closing:
             return
-        self._listener.bodies.release(self)
+        self._drop_received()
         self._listener.rejected(status, message)
         self.transport.write(
             self._gateway.dialect.write_refusal(
@@ -318,6 +461,7 @@
         """
         self._is_closing = True
         self._stop_timer()
+        self._drop_received()
         # The transport does not close while it expects more of a paused producer.
         self.transport.unregisterProducer()
         if not self._listener.may_linger(self):
@@ -345,7 +489,10 @@
             length, body = head.length or 0, b""
         head_bytes = self._gateway.dialect.write_response(head, length, closes)
         self._has_begun = True
-        self.transport.write(head_bytes + body)
+        if length > MAX_JOINED_BYTES:
+            self.transport.writeSequence((head_bytes, body))
+        else:
+            self.transport.write(head_bytes + body)
         self._response_sent(closes)
 
     def refuse(self, status, message, retry_after_s):
@@ -426,12 +573,15 @@
 
     def _closes_connection(self):
         """Tell whether the connection ends with the answer to the current request."""
-        is_last = not self._queue and not self._is_reading and self._error is None
+        has_more = self._queue or self._is_reading or self._unparsed
+        is_last = not has_more and self._error is None
         return not self._keeps_open or (self._listener.is_stopping and is_last)
 
     def _response_sent(self, closes):
         self._call = None
         self._is_busy = False
+        self._call_bytes = 0
+        self._count_memory()
         if closes:
             self._close()
             return
@@ -444,11 +594,14 @@
         )
         if self._queue:
             self._listener.reactor.callLater(0, self._start_next)
+        elif self._unparsed:
+            self._pace_reading()
 
     # Flow control: Twisted's producer interface.
 
     def pauseProducing(self):
         """Stop reading from the endpoint: the client's send buffer is full."""
+        self._count_memory()
         if self._call is not None:
             self._call.pause()
 
@@ -461,28 +614,106 @@
         """Do nothing: ``connectionLost`` follows and cleans up."""
 
 
+def _request_bytes(request):
+    """Return the memory that a request takes until it is answered."""
+    headers = memory_account.headers_bytes(request.head.headers)
+    return REQUEST_BYTES + headers + len(request.body)
+
+
 class Listener(protocol.Factory):
     """Accepts connections of clients and keeps track of them.
 
     :param reactor: Twisted reactor.
     :param gateway: :class:`cicadaplank.gateway.gateway.Gateway`.
     :param rejected: called with the status and message of each rejected request.
+    :param machine: :class:`cicadaplank.gateway.memory_account.MachineLimits`.
+    :ivar memory: :class:`cicadaplank.gateway.memory_account.MemoryAccount`.
     """
 
     noisy = False
 
-    def __init__(self, reactor, gateway, rejected):
+    def __init__(self, reactor, gateway, rejected, machine=None):
         self.reactor = reactor
         self.gateway = gateway
         self.rejected = rejected
-        self.bodies = buffers.BufferBudget(MAX_BODIES_BYTES)
-        self._connections = set()
+        # In the order in which they were opened.
+        self._connections = {}
         self._lingering = set()
+        self._unread = set()
+        self._unread_timer = None
+        machine = machine or memory_account.MachineLimits()
+        self.memory = memory_account.MemoryAccount(machine.clients_bytes)
+        self.set_machine(machine)
+
+    def set_machine(self, machine):
+        """Apply the limits of the machine.
+
+        :param machine: :class:`cicadaplank.gateway.memory_account.MachineLimits`.
+        """
+        self._max_connections = machine.client_connections
+        self.memory.limit_bytes = machine.clients_bytes
+
+    def update_metrics(self, metrics):
+        """Set the gauges of what clients hold, and of the bounds.
+
+        :param metrics: :class:`cicadaplank.reports.metrics.Metrics`.
+        """
+        metrics.set_gauge("client_connections_limit", self._max_connections)
+        metrics.set_gauge("client_memory_bytes", self.memory.total_bytes)
+        metrics.set_gauge("client_memory_limit_bytes", self.memory.limit_bytes)
 
     def buildProtocol(self, addr):
-        """Return the protocol of a new connection."""
+        """Return the protocol of a new connection, None when there are too many."""
+        if len(self._connections) >= self._max_connections and not self._make_room():
+            self.gateway.count("clients_cut", cause="connections")
+            return None
         return ClientConnection(self)
 
+    def _make_room(self):
+        """Close the oldest connection without a request; tell whether there is one."""
+        for connection in self._connections:
+            if connection.is_idle:
+                self.gateway.count("clients_cut", cause="idle")
+                connection.cut()
+                self.disconnected(connection)
+                return True
+        return False
+
+    def record_held(self, connection, held_bytes, kind, has_advanced):
+        """Record what a connection holds, and cut others when all hold too much.
+
+        :param connection: :class:`ClientConnection`.
+        :param held_bytes: number of bytes.
+        :param kind: :class:`cicadaplank.gateway.memory_account.Holds`.
+        :param has_advanced: whether it has received something or was read.
+        """
+        is_unread = kind is memory_account.Holds.ANSWER
+        if is_unread:
+            self._unread.add(connection)
+            if self._unread_timer is None:
+                self._unread_timer = self.reactor.callLater(
+                    UNREAD_CHECK_S, self._check_unread
+                )
+        else:
+            self._unread.discard(connection)
+        if held_bytes < MIN_COUNTED_BYTES and not is_unread:
+            self.memory.release(connection)
+            return
+        now_s = self.reactor.seconds()
+        self.memory.set_held(connection, held_bytes, kind, now_s, has_advanced)
+        for holder, holding in self.memory.take_excess(now_s):
+            holder.free_memory(holding)
+
+    def _check_unread(self):
+        self._unread_timer = None
+        now_s = self.reactor.seconds()
+        for connection in list(self._unread):
+            connection.check_unread(now_s)
+        if self._unread and self._unread_timer is None:
+            self._unread_timer = self.reactor.callLater(
+                UNREAD_CHECK_S, self._check_unread
+            )
+
     @property
     def is_stopping(self):
         """Whether connections close after their current response."""
@@ -495,12 +726,14 @@
 
     def connected(self, connection):
         """Add a connection that was established."""
-        self._connections.add(connection)
+        self._connections[connection] = None
 
     def disconnected(self, connection):
         """Remove a connection that was closed."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
         self._lingering.discard(connection)
+        self._unread.discard(connection)
+        self.memory.release(connection)
 
     def may_linger(self, connection):
         """Tell whether a closed connection may still be read for a while.
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -16,6 +16,7 @@
     clients,
     gateway,
     guarded_calls,
+    memory_account,
     notices,
     peers,
     registry_reads,
@@ -107,6 +108,7 @@
     :param bounds: :class:`cicadaplank.gateway.gateway.Bounds`.
     :param grace_s: time from the stop signal until the process is killed, in seconds.
     :param in_force_s: time within which a configuration has to be in force, in seconds.
+    :param machine: :class:`cicadaplank.gateway.memory_account.MachineLimits`.
     """
 
     name: str
@@ -121,6 +123,7 @@
     bounds: gateway.Bounds
     grace_s: float
     in_force_s: float = sync.DEFAULT_IN_FORCE_S
+    machine: memory_account.MachineLimits = memory_account.MachineLimits()
 
 
 class RecordDecoder(typing.Protocol):
@@ -238,7 +241,9 @@
             reporter,
             draining.Draining(stop_limits(settings.grace_s)),
         )
-        self.listener = clients.Listener(reactor, self.gateway, self._request_rejected)
+        self.listener = clients.Listener(
+            reactor, self.gateway, self._request_rejected, settings.machine
+        )
         self.operator = sync.TableSync(
             reactor,
             store,
@@ -347,6 +352,8 @@
         for follower in (self.operator, self.listed, self.peers):
             follower.times = times
         self._stale_guard.in_force_s = settings.in_force_s
+        self.listener.set_machine(settings.machine)
+        self.gateway.buffers.limit_bytes = settings.machine.answers_bytes
         for host in settings.seeds:
             self.peers.add_seed(host, settings.peer.port, "entry")
 
@@ -404,6 +411,7 @@
         metric = self.metrics
         metric.set_gauge("calls_in_progress", self.gateway.open_calls)
         metric.set_gauge("client_connections", self.listener.open_count)
+        self.listener.update_metrics(metric)
         metric.set_gauge("peers", self.peers.live_count)
         metric.set_gauge("store_age_seconds", self.peers.store_age_s(now_s))
         confirmed_age_s = self.peers.confirmed_age_s(now_s)
--- a/cicadaplank/links/sockets.py
+++ b/cicadaplank/links/sockets.py
@@ -55,3 +55,14 @@
         return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
     except OSError:
         return False
+
+
+def unsent_bytes(transport):
+    """Return how many written bytes the peer's window has not let out yet.
+
+    :param transport: transport of a connection; 0 for one that has no buffer.
+    """
+    buffer = getattr(transport, "dataBuffer", None)
+    if buffer is None:
+        return 0
+    return len(buffer) - transport.offset + transport._tempDataLen
--- a/cicadaplank/platform/settings.py
+++ b/cicadaplank/platform/settings.py
@@ -2,7 +2,7 @@
 
 import json
 
-from cicadaplank.gateway import gateway, sync
+from cicadaplank.gateway import gateway, memory_account, sync
 from cicadaplank.gateway import process as entry_process
 from cicadaplank.replicas import process as agent_process
 
@@ -53,6 +53,12 @@
             return default_s
         return _to_seconds(self.number(path))
 
+    def optional_number(self, path, default):
+        """Return a number above 0; a missing one is the default."""
+        if self._document.get(path) is None:
+            return default
+        return self.get(path, (int, float), lambda value: value > 0)
+
     def address(self, path):
         """Return an address written ``host:port``, or None when it is invalid."""
         text = self.get(path, str, _is_address)
@@ -141,11 +147,24 @@
         ),
         grace_s=reader.number("bounds.grace_s"),
         in_force_s=reader.optional_ms("bounds.config_ms", sync.DEFAULT_IN_FORCE_S),
+        machine=_machine_limits(reader),
     )
     reader.check()
     return settings
 
 
+def _machine_limits(reader):
+    """Return the :class:`cicadaplank.gateway.memory_account.MachineLimits`.
+
+    An invalid value is noted as a fault of the reader.
+    """
+    default = memory_account.MachineLimits()
+    memory_mb = reader.optional_number("memory_mb", default.memory_mb)
+    max_fds = reader.optional_number("max_fds", default.max_fds)
+    is_valid = isinstance(memory_mb, (int, float)) and isinstance(max_fds, (int, float))
+    return memory_account.MachineLimits(memory_mb, max_fds) if is_valid else default
+
+
 def agent(document):
     """Return the :class:`cicadaplank.replicas.process.Settings` of an agent process.
 
--- a/features/steps/system_crowds.py
+++ b/features/steps/system_crowds.py
@@ -37,6 +37,8 @@
 
 class _LongBackEnd(rowstore._Server):
     delay_s = 0.0
+    # Length of the listen backlog: a crowd's calls are dialled at once.
+    request_queue_size = 512
 
     def __init__(self):
         self.seen = []
