Answer requests of legal size with many short header lines

A client whose head had 15,500 bytes in lines of five bytes got 431, although heads of 16,384 bytes are allowed. Each header was counted with four bytes besides its name and value, while it may take three: the space behind the colon is optional. The count is now the least that a header takes on the wire, so that no head within the limit is refused; the bound on the bytes of an incomplete head still ends longer ones. The number of lines needs no bound of its own: 16,384 bytes hold at most 4,096 lines, and their memory is counted.

Without the change, "A single request of legal size with a head of short lines is answered" fails with "HTTP/1.1 431 Request Header Fields Too Large". The stand-in of the back end accepts 100 headers by default; the steps raise that, as it is not what is tested.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -327,7 +327,8 @@
         if self._error is not None:
             return
         headers = self._take_headers()
-        size = len(self._target) + sum(len(n) + len(v) + 4 for n, v in headers)
+        # A header has at least a colon and the end of its line besides.
+        size = len(self._target) + sum(len(n) + len(v) + 3 for n, v in headers)
         if size > self._gateway.limits.max_header_bytes:
             self._error = (431, "the headers are too long")
             return
--- a/features/steps/system_crowds.py
+++ b/features/steps/system_crowds.py
@@ -2,6 +2,7 @@
 
 import http.client
 import os
+import socket
 import threading
 import time
 
@@ -12,6 +13,8 @@
 
 MB = 1024 * 1024
 LONG_BYTES = 3 * MB
+# The stand-in accepts as many headers as a request of legal size has.
+http.client._MAXHEADERS = 5000
 EVENT = b"data: " + b"a" * 1000 + b"\n\n"
 LIMIT_S = 30.0
 WATCH_S = 0.02
@@ -144,3 +147,15 @@
         return None, str(fault)
     finally:
         connection.close()
+
+
+@behave.then("a request with 15,500 bytes of header lines of 5 bytes is answered")
+def step_short_lines(context):
+    host, _, port = context.front.rpartition(":")
+    length = crowds.LENGTH % 1
+    lines = crowds.lines(b"a:b\r\n")[: -5 * len(length)]
+    data = crowds.head(extra=length + lines) + b"a"
+    with socket.create_connection((host, int(port)), LIMIT_S) as sock:
+        sock.sendall(data)
+        answer = sock.recv(4096)
+    assert answer.startswith(b"HTTP/1.1 200 "), answer
--- a/features/system/crowds.feature
+++ b/features/system/crowds.feature
@@ -30,3 +30,10 @@
       | 240   | requests for long answers that nobody reads      |
       | 240   | requests for long streams that nobody reads      |
       | 450   | nothing at all                                   |
+
+  Scenario: A single request of legal size with a head of short lines is answered
+    Given a store and a back end with long answers
+    And a machine with 80 MB of memory and 600 descriptors
+    When the entry process is started
+    Then it becomes ready
+    And a request with 15,500 bytes of header lines of 5 bytes is answered
