Serve calls only in the regions that route and client account allow

The lists are decoded, data centres get their region from the settings, and one predicate in homes.py is part of placement.serves. As the demand of a call is built anew before each choice and after each dial, it binds first sends, waiting calls, second attempts, repeats and resumed streams by the configuration in force. Waiting calls whose regions have no endpoint are refused when the configuration comes, and calls behind one that waits for its region may pass it.

--- a/cicadaplank/gateway/admittance.py
+++ b/cicadaplank/gateway/admittance.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from cicadaplank.gateway import routes
+from cicadaplank.gateway import homes, routes
 
 NO_ROUTE = "no route for this host and path"
 UNKNOWN_KEY = "the API key is not known"
@@ -51,4 +51,6 @@
         account = configuration.accounts.get(head.key)
         if account is None:
             return Denied(401, UNKNOWN_KEY)
+    if homes.allowed_regions(route, account) == frozenset():
+        return Denied(503, homes.EXCLUDED)
     return Admitted(configuration.version, route, account)
--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -263,6 +263,7 @@
             self._gateway.min_version(self._model),
             self.excluded,
             self._gateway.members,
+            self._gateway.allowed_regions(self),
         )
 
     @property
--- a/cicadaplank/gateway/endpoints.py
+++ b/cicadaplank/gateway/endpoints.py
@@ -52,6 +52,7 @@
     :param warm_up_s: remaining seconds for which it is slow after its start, 0 when it
         is warm.
     :param sequence: number of the record; it rises with each record of a run.
+    :param region: region in which it runs, empty when it is unknown.
     """
 
     name: str
@@ -65,6 +66,7 @@
     started_ms: int = 0
     warm_up_s: float = 0.0
     sequence: int = dataclasses.field(default=0, compare=False)
+    region: str = ""
 
     def precedes(self, other):
         """Tell whether this record was written before another one of the endpoint.
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -21,6 +21,7 @@
     dialects,
     endpoints,
     guarded_calls,
+    homes,
     named_versions,
     outcomes,
     placement,
@@ -219,6 +220,11 @@
         """
         self.route_index = routes.RouteIndex(configuration)
         self.check_calls()
+        # The allowed regions of waiting calls may have changed.
+        now_s = self.now_s()
+        for service in list(self._queues):
+            self.run(self._refuse_all_unservable, service, now_s)
+            self.run(self.dispatch, service)
 
     def check_calls(self):
         """Check each call that is not at an endpoint against what may be served now."""
@@ -405,7 +411,7 @@
             denied = self._if_current(admitted)
             self._reject(client, request, denied.status, denied.reason)
             return None
-        service = self._choose_service(admitted.route)
+        service = self._choose_service(admitted)
         self.budget(service).record_request(self.now_s())
         if request.head.shared_parts and self.awaits_blocks():
             self._reporter.count("refused_before_blocks")
@@ -503,9 +509,25 @@
             return self._if_current(admitted)
         service = call.service
         if all(share.service != service for share in admitted.route.shares):
-            service = self._choose_service(admitted.route)
+            service = self._choose_service(admitted)
         return admitted, service
 
+    def allowed_regions(self, call):
+        """Return the regions in which a call may be sent by the configuration in force.
+
+        A call at an endpoint keeps its admission when the configuration changes.
+        Whether it may be sent at all is checked elsewhere.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        :returns: frozenset of names, None for any.
+        """
+        admitted = call.admitted
+        if admitted.version != self.configuration_version:
+            found = admittance.check(self.route_index, call.request.head)
+            if isinstance(found, admittance.Admitted):
+                admitted = found
+        return homes.allowed_regions(admitted.route, admitted.account)
+
     def _reject(self, client, request, status, reason, after_s=DEFAULT_RETRY_AFTER_S):
         self._reporter.turned_away(request, status, reason, self.configuration_version)
         client.refuse(status, reason, after_s if status == 503 else None)
@@ -521,15 +543,21 @@
         """
         self._reporter.unanswered(attempts, cause)
 
-    def _choose_service(self, route):
+    def _choose_service(self, admitted):
+        route = admitted.route
         if len(route.shares) == 1:
             return route.shares[0].service
+        regions = homes.allowed_regions(route, admitted.account)
         usable = [share for share in route.shares if share.weight > 0]
-        alive = [s for s in usable if self.endpoints.of_service(s.service)]
+        alive = [s for s in usable if self._has_endpoint(s.service, regions)]
         candidates = alive or usable or list(route.shares)
         weights = [share.weight or 1.0 for share in candidates]
         return self._random.choices(candidates, weights)[0].service
 
+    def _has_endpoint(self, service, regions):
+        states = self.endpoints.of_service(service)
+        return any(homes.allows(regions, state.endpoint.region) for state in states)
+
     def _fingerprint(self, request, admitted):
         head = request.head
         name = admitted.account.name if admitted.account else ""
@@ -681,7 +709,9 @@
             is_sent = call_errors.run(
                 call, self._send_waiting, queue, queued_call, states, now_s
             )
-            if is_sent is False and not call.excluded:
+            # Calls behind one that is limited to regions may go elsewhere.
+            is_limited = call.excluded or self.allowed_regions(call) is not None
+            if is_sent is False and not is_limited:
                 break
 
     def _send_waiting(self, queue, queued_call, states, now_s):
--- a/cicadaplank/gateway/placement.py
+++ b/cicadaplank/gateway/placement.py
@@ -9,6 +9,8 @@
 
 import dataclasses
 
+from cicadaplank.gateway import homes
+
 # Share of its slots by which an endpoint of another data centre has to be less loaded
 # to be preferred; an endpoint that is warming up gets the same penalty. Links between
 # regions have little bandwidth, and calls that cross them fail in a partition. Each
@@ -40,6 +42,7 @@
     :param min_version: oldest version of the weights that is allowed, 0 for any.
     :param excluded: names of the endpoints that have already been tried.
     :param instances: number of entry instances that place calls.
+    :param regions: frozenset of the regions in which it may be served, None for any.
     """
 
     service: str
@@ -48,6 +51,7 @@
     min_version: int = 0
     excluded: frozenset = frozenset()
     instances: int = 1
+    regions: frozenset | None = None
 
 
 def serves(endpoint, demand):
@@ -58,6 +62,8 @@
     """
     if endpoint.is_draining or endpoint.name in demand.excluded:
         return False
+    if not homes.allows(demand.regions, endpoint.region):
+        return False
     if not demand.model:
         return True
     version = endpoint.weights.get(demand.model)
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -108,6 +108,7 @@
     :param bounds: :class:`cicadaplank.gateway.gateway.Bounds`.
     :param grace_s: time from the stop signal until the process is killed, in seconds.
     :param in_force_s: time within which a configuration has to be in force, in seconds.
+    :param regions: dict from data centre to region.
     """
 
     name: str
@@ -122,6 +123,7 @@
     bounds: gateway.Bounds
     grace_s: float
     in_force_s: float = sync.DEFAULT_IN_FORCE_S
+    regions: dict = dataclasses.field(default_factory=dict)
 
 
 class RecordDecoder(typing.Protocol):
--- a/cicadaplank/gateway/routes.py
+++ b/cicadaplank/gateway/routes.py
@@ -46,6 +46,7 @@
     :param max_attempts: number of times that one call may be sent to an endpoint.
     :param is_public: whether calls need no API key.
     :param is_generation: whether model engines answer the calls.
+    :param regions: frozenset of the regions in which calls may be served, None for any.
     """
 
     name: str
@@ -60,6 +61,7 @@
     max_attempts: int
     is_public: bool
     is_generation: bool
+    regions: frozenset | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,10 +70,12 @@
 
     :param name: account name.
     :param priority: priority of its calls, 0 is most urgent; None to use the route's.
+    :param regions: frozenset of the regions in which calls may be served, None for any.
     """
 
     name: str
     priority: int | None
+    regions: frozenset | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/cicadaplank/platform/__main__.py
+++ b/cicadaplank/platform/__main__.py
@@ -64,12 +64,12 @@
     reactor.run(installSignalHandlers=False)
 
 
-def _store_adapters(reactor, address):
+def _store_adapters(reactor, address, regions):
     """Return the client of the store, its row parser and its registry of instances."""
     from cicadaplank.platform import client, rows, store
 
     rows_store = store.Store(client.Client(reactor, address))
-    return rows_store, rows.RowDecoder(), store.InstanceRegistry(rows_store)
+    return rows_store, rows.RowDecoder(regions), store.InstanceRegistry(rows_store)
 
 
 def _block_registry(rows_store):
@@ -92,7 +92,7 @@
         from cicadaplank.gateway import process
         from cicadaplank.platform import headers, settings
 
-        adapters = _store_adapters(reactor, address)
+        adapters = _store_adapters(reactor, address, checked.regions)
         entry = process.EntryProcess(
             reactor,
             checked,
@@ -116,7 +116,7 @@
         agent = process.AgentProcess(
             reactor,
             checked,
-            *_store_adapters(reactor, address),
+            *_store_adapters(reactor, address, checked.regions),
             servers.ModelServer(client.Client(reactor, document["engine"]["address"])),
             lambda origin: servers.Origin(client.origin_client(reactor, origin)),
             lambda: settings.agent(settings.read(path)),
--- a/cicadaplank/platform/documents.py
+++ b/cicadaplank/platform/documents.py
@@ -20,6 +20,7 @@
 MAX_RANK = 1_000
 MAX_WEIGHT = 1e9
 MAX_MODELS = 256
+MAX_REGIONS = 256
 MAX_PORT = 65_535
 # The store allows keys of this length; names of this system's own are shorter.
 MAX_NAME_CHARS = 200
@@ -50,6 +51,7 @@
     msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS, pattern=r"\A[!-~]+\Z"),
 ]
 Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS)]
+Regions = Annotated[list[Name], msgspec.Meta(max_length=MAX_REGIONS)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 Digest = Annotated[str, msgspec.Meta(pattern=r"\A[0-9a-f]{64}\Z")]
 
@@ -114,6 +116,7 @@
     public: bool | None = None
     resumable: bool | None = None
     sticky: bool | None = None
+    allowed_regions: Regions | None = None
 
 
 class EngineModel(msgspec.Struct, frozen=True):
@@ -154,6 +157,7 @@
     name: Name
     api_keys: list[Text]
     priority: Rank | None = None
+    allowed_regions: Regions | None = None
 
 
 class Configuration(msgspec.Struct, frozen=True):
--- a/cicadaplank/platform/rows.py
+++ b/cicadaplank/platform/rows.py
@@ -4,6 +4,8 @@
 """
 
 import collections
+import functools
+import types
 
 from cicadaplank.gateway import endpoints, routes
 from cicadaplank.platform import documents
@@ -20,17 +22,19 @@
 
     The ``table`` parameters are copies of one of the store's tables.
 
+    :param regions: dict from data centre to region.
     :ivar counts: number of rows ``decoded``, ``unreadable`` and ``uncached``.
     """
 
     operator_table = "op"
     endpoint_table = "servers"
 
-    def __init__(self):
+    def __init__(self, regions=types.MappingProxyType({})):
         self.counts = collections.Counter()
         self._configurations = _Cache(_decode_configuration, self.counts)
         self._versions = _Cache(_decode_version, self.counts)
-        self._endpoints = _Cache(_decode_endpoint, self.counts)
+        decode_endpoint = functools.partial(_decode_endpoint, regions)
+        self._endpoints = _Cache(decode_endpoint, self.counts)
 
     def configuration(self, table):
         """Return the configuration in the operator's table, or None when it has none.
@@ -138,7 +142,11 @@
     accounts = None
     if parsed.tenants is not None:
         accounts = {
-            api_key: routes.Account(tenant.name, _optional_integer(tenant.priority))
+            api_key: routes.Account(
+                tenant.name,
+                _optional_integer(tenant.priority),
+                _regions(tenant.allowed_regions),
+            )
             for tenant in parsed.tenants
             for api_key in tenant.api_keys
         }
@@ -151,6 +159,11 @@
     )
 
 
+def _regions(names):
+    # The platform's default is an empty list, which sets no limit.
+    return frozenset(names) if names else None
+
+
 def _optional_integer(number):
     return None if number is None else int(number)
 
@@ -181,6 +194,7 @@
         is_public=bool(value.public),
         # The platform marks routes whose requests carry prompts as sticky.
         is_generation=bool(value.sticky),
+        regions=_regions(value.allowed_regions),
     )
 
 
@@ -218,7 +232,7 @@
     return model, parsed.version
 
 
-def _decode_endpoint(key, value):
+def _decode_endpoint(regions, key, value):
     name = documents.check_key(key)
     parsed = _SERVER.decode(value)
     host, port = documents.parse_address(parsed.address)
@@ -234,6 +248,7 @@
         started_ms=parsed.born,
         sequence=parsed.seq or 0,
         warm_up_s=(parsed.warmup_left_ms or 0.0) / 1000.0,
+        region=regions.get(parsed.zone, ""),
     )
 
 
--- a/cicadaplank/platform/settings.py
+++ b/cicadaplank/platform/settings.py
@@ -141,6 +141,7 @@
         ),
         grace_s=reader.number("bounds.grace_s"),
         in_force_s=reader.optional_ms("bounds.config_ms", sync.DEFAULT_IN_FORCE_S),
+        regions=reader.get("regions", dict) or {} if "regions" in document else {},
     )
     reader.check()
     return settings
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -35,6 +35,27 @@
       | streaming      | yes       | resumable |
       | something new  | yes       | never     |
 
+  Scenario Outline: A route and a client account that may be served in <listed>
+    Given a configuration whose route and client account may be served in <listed>
+    Then their calls may be served in <allowed>
+
+    Examples:
+      | listed      | allowed |
+      | null        | any     |
+      | []          | any     |
+      | ["r1","r2"] | r1 r2   |
+      | "r1"        | unknown |
+      | [1]         | unknown |
+
+  Scenario Outline: A server in the data centre "<zone>"
+    Given a row of a server in the data centre "<zone>" while only "a" has a region
+    Then its region is "<region>"
+
+    Examples:
+      | zone | region |
+      | a    | r1     |
+      | b    | none   |
+
   @always_7
   Scenario: A configuration that cannot be read changes nothing
     Given a configuration without services
--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -136,6 +136,45 @@
     assert (context.route.timeout_s, context.route.objective_s) == (6.0, 0.404)
 
 
+@behave.given(
+    "a configuration whose route and client account may be served in {listed}"
+)
+def step_allowed_regions(context, listed):
+    limit = {"allowed_regions": json.loads(listed)}
+    changes = {
+        "routes": [{**ROUTE, **limit}],
+        "tenants": [{**CONFIGURATION["tenants"][0], **limit}],
+    }
+    try:
+        context.found = configuration(**changes)
+    except ValueError:
+        context.found = None
+
+
+@behave.then("their calls may be served in {allowed}")
+def step_allowed(context, allowed):
+    if allowed == "unknown":
+        assert context.found is None
+        return
+    wanted = None if allowed == "any" else set(allowed.split())
+    assert context.found.routes[0].regions == wanted
+    assert context.found.accounts["k"].regions == wanted
+
+
+@behave.given(
+    'a row of a server in the data centre "{zone}" while only "a" has a region'
+)
+def step_server_zone(context, zone):
+    held = table_of({"it": json.dumps({**SERVER, "zone": zone}).encode()})
+    found, _ = rows.RowDecoder({"a": "r1"}).endpoints(held, configuration())
+    context.region = found["it"].region
+
+
+@behave.then('its region is "{region}"')
+def step_region(context, region):
+    assert (context.region or "none") == region
+
+
 @behave.given("a configuration without services")
 def step_no_services(context):
     value = {k: v for k, v in CONFIGURATION.items() if k != "services"}
