Send nothing more to a data centre that the operator evacuates

The keys of the rows are decoded, and the gateway holds the set in force. It is part of the demand of a call, so that placement.serves leaves out the endpoints of these data centres for first sends, waiting calls, second attempts, repeats and resumed streams, and after each dial. Waiting calls that may go nowhere else are refused at once; calls that are at an endpoint end there. After a restore of the store a missing row is no end of the evacuation until records have had the time to be written again. Log events and a gauge tell when nothing is left.

Without the check in serves, five cases of evacuations.feature fail, for example: FAILED Data centre "a" is evacuated and a call is dialled at x: ASSERT FAILED: ['10.0.0.1']. Without the wait after a restore: FAILED The row of an evacuation goes as the store is restored: ASSERT FAILED: frozenset(). The two cases in which an attempt at x has failed pass without the check, too, as x is excluded then.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -264,6 +264,7 @@
             self.excluded,
             self._gateway.members,
             self._gateway.allowed_regions(self),
+            self._gateway.evacuated,
         )
 
     @property
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -20,6 +20,7 @@
     connections,
     dialects,
     endpoints,
+    evacuations,
     guarded_calls,
     homes,
     named_versions,
@@ -128,6 +129,7 @@
         self._blocked_parts = []
         self.weights_requirement = named_versions.WeightsRequirement(bounds.weights_s)
         self.route_index = None
+        self.evacuations = evacuations.Evacuations()
         self.members = 1
         self._budget_members = 1
         # Returns whether the configuration is known to be the newest.
@@ -154,6 +156,8 @@
         self._late_s = 0.0
         # Time until which this instance does not wish for another permit, by endpoint.
         self._wished_until_s = {}
+        # Data centres with a gauge of the calls left there.
+        self._evacuated_shown = set()
         # Last report of each other entry instance: calls in progress by endpoint name.
         self._peer_loads = {}
 
@@ -221,11 +225,42 @@
         self.route_index = routes.RouteIndex(configuration)
         self.check_calls()
         # The allowed regions of waiting calls may have changed.
+        self._place_waiting()
+
+    def _place_waiting(self):
+        """Refuse or send the waiting calls after a change of where they may go."""
         now_s = self.now_s()
         for service in list(self._queues):
             self.run(self._refuse_all_unservable, service, now_s)
             self.run(self.dispatch, service)
 
+    @property
+    def evacuated(self):
+        """Return the data centres that get no calls, a frozenset of names."""
+        return self.evacuations.names
+
+    def set_evacuated(self, listed, keeps_missing=False):
+        """Apply the list of evacuated data centres, also to waiting calls.
+
+        Calls that are at an endpoint end there; an attempt that fails goes elsewhere.
+
+        :param listed: iterable of names of data centres.
+        :param keeps_missing: whether missing names are kept.
+        """
+        changes = self.evacuations.update(listed, keeps_missing)
+        for name in changes.begun:
+            states = self.endpoints.all()
+            calls_there = sum(
+                s.in_flight for s in states if s.endpoint.data_centre == name
+            )
+            self._reporter.state_event(
+                "evacuation_in_force", data_centre=name, calls=calls_there
+            )
+        for name in changes.ended:
+            self._reporter.state_event("evacuation_ended", data_centre=name)
+        if changes.begun or changes.ended:
+            self._place_waiting()
+
     def check_calls(self):
         """Check each call that is not at an endpoint against what may be served now."""
         now_s = self.now_s()
@@ -275,6 +310,16 @@
         for kind, count in self.endpoints.announcements.counts.items():
             metrics.set_gauge("endpoint_announcements", count, kind=kind)
         metrics.set_gauge("endpoints_limited", len(self.endpoints.limits))
+        metrics.set_gauge("evacuations_ignored", self.evacuations.ignored)
+        left = collections.Counter({name: 0 for name in self.evacuated})
+        for state in self.endpoints.all():
+            if state.endpoint.data_centre in left:
+                left[state.endpoint.data_centre] += state.in_flight
+        # A data centre that is not evacuated any more keeps its gauge, at -1.
+        self._evacuated_shown |= left.keys()
+        for name in self._evacuated_shown:
+            calls_there = left[name] if name in left else -1
+            metrics.set_gauge("evacuated_calls_left", calls_there, data_centre=name)
         for kind, count in self.endpoints.limits.counts.items():
             metrics.set_gauge("limit_permits", count, kind=kind)
 
@@ -556,7 +601,11 @@
 
     def _has_endpoint(self, service, regions):
         states = self.endpoints.of_service(service)
-        return any(homes.allows(regions, state.endpoint.region) for state in states)
+        return any(
+            homes.allows(regions, state.endpoint.region)
+            and state.endpoint.data_centre not in self.evacuated
+            for state in states
+        )
 
     def _fingerprint(self, request, admitted):
         head = request.head
--- a/cicadaplank/gateway/placement.py
+++ b/cicadaplank/gateway/placement.py
@@ -43,6 +43,7 @@
     :param excluded: names of the endpoints that have already been tried.
     :param instances: number of entry instances that place calls.
     :param regions: frozenset of the regions in which it may be served, None for any.
+    :param evacuated: frozenset of the data centres that get no calls.
     """
 
     service: str
@@ -52,6 +53,7 @@
     excluded: frozenset = frozenset()
     instances: int = 1
     regions: frozenset | None = None
+    evacuated: frozenset = frozenset()
 
 
 def serves(endpoint, demand):
@@ -62,6 +64,8 @@
     """
     if endpoint.is_draining or endpoint.name in demand.excluded:
         return False
+    if endpoint.data_centre in demand.evacuated:
+        return False
     if not homes.allows(demand.regions, endpoint.region):
         return False
     if not demand.model:
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -147,6 +147,12 @@
         :param copy: copy of the operator's table.
         """
 
+    def evacuated(self, copy):
+        """Return the names of the evacuated data centres as a frozenset.
+
+        :param copy: copy of the operator's table.
+        """
+
     def endpoints(self, copy, configuration):
         """Return a dict from name to endpoint, and the number of unreadable records.
 
@@ -496,11 +502,26 @@
         self._named_confirmed_s = self._naming_confirmed_s()
         self._is_naming_pending = True
         call = self._guarded.call
+        call("evacuations", self._take_evacuations)
         call("configuration", self._take_configuration)
         call("named_versions", self._record_named_versions)
         call("agents", self._notify_agents)
         call("unreadable_operator", self._unreadable.report, self.operator)
 
+    def _take_evacuations(self):
+        now_s = self.reactor.seconds()
+        was_restored = self.operator.availability.was_restored(now_s)
+        listed = self._decoder.evacuated(self.operator.copy)
+        self.gateway.set_evacuated(listed, was_restored)
+        if was_restored and self.gateway.evacuated - listed:
+            # The records that were lost are written again within this time.
+            self.reactor.callLater(
+                sync.RECOVERY_GRACE_S,
+                self._guarded.call,
+                "evacuations",
+                self._take_evacuations,
+            )
+
     def _take_configuration(self):
         try:
             configuration = self._decoder.configuration(self.operator.copy)
--- a/cicadaplank/platform/rows.py
+++ b/cicadaplank/platform/rows.py
@@ -12,6 +12,7 @@
 
 CONFIGURATION_KEY = "config"
 VERSION_PREFIX = "version/"
+EVACUATION_PREFIX = "evacuate/"
 DRAINING = "draining"
 # Limit on the decoded rows that are kept; rows beyond it are decoded at each read.
 MAX_CACHED_ROWS = 10_000
@@ -60,6 +61,16 @@
         }
         return dict(self._versions.update(records).values())
 
+    def evacuated(self, table):
+        """Return the names of the data centres with a row of an evacuation.
+
+        The key alone counts: a row whose value cannot be read holds, too.
+
+        :returns: frozenset.
+        """
+        keys = (key for key in table.values() if key.startswith(EVACUATION_PREFIX))
+        return frozenset(key[len(EVACUATION_PREFIX) :] for key in keys)
+
     def endpoints(self, table, configuration):
         """Return the endpoints of configured services and the number of unusable rows.
 
--- a/features/entries.py
+++ b/features/entries.py
@@ -78,11 +78,13 @@
             grace_s=8,
         )
         self.row = {}
+        self.evacuated = frozenset()
         self.decoder = plain_types.SimpleNamespace(
             operator_table="op",
             endpoint_table="servers",
             configuration=lambda copy: None,
             named_weights=lambda copy: dict(self.row),
+            evacuated=lambda copy: self.evacuated,
             unreadable=lambda name: {},
         )
         self.log = Log()
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -47,6 +47,10 @@
       | "r1"        | unknown |
       | [1]         | unknown |
 
+  Scenario: Rows of evacuations name data centres, whatever their value
+    Given rows of evacuations of "a" and, with a value that cannot be read, of "b"
+    Then the evacuated data centres are "a, b"
+
   Scenario Outline: A server in the data centre "<zone>"
     Given a row of a server in the data centre "<zone>" while only "a" has a region
     Then its region is "<region>"
--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -175,6 +175,21 @@
     assert (context.region or "none") == region
 
 
+@behave.given(
+    'rows of evacuations of "{first}" and, with a value that cannot be read, of'
+    ' "{second}"'
+)
+def step_evacuation_rows(context, first, second):
+    values = {f"evacuate/{first}": b"{}", f"evacuate/{second}": b"\xff"}
+    held = table_of({**values, "config": b"{}", "version/m": b"{}"})
+    context.evacuated = rows.RowDecoder().evacuated(held)
+
+
+@behave.then('the evacuated data centres are "{names}"')
+def step_evacuated_rows(context, names):
+    assert sorted(context.evacuated) == names.split(", "), context.evacuated
+
+
 @behave.given("a configuration without services")
 def step_no_services(context):
     value = {k: v for k, v in CONFIGURATION.items() if k != "services"}
