Merge branch 'homes': allowed regions and evacuations

Each conflict lies between fields, imports or sections that both branches added; all are kept. Tests were read: homes and evacuation scenarios are new, none was eased.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -265,6 +265,8 @@
             self.excluded,
             self._gateway.members,
             self.generation(),
+            self._gateway.allowed_regions(self),
+            self._gateway.evacuated,
         )
 
     def generation(self):
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -20,7 +20,9 @@
     connections,
     dialects,
     endpoints,
+    evacuations,
     guarded_calls,
+    homes,
     named_versions,
     outcomes,
     placement,
@@ -130,6 +132,7 @@
         self._blocked_parts = []
         self.weights_requirement = named_versions.WeightsRequirement(bounds.weights_s)
         self.route_index = None
+        self.evacuations = evacuations.Evacuations()
         self.members = 1
         self._budget_members = 1
         # Returns whether the configuration is known to be the newest.
@@ -160,6 +163,8 @@
         self._wished_until_s = {}
         # Services with an endpoint that has stated its pace.
         self._paced_services = set()
+        # Data centres with a gauge of the calls left there.
+        self._evacuated_shown = set()
         # Last report of each other entry instance: calls in progress by endpoint name.
         self._peer_loads = {}
 
@@ -236,6 +241,42 @@
         """
         self.route_index = routes.RouteIndex(configuration)
         self.check_calls()
+        # The allowed regions of waiting calls may have changed.
+        self._place_waiting()
+
+    def _place_waiting(self):
+        """Refuse or send the waiting calls after a change of where they may go."""
+        now_s = self.now_s()
+        for service in list(self._queues):
+            self.run(self._refuse_all_unservable, service, now_s)
+            self.run(self.dispatch, service)
+
+    @property
+    def evacuated(self):
+        """Return the data centres that get no calls, a frozenset of names."""
+        return self.evacuations.names
+
+    def set_evacuated(self, listed, keeps_missing=False):
+        """Apply the list of evacuated data centres, also to waiting calls.
+
+        Calls that are at an endpoint end there; an attempt that fails goes elsewhere.
+
+        :param listed: iterable of names of data centres.
+        :param keeps_missing: whether missing names are kept.
+        """
+        changes = self.evacuations.update(listed, keeps_missing)
+        for name in changes.begun:
+            states = self.endpoints.all()
+            calls_there = sum(
+                s.in_flight for s in states if s.endpoint.data_centre == name
+            )
+            self._reporter.state_event(
+                "evacuation_in_force", data_centre=name, calls=calls_there
+            )
+        for name in changes.ended:
+            self._reporter.state_event("evacuation_ended", data_centre=name)
+        if changes.begun or changes.ended:
+            self._place_waiting()
 
     def check_calls(self):
         """Check each call that is not at an endpoint against what may be served now."""
@@ -288,6 +329,16 @@
         for kind, count in self.endpoints.announcements.counts.items():
             metrics.set_gauge("endpoint_announcements", count, kind=kind)
         metrics.set_gauge("endpoints_limited", len(self.endpoints.limits))
+        metrics.set_gauge("evacuations_ignored", self.evacuations.ignored)
+        left = collections.Counter({name: 0 for name in self.evacuated})
+        for state in self.endpoints.all():
+            if state.endpoint.data_centre in left:
+                left[state.endpoint.data_centre] += state.in_flight
+        # A data centre that is not evacuated any more keeps its gauge, at -1.
+        self._evacuated_shown |= left.keys()
+        for name in self._evacuated_shown:
+            calls_there = left[name] if name in left else -1
+            metrics.set_gauge("evacuated_calls_left", calls_there, data_centre=name)
         for kind, count in self.endpoints.limits.counts.items():
             metrics.set_gauge("limit_permits", count, kind=kind)
 
@@ -436,7 +487,7 @@
             denied = self._if_current(admitted)
             self._reject(client, request, denied.status, denied.reason)
             return None
-        service = self._choose_service(admitted.route)
+        service = self._choose_service(admitted)
         self.budget(service).record_request(self.now_s())
         if request.head.shared_parts and self.awaits_blocks():
             self._reporter.count("refused_before_blocks")
@@ -534,9 +585,25 @@
             return self._if_current(admitted)
         service = call.service
         if all(share.service != service for share in admitted.route.shares):
-            service = self._choose_service(admitted.route)
+            service = self._choose_service(admitted)
         return admitted, service
 
+    def allowed_regions(self, call):
+        """Return the regions in which a call may be sent by the configuration in force.
+
+        A call at an endpoint keeps its admission when the configuration changes.
+        Whether it may be sent at all is checked elsewhere.
+
+        :param call: :class:`cicadaplank.gateway.calls.Call`.
+        :returns: frozenset of names, None for any.
+        """
+        admitted = call.admitted
+        if admitted.version != self.configuration_version:
+            found = admittance.check(self.route_index, call.request.head)
+            if isinstance(found, admittance.Admitted):
+                admitted = found
+        return homes.allowed_regions(admitted.route, admitted.account)
+
     def _reject(self, client, request, status, reason, after_s=DEFAULT_RETRY_AFTER_S):
         self._reporter.turned_away(request, status, reason, self.configuration_version)
         client.refuse(status, reason, after_s if status == 503 else None)
@@ -552,15 +619,25 @@
         """
         self._reporter.unanswered(attempts, cause)
 
-    def _choose_service(self, route):
+    def _choose_service(self, admitted):
+        route = admitted.route
         if len(route.shares) == 1:
             return route.shares[0].service
+        regions = homes.allowed_regions(route, admitted.account)
         usable = [share for share in route.shares if share.weight > 0]
-        alive = [s for s in usable if self.endpoints.of_service(s.service)]
+        alive = [s for s in usable if self._has_endpoint(s.service, regions)]
         candidates = alive or usable or list(route.shares)
         weights = [share.weight or 1.0 for share in candidates]
         return self._random.choices(candidates, weights)[0].service
 
+    def _has_endpoint(self, service, regions):
+        states = self.endpoints.of_service(service)
+        return any(
+            homes.allows(regions, state.endpoint.region)
+            and state.endpoint.data_centre not in self.evacuated
+            for state in states
+        )
+
     def _fingerprint(self, request, admitted):
         head = request.head
         name = admitted.account.name if admitted.account else ""
@@ -716,7 +793,9 @@
             is_sent = call_errors.run(
                 call, self._send_waiting, queue, queued_call, states, now_s
             )
-            if is_sent is False and not call.excluded:
+            # Calls behind one that is limited to regions may go elsewhere.
+            is_limited = call.excluded or self.allowed_regions(call) is not None
+            if is_sent is False and not is_limited:
                 break
 
     def _send_waiting(self, queue, queued_call, states, now_s):
--- a/cicadaplank/gateway/placement.py
+++ b/cicadaplank/gateway/placement.py
@@ -11,7 +11,7 @@
 
 import dataclasses
 
-from cicadaplank.gateway import service_times
+from cicadaplank.gateway import homes, service_times
 
 # Share of its slots by which an endpoint of another data centre has to be less loaded
 # to be preferred; an endpoint that is warming up gets the same penalty. Links between
@@ -75,6 +75,8 @@
     :param excluded: names of the endpoints that have already been tried.
     :param instances: number of entry instances that place calls.
     :param generation: :class:`Generation`, or None.
+    :param regions: frozenset of the regions in which it may be served, None for any.
+    :param evacuated: frozenset of the data centres that get no calls.
     """
 
     service: str
@@ -84,6 +86,8 @@
     excluded: frozenset = frozenset()
     instances: int = 1
     generation: Generation | None = None
+    regions: frozenset | None = None
+    evacuated: frozenset = frozenset()
 
 
 def serves(endpoint, demand):
@@ -94,6 +98,10 @@
     """
     if endpoint.is_draining or endpoint.name in demand.excluded:
         return False
+    if endpoint.data_centre in demand.evacuated:
+        return False
+    if not homes.allows(demand.regions, endpoint.region):
+        return False
     if not demand.model:
         return True
     version = endpoint.weights.get(demand.model)
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -110,6 +110,7 @@
     :param grace_s: time from the stop signal until the process is killed, in seconds.
     :param in_force_s: time within which a configuration has to be in force, in seconds.
     :param machine: :class:`cicadaplank.gateway.memory_account.MachineLimits`.
+    :param regions: dict from data centre to region.
     """
 
     name: str
@@ -125,6 +126,7 @@
     grace_s: float
     in_force_s: float = sync.DEFAULT_IN_FORCE_S
     machine: memory_account.MachineLimits = memory_account.MachineLimits()
+    regions: dict = dataclasses.field(default_factory=dict)
 
 
 class RecordDecoder(typing.Protocol):
@@ -148,6 +150,12 @@
         :param copy: copy of the operator's table.
         """
 
+    def evacuated(self, copy):
+        """Return the names of the evacuated data centres as a frozenset.
+
+        :param copy: copy of the operator's table.
+        """
+
     def endpoints(self, copy, configuration):
         """Return a dict from name to endpoint, and the number of unreadable records.
 
@@ -502,11 +510,26 @@
         self._named_confirmed_s = self._naming_confirmed_s()
         self._is_naming_pending = True
         call = self._guarded.call
+        call("evacuations", self._take_evacuations)
         call("configuration", self._take_configuration)
         call("named_versions", self._record_named_versions)
         call("agents", self._notify_agents)
         call("unreadable_operator", self._unreadable.report, self.operator)
 
+    def _take_evacuations(self):
+        now_s = self.reactor.seconds()
+        was_restored = self.operator.availability.was_restored(now_s)
+        listed = self._decoder.evacuated(self.operator.copy)
+        self.gateway.set_evacuated(listed, was_restored)
+        if was_restored and self.gateway.evacuated - listed:
+            # The records that were lost are written again within this time.
+            self.reactor.callLater(
+                sync.RECOVERY_GRACE_S,
+                self._guarded.call,
+                "evacuations",
+                self._take_evacuations,
+            )
+
     def _take_configuration(self):
         try:
             configuration = self._decoder.configuration(self.operator.copy)
--- a/cicadaplank/platform/settings.py
+++ b/cicadaplank/platform/settings.py
@@ -148,6 +148,7 @@
         grace_s=reader.number("bounds.grace_s"),
         in_force_s=reader.optional_ms("bounds.config_ms", sync.DEFAULT_IN_FORCE_S),
         machine=_machine_limits(reader),
+        regions=reader.get("regions", dict) or {} if "regions" in document else {},
     )
     reader.check()
     return settings
