--- a/cicadaplank/gateway/block_keeping.py
+++ b/cicadaplank/gateway/block_keeping.py
@@ -126,3 +126,6 @@
         """
         metrics.set_gauge("blocked_parts_recorded", len(self.records))
         metrics.set_gauge("blocked_parts_refused", self.records.refused)
+        metrics.set_gauge("answered_parts", self._causes.answered_parts)
+        metrics.set_gauge("answered_parts_dropped", self._causes.answers_dropped)
+        metrics.set_gauge("crashes_dropped", self._causes.evicted)
--- a/cicadaplank/requests/crash_causes.py
+++ b/cicadaplank/requests/crash_causes.py
@@ -38,6 +38,8 @@
 MAX_FORMER = 256
 # Limit on the parts that are known to have been answered, the latest ones.
 MAX_ANSWERED = 1024
+# Longest part that is kept as answered.
+MAX_ANSWERED_CHARS = 200
 
 
 @dataclasses.dataclass(frozen=True)
@@ -79,11 +81,13 @@
     :ivar members: number of instances, this one included.
     :ivar evicted: number of crashes and adopted blocks that were dropped because of
         ``MAX_CRASHES``.
+    :ivar answers_dropped: number of answered parts dropped because of ``MAX_ANSWERED``.
     """
 
     def __init__(self, random):
         self.members = 1
         self.evicted = 0
+        self.answers_dropped = 0
         self._random = random
         self._crashes = collections.OrderedDict()
         # Time in seconds of the newest crash by part.
@@ -106,6 +110,11 @@
     def __len__(self):
         return len(self._crashes)
 
+    @property
+    def answered_parts(self):
+        """Number of parts that are known to have been answered."""
+        return len(self._answered_s)
+
     @property
     def blocked(self):
         """Return the blocked parts as a sorted list, for logs and metrics."""
@@ -218,7 +227,8 @@
         for known, prompts in ((crash.begun, begun), (crash.waiting, waiting)):
             room = MAX_PROMPTS - len(known)
             known.update(prompts[:room])
-        for part in crash.parts:
+        # In a fixed order, so that a seed of the random numbers repeats a play.
+        for part in sorted(crash.parts):
             newest_s = self._crashed_s.get(part, crash.crashed_s)
             self._crashed_s[part] = max(newest_s, crash.crashed_s)
             self._recall_answer(part, crash.crashed_s, now_s)
@@ -241,11 +251,13 @@
         :param parts: parts of the prompt.
         :param now_s: current time in seconds.
         """
-        for part in parts:
-            self._answered_s[part] = now_s
-            self._answered_s.move_to_end(part)
+        for part in parts[:MAX_PARTS]:
+            if len(part) <= MAX_ANSWERED_CHARS:
+                self._answered_s[part] = now_s
+                self._answered_s.move_to_end(part)
         while len(self._answered_s) > MAX_ANSWERED:
             self._answered_s.popitem(last=False)
+            self.answers_dropped += 1
         if not self._crashes and not self._adopted:
             return
         suspects = [p for p in parts if self._is_suspect(p)]
--- a/features/gateway/crash_causes.feature
+++ b/features/gateway/crash_causes.feature
@@ -135,6 +135,11 @@
       | document     |
       | document,own |
 
+  Scenario: Answered parts are kept within bounds
+    Given an entry instance that knows of no crash
+    When 2000 different parts are answered, and one of 300 characters
+    Then 1024 answered parts are kept and 976 were dropped
+
   Scenario: A document of other requests is not blamed for crashes at the same time
     Given an entry instance that knows of no crash
     When engines crash as in seed 8203 of the soak
--- a/features/steps/gateway_crash_causes.py
+++ b/features/steps/gateway_crash_causes.py
@@ -364,6 +364,19 @@
     crash_in_turn(context, count, parts, context.crashed_s + after_s)
 
 
+@behave.when("{count:d} different parts are answered, and one of {length:d} characters")
+def step_answered_parts(context, count, length):
+    for number in range(count):
+        context.causes.record_sound((f"part-{number}",), float(number))
+    context.causes.record_sound(("x" * length,), float(count))
+
+
+@behave.then("{kept:d} answered parts are kept and {dropped:d} were dropped")
+def step_kept(context, kept, dropped):
+    assert context.causes.answered_parts == kept, context.causes.answered_parts
+    assert context.causes.answers_dropped == dropped, context.causes.answers_dropped
+
+
 @behave.when("engines crash as in seed 8203 of the soak")
 def step_soak(context):
     # Two pairs of engines crash within SAME_CAUSE_S of each other.
