Keep cold endpoints within the rate that they bear

The warm-up was only a penalty in the order of endpoints, which holds no bound.

The permits that keep limits named by endpoints now also keep the rate of a service's cold endpoints, from the record's first word of the warm-up until it is over. A request for permits tells the limit that the endpoint itself has named, 0.0 without one, so that the issuer does not take the warm-up's rate for a named limit. This acts only where the settings bound the requests of cold servers.

Left open: the time of the warm-up in health answers and other answers is not read, so that an instance learns of a warm-up in the middle of a run only from the list.

--- a/bench/limited.py
+++ b/bench/limited.py
@@ -28,6 +28,8 @@
 EVENTS = 4
 # Time after which an instance that has become silent is no longer connected.
 SILENCE_S = 2.5
+# Time until an instance has read a change of the list.
+LIST_DELAY_S = (0.0, 0.5)
 BOUNDS = gateway.Bounds(0.2, 100, 10, 8.0)
 ATTEMPT = re.compile(rb"X-Attempt-Id: (\S+)")
 RESUMED = re.compile(rb"Last-Event-Id: (\d+)")
@@ -463,6 +465,53 @@
         for endpoint in list(self.endpoints.values())[: self.scenario.limited]:
             endpoint.limit = text
 
+    def return_cold(self, per_s, left_s, is_bounded=True):
+        """Let the endpoints with a limit start anew, all at once and cold.
+
+        Each instance reads of it some time later.
+
+        :param per_s: requests per second that each bears while it is cold.
+        :param left_s: seconds for which they are cold.
+        :param is_bounded: whether the deployment bounds the requests of cold endpoints.
+        """
+        for name in list(self.gateways):
+            self._show(name, per_s, left_s, is_bounded, False)
+            delay_s = self.rng.uniform(*LIST_DELAY_S)
+            self.reactor.callLater(
+                delay_s, self._show, name, per_s, left_s - delay_s, is_bounded, True
+            )
+
+    def _show(self, name, per_s, left_s, is_bounded, has_cold):
+        made = self.gateways.get(name)
+        if made is None:
+            return
+        made.set_bounds(dataclasses.replace(BOUNDS, limits_warm_up=is_bounded))
+        held = made.route_index.configuration
+        services = {
+            key: dataclasses.replace(service, warm_up_per_s=per_s)
+            for key, service in held.services.items()
+        }
+        made.set_configuration(dataclasses.replace(held, services=services))
+        listed = {s.endpoint.name: s.endpoint for s in made.endpoints.all()}
+        for number, endpoint in enumerate(self.endpoints):
+            if number >= self.scenario.limited:
+                continue
+            listed.pop(endpoint, None)
+            if has_cold:
+                listed[endpoint] = endpoints.Endpoint(
+                    endpoint,
+                    SERVICE,
+                    endpoint,
+                    80,
+                    self._centre(number),
+                    16,
+                    False,
+                    {},
+                    6,
+                    warm_up_s=left_s,
+                )
+        made.set_endpoints(listed, False)
+
     def run(self, duration_s):
         """Let time pass.
 
@@ -512,12 +561,16 @@
         )
 
 
-def most_in_window(times_s):
-    """Return the largest number of times that lie within :data:`WINDOW_S`."""
+def most_in_window(times_s, window_s=WINDOW_S):
+    """Return the largest number of times that lie within a window.
+
+    :param times_s: times in seconds.
+    :param window_s: length of the window in seconds.
+    """
     times_s = sorted(times_s)
     most = first = 0
     for last, time_s in enumerate(times_s):
-        while times_s[first] < time_s - WINDOW_S:
+        while times_s[first] < time_s - window_s:
             first += 1
         most = max(most, last - first + 1)
     return most
--- a/cicadaplank/gateway/endpoints.py
+++ b/cicadaplank/gateway/endpoints.py
@@ -8,7 +8,7 @@
 import collections
 import dataclasses
 
-from cicadaplank.requests import announcements, limit_shares
+from cicadaplank.requests import announcements, limit_shares, warm_ups
 
 # Weight of the newest call in the moving average of an endpoint's failure share.
 FAILURE_WEIGHT = 0.2
@@ -138,6 +138,28 @@
         self.is_being_probed = False
         self.word = announcements.NOTHING
         self.allowance = limit_shares.UNLIMITED
+        self.warm_up = warm_ups.WARM
+        self._warm_up_record = None
+
+    @property
+    def limit_per_s(self):
+        """Limit for all entry instances in requests per second, None without one."""
+        return warm_ups.lower(self.word.limit_per_s, self.warm_up.limit_per_s)
+
+    def record_warm_up(self, per_s, now_s):
+        """Record what its record says of its warm-up, once for each record.
+
+        :param per_s: requests per second that it bears while it is cold, 0.0 for any.
+        :param now_s: current time in seconds.
+        :returns: whether another limit holds from now on.
+        """
+        record = self.endpoint.sequence, self.endpoint.warm_up_s, per_s
+        if record == self._warm_up_record:
+            return False
+        self._warm_up_record = record
+        previous = self.warm_up
+        self.warm_up = warm_ups.of(self.endpoint.warm_up_s, per_s, now_s)
+        return previous.limit_per_s != self.warm_up.limit_per_s
 
     # Load.
 
@@ -500,9 +522,36 @@
         if present is not None and present.endpoint.identity == run:
             present.word = state.word
             present.allowance = self.limits.set_limit(
-                run, present.endpoint.data_centre, state.word, now_s
+                run,
+                present.endpoint.data_centre,
+                state.word,
+                now_s,
+                present.warm_up.limit_per_s,
             )
 
+    def set_warm_up(self, state, per_s, now_s):
+        """Apply what the record of an endpoint says of its warm-up.
+
+        :param state: :class:`EndpointState`.
+        :param per_s: requests per second that it bears while it is cold, 0.0 for any.
+        :param now_s: current time in seconds.
+        :returns: whether it has become cold.
+        """
+        is_changed = state.record_warm_up(per_s, now_s)
+        if is_changed:
+            self._update_word(state, now_s)
+        return is_changed and state.warm_up.limit_per_s is not None
+
+    def end_warm_ups(self, now_s):
+        """Let the limits of endpoints end that are warm by now.
+
+        :param now_s: current time in seconds.
+        """
+        for state in self._states.values():
+            if now_s >= state.warm_up.until_s and state.warm_up is not warm_ups.WARM:
+                state.warm_up = warm_ups.WARM
+                self._update_word(state, now_s)
+
     def may_eject(self, service, now_s):
         """Tell whether one more endpoint of a service may be ejected.
 
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -92,12 +92,14 @@
     :param retry_window_s: length of that window in seconds.
     :param weights_s: seconds from the naming of a version of weights until older ones
         are forbidden.
+    :param limits_warm_up: whether the rate that cold endpoints bear is a limit.
     """
 
     retry_share: float
     retry_allowance: float
     retry_window_s: float
     weights_s: float
+    limits_warm_up: bool = False
 
 
 class Gateway:
@@ -343,6 +345,7 @@
         changes = self.endpoints.update(
             listed, now_s, keep_missing, self.unix_s(), was_restored
         )
+        self._set_warm_ups(now_s)
         for state in changes.removed:
             self.run(self._record_listed_crash, state, now_s)
             self.run(self._remove_endpoint, state)
@@ -351,6 +354,22 @@
         for service in list(self._queues):
             self.run(self.dispatch, service)
 
+    def _set_warm_ups(self, now_s):
+        """Limit the calls to cold endpoints as their service and the list say."""
+        services = self.route_index.configuration.services if self.route_index else {}
+        for state in self.endpoints.all():
+            service = services.get(state.endpoint.service)
+            per_s = service.warm_up_per_s if service else 0.0
+            if not self._bounds.limits_warm_up:
+                per_s = 0.0
+            if self.endpoints.set_warm_up(state, per_s, now_s):
+                self._reporter.state_event(
+                    "endpoint_cold",
+                    endpoint=state.endpoint.name,
+                    limit_per_s=per_s,
+                    for_s=state.endpoint.warm_up_s,
+                )
+
     def _remove_endpoint(self, state):
         name = state.endpoint.name
         self._wished_until_s.pop(name, None)
@@ -672,7 +691,7 @@
             return
         cost = placement.cost(chosen, demand, now_s)
         for state in states:
-            limit_per_s, name = state.word.limit_per_s, state.endpoint.name
+            limit_per_s, name = state.limit_per_s, state.endpoint.name
             if limit_per_s is None or now_s < self._wished_until_s.get(name, 0.0):
                 continue
             if placement.cost(state, demand, now_s) < cost:
@@ -685,8 +704,9 @@
         """Ask for the permits that waiting calls can use, and issue those of others."""
         if not len(self.endpoints.limits):
             return
+        self.endpoints.end_warm_ups(now_s)
         for state in self.endpoints.all():
-            if state.word.limit_per_s is None:
+            if state.limit_per_s is None:
                 continue
             waiting = len(self._queues[state.endpoint.service])
             is_usable = not (
@@ -1191,16 +1211,18 @@
         state = self.endpoints.of_run(request.endpoint, request.started_ms)
         if state is None:
             return
-        report = types.LimitReport(
-            request.endpoint,
-            request.started_ms,
-            True,
-            request.limit_per_s,
-            request.limit_age_s,
-        )
-        self.merge_limit(peer, report)
-        if state.word.limit_per_s is None:
-            self.send_to_peer(peer, self._limit_report(state))
+        if request.limit_per_s > 0:
+            report = types.LimitReport(
+                request.endpoint,
+                request.started_ms,
+                True,
+                request.limit_per_s,
+                request.limit_age_s,
+            )
+            self.merge_limit(peer, report)
+        if state.limit_per_s is None:
+            if request.limit_per_s > 0:
+                self.send_to_peer(peer, self._limit_report(state))
             return
         run, now_s = state.endpoint.identity, self.now_s()
         for outgoing in self.endpoints.limits.receive(peer, run, request, now_s):
--- a/cicadaplank/gateway/routes.py
+++ b/cicadaplank/gateway/routes.py
@@ -88,6 +88,8 @@
     :param has_engines: whether its endpoints are model engines.
     :param origin: ``host:port`` of an origin of weights, or empty.
     :param models: tuple of the names of the models that its engines serve.
+    :param warm_up_per_s: requests per second that a cold endpoint bears from all entry
+        instances together; 0.0 when no limit is set.
     """
 
     name: str
@@ -95,6 +97,7 @@
     has_engines: bool
     origin: str
     models: tuple = ()
+    warm_up_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/cicadaplank/messages/types.py
+++ b/cicadaplank/messages/types.py
@@ -486,7 +486,8 @@
 
     :param endpoint: name of the endpoint.
     :param started_ms: start of its run in Unix milliseconds, 0 when it is unknown.
-    :param limit_per_s: limit that the sender knows, requests per second.
+    :param limit_per_s: limit that the endpoint has named as far as the sender knows,
+        requests per second; 0.0 when only its warm-up limits it.
     :param limit_age_s: seconds since the endpoint named it.
     :param wanted: number of permits that the sender can use.
     :param is_waiting: whether calls wait for them; otherwise it would rather send its
--- a/cicadaplank/platform/documents.py
+++ b/cicadaplank/platform/documents.py
@@ -140,6 +140,7 @@
     max_conns: Number | None = None
     engine: Engine | None = None
     origin: str | None = None
+    warmup_per_s: Number | None = None
 
 
 class Limits(msgspec.Struct, frozen=True):
--- a/cicadaplank/platform/rows.py
+++ b/cicadaplank/platform/rows.py
@@ -219,6 +219,7 @@
         has_engines=models is not None,
         origin=value.origin or "",
         models=tuple(model.name for model in models or ()),
+        warm_up_per_s=value.warmup_per_s or 0.0,
     )
 
 
--- a/cicadaplank/platform/settings.py
+++ b/cicadaplank/platform/settings.py
@@ -138,6 +138,8 @@
             retry_allowance=reader.number("bounds.retry_slack"),
             retry_window_s=reader.number("bounds.retry_window_s"),
             weights_s=_to_seconds(reader.number("bounds.version_ms")),
+            # The platform names this bound where it counts requests of cold servers.
+            limits_warm_up="warmup_overage" in (reader.get("bounds", dict) or {}),
         ),
         grace_s=reader.number("bounds.grace_s"),
         in_force_s=reader.optional_ms("bounds.config_ms", sync.DEFAULT_IN_FORCE_S),
--- a/cicadaplank/requests/limit_shares.py
+++ b/cicadaplank/requests/limit_shares.py
@@ -17,6 +17,7 @@
 import typing
 
 from cicadaplank.messages import types
+from cicadaplank.requests import warm_ups
 from cicadaplank.world import rendezvous
 
 # Share of the limit that is issued. The rest is a margin, since calls arrive at the
@@ -238,6 +239,7 @@
     """:class:`Allowance` of a run with a limit: what this instance may send to it.
 
     :ivar limit_per_s: limit for all instances together, requests per second.
+    :ivar named_per_s: limit that the endpoint itself has named, or None.
     :ivar named_s: time in seconds at which the endpoint named it.
     :ivar issuer: name of the instance that issues the permits, or None.
     :ivar is_waiting: whether calls wait for permits.
@@ -245,6 +247,7 @@
 
     def __init__(self, limit_per_s, named_s):
         self.limit_per_s = limit_per_s
+        self.named_per_s = None
         self.named_s = named_s
         self.issuer = None
         self.is_waiting = False
@@ -405,24 +408,28 @@
         """
         return self._shares.get(run, UNLIMITED)
 
-    def set_limit(self, run, data_centre, word, now_s):
+    def set_limit(self, run, data_centre, word, now_s, warm_up_per_s=None):
         """Set the limit of a run.
 
         :param run: key of one run of an endpoint.
         :param data_centre: data centre of the endpoint.
         :param word: :class:`cicadaplank.requests.announcements.Word` of the run.
         :param now_s: current time in seconds.
+        :param warm_up_per_s: requests per second that it bears while it is cold, None
+            when it is warm.
         :returns: the :class:`Allowance` of the run.
         """
-        if word.limit_per_s is None:
+        limit_per_s = warm_ups.lower(word.limit_per_s, warm_up_per_s)
+        if limit_per_s is None:
             self.drop(run)
             return UNLIMITED
         share = self._shares.get(run)
         if share is None:
-            share = self._shares[run] = Share(word.limit_per_s, word.limit_said_s)
+            share = self._shares[run] = Share(limit_per_s, word.limit_said_s)
             self._issuers[run] = Issuer(now_s)
             self._data_centres[run] = data_centre
-        share.limit_per_s, share.named_s = word.limit_per_s, word.limit_said_s
+        share.limit_per_s, share.named_s = limit_per_s, word.limit_said_s
+        share.named_per_s = word.limit_per_s
         return share
 
     def drop(self, run):
@@ -525,11 +532,14 @@
         if issuer not in self._members:
             return []
         wanted, returned = asked
+        share = self._shares[run]
+        is_named = share.named_per_s is not None
+        named_age_s = now_s - share.named_s if is_named else 0.0
         request = types.PermitRequest(
             run[0],
             run[-1],
-            self._shares[run].limit_per_s,
-            now_s - self._shares[run].named_s,
+            self._shares[run].named_per_s or 0.0,
+            named_age_s,
             wanted,
             self._shares[run].is_waiting,
             returned,
