--- a/cicadaplank/gateway/routes.py
+++ b/cicadaplank/gateway/routes.py
@@ -92,6 +92,8 @@
     :param models: tuple of the names of the models that its engines serve.
     :param engine: :class:`cicadaplank.gateway.service_times.EngineFigures`, None when
         the figures are not published.
+    :param warm_up_per_s: requests per second that a cold endpoint bears from all entry
+        instances together; 0.0 when no limit is set.
     """
 
     name: str
@@ -100,6 +102,7 @@
     origin: str
     models: tuple = ()
     engine: service_times.EngineFigures | None = None
+    warm_up_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
