Keep the age of a pace apart from that of the last load report

A report without a fourth figure made the last stated pace count as new again, so an endpoint that was slow for a moment kept that pace and got fewer calls than it could serve. The time of the last report was used for both.

The age of the pace is kept for itself. The step that was added failed with the old line in place: "FAILED An old report of the pace gives way to the average". The time of a usual call on a full engine no longer takes a work that was always the usual one; this changes no result.

--- a/cicadaplank/gateway/endpoints.py
+++ b/cicadaplank/gateway/endpoints.py
@@ -201,12 +201,10 @@
         """
         slots = max(1, self.endpoint.slots)
         calls = self.calls(now_s)
-        usual, full_s = (
-            figures.usual,
-            service_times.call_s(figures, figures.usual, slots),
-        )
+        usual = figures.usual
         read_s = usual.prompt_tokens / figures.read_tokens_per_s
-        others = max(0, calls - self.in_flight) * min(1.0, read_s / max(full_s, read_s))
+        read_share = min(1.0, read_s / service_times.usual_call_s(figures, slots))
+        others = max(0, calls - self.in_flight) * read_share
         unread = self.load.unread_tokens + others * usual.prompt_tokens
         return service_times.Situation(calls, slots, unread, self.load.pace(now_s))
 
--- a/cicadaplank/gateway/service_times.py
+++ b/cicadaplank/gateway/service_times.py
@@ -123,19 +123,16 @@
     return figures.step_s + per_call_s * calls
 
 
-def call_s(figures, work, slots):
-    """Return the time in seconds for which a call takes a slot of a full engine.
+def usual_call_s(figures, slots):
+    """Return the time in seconds for which a usual call takes a slot of a full engine.
+
+    While it is written, the prompts of the calls that follow the others are read.
 
     :param figures: :class:`EngineFigures`.
-    :param work: :class:`Work` of the call.
     :param slots: number of calls that the engine processes at once.
     """
-    written_s = work.output_tokens * step_s(figures, slots)
-    # While it writes, the prompts of the calls are read that follow the others.
-    read_s = slots * figures.usual.prompt_tokens / figures.read_tokens_per_s
-    usual_s = figures.usual.output_tokens * step_s(figures, slots) + read_s
-    share = written_s / max(usual_s - read_s, 1e-9)
-    return written_s + share * read_s
+    written_s = figures.usual.output_tokens * step_s(figures, slots)
+    return written_s + slots * figures.usual.prompt_tokens / figures.read_tokens_per_s
 
 
 def work_s(figures, work):
@@ -165,7 +162,7 @@
     excess = situation.calls + 1 - situation.slots
     if excess > 0:
         slots = max(1, situation.slots)
-        time_s += excess * call_s(figures, figures.usual, slots) / slots
+        time_s += excess * usual_call_s(figures, slots) / slots
     return situation.pace * time_s
 
 
@@ -181,6 +178,7 @@
         self._report = None
         self._in_flight = 0
         self._told_s = 0.0
+        self._pace_told_s = 0.0
         self._pace = None
         self._average_pace = None
 
@@ -199,6 +197,7 @@
         self._report, self._in_flight, self._told_s = report, in_flight, now_s
         if report.pace is None:
             return
+        self._pace_told_s = now_s
         self._pace = min(MAX_PACE, max(MIN_PACE, report.pace))
         if self._average_pace is None:
             self._average_pace = self._pace
@@ -211,7 +210,7 @@
         """
         if not self.states_pace:
             return 1.0
-        weight = math.exp(-max(0.0, now_s - self._told_s) / PACE_AGE_S)
+        weight = math.exp(-max(0.0, now_s - self._pace_told_s) / PACE_AGE_S)
         return self._average_pace + weight * (self._pace - self._average_pace)
 
     def calls(self, in_flight, now_s):
--- a/features/gateway/room.feature
+++ b/features/gateway/room.feature
@@ -30,6 +30,7 @@
   Scenario: An old report of the pace gives way to the average
     Given an endpoint that reported the paces 1.0, 1.0, 1.0 and 3.0
     Then its pace is near 3.0 at once and below 1.7 after 2 s
+    And a report without a pace does not make it 3.0 again after 2 s
 
   Scenario: A report that an endpoint is full expires
     Given an endpoint with 12 slots that reported 12 running calls
--- a/features/steps/too_little_room.py
+++ b/features/steps/too_little_room.py
@@ -108,6 +108,15 @@
     assert context.state.load.pace(NOW_S + wait_s) < later
 
 
+@behave.then(
+    "a report without a pace does not make it {pace:f} again after {wait_s:d} s"
+)
+def step_report_without_pace(context, pace, wait_s):
+    now_s = NOW_S + wait_s
+    context.state.load.record(service_times.LoadReport(1, 0, 12), 0, now_s)
+    assert context.state.load.pace(now_s) < pace - 0.2
+
+
 @behave.given(
     "an endpoint with {slots:d} slots that reported {running:d} running calls"
 )
