--- a/cicadaplank/gateway/named_versions.py
+++ b/cicadaplank/gateway/named_versions.py
@@ -119,18 +119,6 @@
     left_s: float
 
 
-def serves_until_s(named_s, allowed_s):
-    """Return the time from which calls are sent to a version and newer ones only.
-
-    Entry instances and agents use the same time: agents have the version loaded by then
-    where they can.
-
-    :param named_s: earliest time in seconds at which the version may have been named.
-    :param allowed_s: seconds from the naming until older versions are forbidden.
-    """
-    return named_s + WEIGHTS_SWITCH_SHARE * allowed_s
-
-
 class WeightsRequirement:
     """Tracks the oldest version of each model's weights that calls may run on.
 
@@ -272,7 +260,7 @@
         required = [
             named.version
             for named in self._all(model)
-            if serves_until_s(named.earliest_s, self._allowed_s) <= now_s
+            if named.earliest_s + self._grace_s <= now_s
         ]
         return max(required, default=0)
 
--- a/cicadaplank/replicas/loading.py
+++ b/cicadaplank/replicas/loading.py
@@ -17,6 +17,9 @@
 LAST_TURN_SHARE = 0.86
 # An order without response or effect is repeated after this time.
 ORDER_RETRY_S = 1.5
+# Share of a version that must be held for its copy to be finished although a newer
+# version was named. A copy with less is dropped, as it would make the newer one late.
+MIN_SHARE_TO_FINISH = 0.35
 # Delay before staging and the order are repeated after the engine refused the order.
 REFUSED_RETRY_S = 0.25
 # A check of the staged pieces tells their state at its beginning, and a report that of
@@ -117,6 +120,21 @@
     target: Target
 
 
+def should_finish_target(phase, progress):
+    """Tell whether an engine loads its target although a newer version was named.
+
+    Each version has to be in force within the allowed time of its own naming. A copy
+    that has progressed far enough is finished, and its version is served until the
+    newer one is ready.
+
+    :param phase: :class:`Phase` of the target.
+    :param progress: share of the target that is held, 0.0 to 1.0.
+    """
+    return phase is not Phase.CURRENT and (
+        phase is not Phase.COPYING or progress >= MIN_SHARE_TO_FINISH
+    )
+
+
 def load_position(name, target, names):
     """Return the position of an engine in the order in which engines load a version.
 
@@ -169,13 +187,8 @@
         self._open_check_s = None
         self._is_verification_due = False
 
-    @property
-    def may_get_older_target(self):
-        """Whether an older target may replace it, as no order for it was sent."""
-        return not self._open_orders and self.phase is not Phase.CURRENT
-
     def wanted(self, target):
-        """Set the target. An older version replaces it only while no order was sent.
+        """Set the target if its version is newer than that of the present one.
 
         For the same version, the time of naming is replaced.
 
@@ -183,11 +196,9 @@
         :returns: whether the target changed.
         """
         previous = self.target
-        if target == previous:
-            self.target = target
-            return False
-        is_older = previous is not None and target.version < previous.version
-        if is_older and not self.may_get_older_target:
+        if previous is not None and target.version <= previous.version:
+            if target == previous:
+                self.target = target
             return False
         self.target = target
         self.phase = Phase.COPYING
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -30,13 +30,7 @@
 from cicadaplank.messages import types
 from cicadaplank.replicas import entry_links, loading, manifest_search, staging
 from cicadaplank.reports import events, metrics
-from cicadaplank.weights import (
-    chunks,
-    effects,
-    manifests,
-    next_version,
-    transfers,
-)
+from cicadaplank.weights import chunks, effects, manifests, transfers
 from cicadaplank.world import backoff, machines
 
 TICK_S = 0.1
@@ -81,10 +75,6 @@
 ORIGIN = "origin"
 # Limit on the peers that are sent a manifest that replaces an earlier one.
 MAX_INFORMED = 64
-# Limit of the versions that are copied at the same time.
-MAX_COPIES = 3
-# The origin provides only so many of the newest versions.
-VERSIONS_AT_ORIGIN = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -177,17 +167,9 @@
         self._origin_at = origin_at
         self._origin = None
         self._origin_address = ""
-        # Copies of the version to load next and of the newest version that was named,
-        # and of versions beside them that may still serve.
+        # Copies of the version to load next and of the newest version that was named.
         self._next_copy = None
         self._newest_copy = None
-        self._other_copies = ()
-        # Versions to request from the origin, in this order.
-        self._at_origin = ()
-        # Versions and times of their naming in the last notice of an entry instance.
-        self._reported_times = {}
-        # Size of the last manifest, expected also of versions without a manifest.
-        self._usual_bytes = 0
         self._is_requesting_newest = False
         self._newest_retry_s = float("-inf")
         self._rng = random.Random()
@@ -458,14 +440,7 @@
             entries = notice.weights_ages_s.get(model, [])
             known = named_versions.from_ages(entries, self.now_s)
             named = known.get(version) or self._read_now(version, confirmed_s)
-            if self._newest_copy is None and self._engine_state is not None:
-                # Other agents count on this one for its part of each version.
-                for older in sorted(known.keys() - {version})[-MAX_COPIES:]:
-                    if self._engine_state.versions.get(model, -1) < older < version:
-                        self._version_named(model, known[older])
             self._version_named(model, named)
-            if self._newest_copy.target.model == model:
-                self._reported_times = known
             for named in known.values():
                 self._times_known(model, named)
         if self._newest_copy is None:
@@ -511,121 +486,37 @@
             age_s=self.now_s - named.latest_s,
             max_age_s=self.now_s - copy.target.named_s,
         )
-        self._choose_next(copy)
+        next_copy = self._next_copy
+        self._newest_copy = copy
+        if next_copy is None or not loading.should_finish_target(
+            self.loading.phase, self._progress(next_copy)
+        ):
+            self._switch_to_newest()
+        else:
+            self._log("older_weights_first", version=next_copy.target.version)
         self._fetch_manifest(copy)
         self._check_engine()
 
     def _times_known(self, model, named):
         """Narrow the time at which a wanted version was named."""
-        copy = self._copy_of(model, named.version)
-        if copy is None:
-            return
-        copy.named = copy.named.narrowed(named)
-        copy.target = _target(model, copy.named)
-        if self.loading.target == copy.target:
-            self.loading.wanted(copy.target)
-
-    def _served_version(self):
-        state, newest = self._engine_state, self._newest_copy
-        if state is None or newest is None:
-            return -1
-        return state.versions.get(newest.target.model, -1)
-
-    def _served_until_s(self, copies):
-        """Return the time until which entry instances send calls to the engine."""
-        if self._engine_state is None or self._engine_state.is_empty:
-            return float("-inf")
-        served = self._served_version()
-        named_s = [copy.target.named_s for copy in copies]
-        named_s += [
-            named.earliest_s
-            for version, named in self._reported_times.items()
-            if version > served
-        ]
-        return named_versions.serves_until_s(min(named_s), self.settings.weights_s)
-
-    def _choose_next(self, newest):
-        """Choose the version to load next, among those that may still be of use.
-
-        :param newest: :class:`_Copy` of the newest version.
-        """
-        served = self._served_version()
-        previous, present = self._wanted_copies(), self._next_copy
-        copies = {c for c in previous if c.target.version > served} - {newest}
-        copies = [*sorted(copies, key=_version_of), newest]
-        copies = [
-            copy
-            for copy in copies
-            if copy is present or self._until_s(copy, copies) > self.now_s
-        ]
-        self.counts["dropped_versions"] += len(copies[:-MAX_COPIES])
-        copies = copies[-MAX_COPIES:]
-        chosen, at_origin = newest, (newest.target.version,)
-        if len(copies) > 1:
-            chosen, at_origin = self._best_of(copies, present)
-        self._next_copy, self._newest_copy = chosen, newest
-        self._other_copies = tuple(c for c in copies if c not in (chosen, newest))
-        if (self._wanted_copies(), at_origin) == (previous, self._at_origin):
-            return
-        self._at_origin = at_origin
-        if chosen is not present:
-            self._log(
-                "next_version_chosen",
-                version=chosen.target.version,
-                newest=newest.target.version,
-                origin_up=self.transfers.is_origin_up,
-            )
-            self.metrics.count("next_versions", newest=str(chosen is newest))
-        self.loading.wanted(chosen.target)
+        for copy in (self._next_copy, self._newest_copy):
+            if (copy.target.model, copy.target.version) != (model, named.version):
+                continue
+            copy.named = copy.named.narrowed(named)
+            copy.target = _target(model, copy.named)
+            if self.loading.target == copy.target:
+                self.loading.wanted(copy.target)
+
+    def _progress(self, copy):
+        if copy.manifest is None:
+            return 0.0
+        return self.transfers.progress(copy.manifest.digest)
+
+    def _switch_to_newest(self):
+        self._next_copy = self._newest_copy
+        self.loading.wanted(self._next_copy.target)
         self._request_copies()
 
-    def _until_s(self, copy, copies):
-        """Return the time until which a version may serve, infinite for the newest."""
-        newer = copies[copies.index(copy) + 1 :]
-        if not newer:
-            return float("inf")
-        named_s = newer[0].target.named_s
-        return named_versions.serves_until_s(named_s, self.settings.weights_s)
-
-    def _best_of(self, copies, present):
-        """Return the copy to complete next, and the versions to ask the origin for.
-
-        :param copies: list of :class:`_Copy`, the oldest first.
-        :param present: copy that was chosen last, or None.
-        """
-        allowed = copies
-        if present in copies and not self.loading.may_get_older_target:
-            allowed = copies[copies.index(present) :]
-        candidates = [
-            next_version.Candidate(
-                copy.target.version,
-                self._until_s(copy, copies),
-                *self._supply(copy),
-                is_at_origin=copy in copies[-VERSIONS_AT_ORIGIN:],
-            )
-            for copy in allowed
-        ]
-        version = next_version.choose(
-            candidates,
-            self._served_until_s(copies),
-            next_version.Sources(
-                self.transfers.rates.machine_bytes_per_s,
-                self.transfers.is_origin_up,
-                self.settings.weights_s,
-            ),
-            self.now_s,
-            present.target.version if present in allowed else None,
-        )
-        chosen = next(copy for copy in allowed if copy.target.version == version)
-        return chosen, next_version.origin_order(candidates)
-
-    def _supply(self, copy):
-        """Return the bytes of a copy that are missing, and those without a source."""
-        found = copy.manifest and self.transfers.supply(copy.manifest.digest)
-        if not found:
-            return self._usual_bytes, self._usual_bytes
-        return found.missing_bytes, found.unsourced_bytes
-
     def _agent_at(self, host, data_centre):
         region = self.settings.regions.get(data_centre, "")
         return dataclasses.replace(
@@ -635,14 +526,13 @@
     # Copies.
 
     def _is_wanted(self, copy):
-        return copy in self._wanted_copies()
+        return copy is not None and copy in (self._next_copy, self._newest_copy)
 
     def _wanted_copies(self):
         """Return the wanted copies, that to load next first."""
         found = [self._next_copy]
         if self._newest_copy is not self._next_copy:
             found.append(self._newest_copy)
-        found += self._other_copies
         return [copy for copy in found if copy is not None]
 
     def _searching_copies(self):
@@ -802,7 +692,6 @@
         if copy.received is manifest:
             copy.manifest = manifest
             copy.is_complete = False
-            self._usual_bytes = manifest.size_bytes
             if copy is self._next_copy:
                 self.loading.pieces_changed(self.now_s)
             self._request_copies()
@@ -843,7 +732,6 @@
         return None
 
     def _request_copies(self):
-        ranks = {version: rank for rank, version in enumerate(self._at_origin)}
         wanted = [
             transfers.WantedVersion(
                 copy.manifest.digest,
@@ -851,8 +739,6 @@
                 self._agent_names,
                 "time",
                 position,
-                not ranks or copy.target.version in ranks,
-                ranks.get(copy.target.version, 0),
             )
             for position, copy in enumerate(self._copies())
         ]
@@ -1045,9 +931,12 @@
         self._log("manifest_failed", reason=str(failure.value))
 
     def _decide(self):
-        if len(self._wanted_copies()) > 1 and self._engine_state is not None:
-            self._choose_next(self._newest_copy)
-        next_copy = self._next_copy
+        newest, next_copy = self._newest_copy, self._next_copy
+        if newest is not next_copy and (
+            newest.is_complete or self.loading.phase is loading.Phase.CURRENT
+        ):
+            self._switch_to_newest()
+            next_copy = newest
         action = self.loading.next(
             self._engine_state,
             next_copy is not None and next_copy.is_loadable,
@@ -1203,10 +1092,6 @@
     return loading.Target(model, named.version, named_s)
 
 
-def _version_of(copy):
-    return copy.target.version
-
-
 class _Copy:
     """State of this agent's copy of one version of weights.
 
--- a/cicadaplank/weights/transfers.py
+++ b/cicadaplank/weights/transfers.py
@@ -83,9 +83,6 @@
     :param prefer: what to minimise, ``time`` (of distribution) or ``origin_bytes``
         (read from the origin).
     :param priority: 0 is most urgent.
-    :param is_at_origin: whether the origin provides it.
-    :param origin_priority: order in which versions are requested from the origin, 0
-        first.
     """
 
     manifest_digest: str
@@ -93,20 +90,6 @@
     holders: tuple
     prefer: str = "time"
     priority: int = 5
-    is_at_origin: bool = True
-    origin_priority: int = 0
-
-
-@dataclasses.dataclass(frozen=True)
-class Supply:
-    """What an instance lacks of a version, and what of that it may have to wait for.
-
-    :param missing_bytes: bytes that this instance does not hold.
-    :param unsourced_bytes: those of them that only the origin is known to have.
-    """
-
-    missing_bytes: int
-    unsourced_bytes: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -671,29 +654,6 @@
             return 0.0
         return version.copy.have.bit_count() / max(1, version.copy.count)
 
-    @property
-    def is_origin_up(self):
-        """Tell whether the last request to the origin succeeded."""
-        return not self._origin_failures
-
-    def supply(self, manifest_digest):
-        """Return the :class:`Supply` of a version, or None before its copy starts.
-
-        Chunks that another region fetches count as unsourced only if their owners there
-        do not respond: this instance sees the chunks that few of them hold.
-
-        :param manifest_digest: digest of its manifest.
-        """
-        version = self._versions.get(manifest_digest)
-        if version is None or version.copy is None:
-            return None
-        unsourced = version.unsourced_chunks()
-        chunk_bytes = version.manifest.chunk_bytes
-        return Supply(
-            version.copy.missing.bit_count() * chunk_bytes,
-            unsourced.bit_count() * chunk_bytes,
-        )
-
     # Time.
 
     def wake_s(self):
@@ -726,23 +686,15 @@
         actions = [
             self._send_upload(upload) for upload in self._uploads.take_due(now_s)
         ]
-        found = sorted(self._versions.values(), key=_priority)
-        for version in found:
+        for version in sorted(self._versions.values(), key=_priority):
             actions += self._request_manifest(version, now_s)
-            if version.copy is not None:
-                actions += self._announce(version, now_s)
-                if not version.complete:
-                    actions += self._review(version, now_s)
-        partial = [v for v in found if v.copy is not None and not v.complete]
-        actions += self._request_all_upstream(partial, now_s)
-        # Chunks of less urgent versions are requested only if they delay no others.
-        most = float("inf")
-        for version in partial:
-            if version.wanted.priority > most:
-                break
-            actions += self._request_from_region(version, now_s)
-            if version.copy.missing & version.copy.held_in_region:
-                most = version.wanted.priority
+            if version.copy is None:
+                continue
+            actions += self._announce(version, now_s)
+            if not version.complete:
+                actions += self._review(version, now_s)
+                actions += self._request_upstream(version, now_s)
+                actions += self._request_from_region(version, now_s)
         return tuple(actions)
 
     def _send_upload(self, upload):
@@ -945,26 +897,8 @@
             version.copy.in_flight |= mask
         return transfer
 
-    def _request_all_upstream(self, partial, now_s):
-        """Request chunks of several versions from other regions or from the origin.
-
-        The origin sends the chunks of one version after the other, also those that
-        other instances request.
-        """
-        actions = []
-        first = float("inf")
-        for version in sorted(partial, key=_origin_priority):
-            is_first = version.wanted.origin_priority <= first
-            actions += self._request_upstream(version, is_first, now_s)
-            if version.wanted.is_at_origin and version.unsourced_chunks():
-                first = min(first, version.wanted.origin_priority)
-        return actions
-
-    def _request_upstream(self, version, is_first, now_s):
-        """Request chunks for this region from another region or from the origin.
-
-        :param is_first: whether no version before it needs the origin.
-        """
+    def _request_upstream(self, version, now_s):
+        """Request chunks for this region from another region or from the origin."""
         due = version.missing_in_region() & version.assigned_chunks()
         if not due or self._is_link_full(version):
             return []
@@ -974,8 +908,6 @@
             return actions
         if not due or now_s < self._origin_retry_s:
             return actions
-        if not is_first or not version.wanted.is_at_origin:
-            return actions
         stall_timeout_s = 2 * self._limits.stall_timeout_s[version.wanted.prefer]
         if now_s - version.progress_s <= stall_timeout_s:
             due &= version.origin_chunks | version.orphaned
@@ -1066,9 +998,5 @@
     return version.wanted.priority
 
 
-def _origin_priority(version):
-    return version.wanted.origin_priority, version.wanted.priority
-
-
 def _chunk_s(manifest, rates):
     return manifest.chunk_bytes / rates.machine_bytes_per_s if manifest else 0.0
--- a/cicadaplank/weights/versions.py
+++ b/cicadaplank/weights/versions.py
@@ -305,13 +305,6 @@
         """Return the missing chunks that are not in flight or held in this region."""
         return self.copy.missing & ~self.copy.in_flight & ~self.copy.held_in_region
 
-    def unsourced_chunks(self):
-        """Return the missing chunks that only the origin is known to have."""
-        missing = self.copy.missing & ~self.copy.held_in_region
-        for name in self.remote_sources:
-            missing &= ~self.copy.held_by(name)
-        return missing & (self._origin_chunks | self.orphaned)
-
     def assigned_chunks(self):
         """Return the chunks that this instance owns or has taken over."""
         return self._by_predecessors.get((), 0) | self.taken_over
--- a/features/replicas/loading.feature
+++ b/features/replicas/loading.feature
@@ -45,6 +45,16 @@
     Then they load between 5.0 and 7.0 s, and no 3 of them within 0.2 s
     And every agent computes the same order
 
+  Scenario Outline: A version named while the one before <state> is <order>
+    Then a copy that <state> is <order>
+
+    Examples:
+      | state                        | order    |
+      | has just begun               | dropped  |
+      | is well under way            | finished |
+      | is staged and waits its turn | finished |
+      | is served                    | dropped  |
+
   @always_1
   Scenario Outline: An agent stages pieces at an engine where <trouble>
     Given an agent with a complete copy of 4 pieces
--- a/features/steps/replicas.py
+++ b/features/steps/replicas.py
@@ -130,6 +130,18 @@
     assert order == sorted(NAMES, key=context.times.get)
 
 
+@behave.then("a copy that {state} is {order}")
+def step_order(context, state, order):
+    phase, progress = {
+        "has just begun": (loading.Phase.COPYING, 0.1),
+        "is well under way": (loading.Phase.COPYING, 0.6),
+        "is staged and waits its turn": (loading.Phase.WAITING, 1.0),
+        "is served": (loading.Phase.CURRENT, 1.0),
+    }[state]
+    finished = loading.should_finish_target(phase, progress)
+    assert finished == (order == "finished")
+
+
 # Staging at an engine.
 
 
