Send a whole answer from the buffer in which it was collected

Cause: an answer that is complete exists three times for a moment: as the bytearray in which it was collected, as a copy of it in bytes, and joined with its head in the transport's buffer. The account counts it once. The copy in bytes is not needed: the transport takes any buffer, and nothing changes it after the attempt has ended.

--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -555,7 +555,7 @@
                 self._observe_answer(attempt, now_s)
                 if head.is_valid_success:
                     self._record_sound(attempt)
-                answer = (self._client.reply, head, bytes(attempt.body))
+                answer = (self._client.reply, head, attempt.body)
                 self._finish("answered", verdicts.Verdict.RAN, *answer)
                 return
         ending = broken
--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -502,7 +502,7 @@
         """Send a complete response of an endpoint.
 
         :param head: :class:`cicadaplank.gateway.dialects.ResponseHead`.
-        :param body: bytes.
+        :param body: bytes, or a bytearray that does not change any more.
         """
         closes = self._closes_connection()
         length = len(body)
