Move the attempts that broke into a decision object of their own

Behaviour is unchanged: crash_causes.feature and suspects.feature pass as before, with the same three known red rows.

--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -14,6 +14,7 @@
 
 from cicadaplank.gateway import (
     admittance,
+    broken_attempts,
     budget,
     call_errors,
     calls,
@@ -50,17 +51,9 @@
 # Time for which a crash counts against a request: one that crashes endpoints is sent
 # again within it.
 SUSPICION_S = 120.0
-# Attempts that broke within this time before a crash was found were part of it.
-CRASH_WINDOW_S = 1.0
-# An endpoint that refuses connections, loses its record or starts anew within this
-# time after attempts broke has crashed under them: a proxy may accept connections in
-# its place.
-LISTED_CRASH_S = 5.0
 # A connection that tests an endpoint and ends within this time was accepted in place of
 # one that has crashed.
 PROBE_LIFE_S = 0.3
-# Limit on the attempts of one endpoint that are kept until it is probed.
-MAX_BROKEN_ATTEMPTS = 32
 # Longest time between two checks that counts as time in which this process ran.
 MAX_AWAKE_STEP_S = 0.1
 # Retry time given to clients when no better estimate is known, for example when no
@@ -128,9 +121,7 @@
         self.buffers = buffers.BufferBudget(MAX_BUFFERED_BYTES)
         self.suspects = crash_tracking.CrashTracker(CRASH_LIMIT, SUSPICION_S)
         self.crash_causes = crash_causes.CrashCauses(random)
-        # By endpoint state: time, shared parts and whether the answer had begun, of the
-        # attempts that broke shortly before.
-        self._broken_attempts = {}
+        self._broken_attempts = broken_attempts.BrokenAttempts()
         self._blocked_parts = []
         self.weights_requirement = named_versions.WeightsRequirement(bounds.weights_s)
         self.route_index = None
@@ -1041,9 +1032,8 @@
             call.fingerprint = self._fingerprint(call.request, call.admitted)
         now_s = self.now_s()
         if call.shared_parts and not attempt.is_sound:
-            broken = self._broken_attempts.setdefault(attempt.state, [])
-            broken.append((now_s, call.shared_parts, attempt.has_begun))
-            del broken[:-MAX_BROKEN_ATTEMPTS]
+            parts, has_begun = call.shared_parts, attempt.has_begun
+            self._broken_attempts.record(attempt.state, parts, has_begun, now_s)
             if attempt.state.is_removed:
                 self._record_listed_crash(attempt.state)
         name = attempt.endpoint_name
@@ -1067,33 +1057,27 @@
         is_leaving = state.endpoint.is_draining or state.word.is_leaving
         if not is_leaving:
             self._record_crash(state)
-        self._broken_attempts.pop(state, None)
+        self._broken_attempts.forget(state)
 
     def _record_crash(self, state):
         """Record that an endpoint has crashed, with the attempts that broke there."""
         now_s = self.now_s()
-        attempts = self._broken_attempts.pop(state, None)
-        if attempts is None:
+        crash = self._broken_attempts.take_crash(state, now_s)
+        if crash is None:
             return
-        # The loss is often found later than it happened, at each endpoint after another
-        # time, while endpoints that are cut off together broke at the same moment.
-        crashed_s = attempts[-1][0]
-        if now_s - crashed_s > LISTED_CRASH_S:
-            return
-        recent = [a for a in attempts if crashed_s - a[0] <= CRASH_WINDOW_S]
         run = f"{state.endpoint.name}/{state.endpoint.started_ms}"
-        begun = [parts for _, parts, has_begun in recent if has_begun]
-        waiting = [parts for _, parts, has_begun in recent if not has_begun]
-        sent = self.crash_causes.record_crash(run, begun, waiting, now_s, crashed_s)
+        sent = self.crash_causes.record_crash(
+            run, crash.begun, crash.waiting, now_s, crash.crashed_s
+        )
         for action in sent:
             self.broadcast(action.message, "")
         if sent:
             self._reporter.state_event(
                 "endpoint_crashed",
                 endpoint=state.endpoint.name,
-                parts=",".join(sorted({p for each in begun or waiting for p in each})),
-                begun=len(begun),
-                waiting=len(waiting),
+                parts=",".join(crash.parts),
+                begun=len(crash.begun),
+                waiting=len(crash.waiting),
             )
 
     def merge_crash(self, report):
