Log how late a planned stop begins and when the calls it aborts were taken

The handler of the signal now keeps its time, `stopping` has the delay until the event loop begins the stop, and each aborted call has a line with the time of its acceptance and the time by which it was judged. No decision changes.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -340,16 +340,16 @@
         self._tick()
         self._read_members()
         self.watch.start()
-        signal.signal(signal.SIGTERM, self._signal_handler(self.stop))
-        signal.signal(signal.SIGINT, self._signal_handler(self.stop))
+        signal.signal(signal.SIGTERM, self._stop_signalled)
+        signal.signal(signal.SIGINT, self._stop_signalled)
         globalLogPublisher.addObserver(self._report_twisted_error)
         self.events.log("started", front=f"{settings.front.host}:{settings.front.port}")
 
     def _listen(self, address, factory):
         return self.reactor.listenTCP(address.port, factory, BACKLOG, address.host)
 
-    def _signal_handler(self, function):
-        return lambda number, frame: self.reactor.callFromThread(function)
+    def _stop_signalled(self, number, frame):
+        self.reactor.callFromThread(self.stop, self.reactor.seconds())
 
     def _report_twisted_error(self, event):
         """Log and count exceptions that Twisted caught."""
@@ -375,16 +375,20 @@
         for host in settings.seeds:
             self.peers.add_seed(host, settings.peer.port, "entry")
 
-    def stop(self):
+    def stop(self, signalled_s=None):
         """Begin a graceful shutdown.
 
         The process reports not ready at once, accepts connections for another
         :data:`ACCEPT_AFTER_STOP_S` and lets calls end within the grace period.
+
+        :param signalled_s: time of the stop signal in seconds; None for now.
         """
         if self.gateway.draining.is_stopping:
             return
-        self.events.log("stopping", calls=self.gateway.open_calls)
-        started = self.gateway.draining.stop_requested(self.reactor.seconds())
+        now_s = self.reactor.seconds()
+        late_s = 0.0 if signalled_s is None else now_s - signalled_s
+        self.events.log("stopping", calls=self.gateway.open_calls, late_s=late_s)
+        started = self.gateway.draining.stop_requested(now_s)
         self._carry_out_stop(started)
         self._check_stop()
 
@@ -394,9 +398,11 @@
         actions = stop.tick(self.reactor.seconds(), self.listener.open_count)
         if stop.state != "stopped":
             self.reactor.callLater(STOP_CHECK_INTERVAL_S, self._check_stop)
-        aborted = sum(isinstance(action, draining.Abort) for action in actions)
+        aborted = [each for each in actions if isinstance(each, draining.Abort)]
         if aborted:
-            self.events.log("calls_aborted", calls=aborted)
+            self.events.log("calls_aborted", calls=len(aborted))
+        for action in aborted:
+            self._reporter.aborted_in_stop(action, stop.started_s)
         self._carry_out_stop(actions)
 
     def _carry_out_stop(self, actions):
--- a/cicadaplank/gateway/reporting.py
+++ b/cicadaplank/gateway/reporting.py
@@ -121,6 +121,23 @@
                 "request_unanswered", request=attempt.decode("latin-1"), cause=cause
             )
 
+    def aborted_in_stop(self, abort, stop_s):
+        """Report a call that a planned stop ends at its time limit.
+
+        :param abort: :class:`cicadaplank.members.draining.Abort`.
+        :param stop_s: time of the start of the stop in seconds.
+        """
+        call, accepted = abort.work, abort.accepted
+        self.event(
+            "call_aborted_in_stop",
+            request=call.name,
+            phase=call.phase.value,
+            accepted_after_s=accepted.at_s - stop_s,
+            needed_s=accepted.needed_s,
+            limit_s=call.deadline_s - accepted.at_s,
+            has_requests_behind=call.has_requests_behind,
+        )
+
     def record_first_event(self, call, latency_s):
         """Record the latency of a stream's first event in seconds."""
         account = call.account.name if call.account else ""
--- a/cicadaplank/members/draining.py
+++ b/cicadaplank/members/draining.py
@@ -100,10 +100,12 @@
 
     :param work: identifier of the work.
     :param verdict: :class:`cicadaplank.requests.verdicts.Verdict`.
+    :param accepted: :class:`Accepted`, None where it is not known.
     """
 
     work: object
     verdict: verdicts.Verdict
+    accepted: object = dataclasses.field(default=None, compare=False)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -111,6 +113,20 @@
     """Action: the drain is complete; close the connections and end the process."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Accepted:
+    """When and for how long work was accepted.
+
+    :param at_s: time of its acceptance, in seconds.
+    :param needed_s: time in seconds that it was expected to take.
+    :param has_started: whether it may have reached the engine or plain service.
+    """
+
+    at_s: float
+    needed_s: float
+    has_started: bool = False
+
+
 class Draining:
     """State machine of a planned stop.
 
@@ -189,12 +205,12 @@
 
     @_machine.output()
     def _accept(self, work, now_s, needed_s):
-        return self._accept_work(work)
+        return self._accept_work(work, now_s, needed_s)
 
     @_machine.output()
     def _accept_if_it_can_end(self, work, now_s, needed_s):
         if self.limits.takes_work and self.can_end(now_s, needed_s):
-            return self._accept_work(work)
+            return self._accept_work(work, now_s, needed_s)
         return self._refuse_work(work)
 
     @_machine.output()
@@ -219,11 +235,11 @@
         latest_s = self._started_s + self.limits.end_s
         self._flush_deadline_s = min(latest_s, now_s + self.limits.flush_s)
         aborts = []
-        for work, has_started in self._work.items():
+        for work, accepted in self._work.items():
             verdict = verdicts.Verdict.NOT_RUN
-            if has_started:
+            if accepted.has_started:
                 verdict = verdicts.Verdict.MAY_HAVE_RUN
-            aborts.append(Abort(work, verdict))
+            aborts.append(Abort(work, verdict, accepted))
         self.counts["aborted"] += len(aborts)
         self._work.clear()
         return tuple(aborts)
@@ -275,6 +291,11 @@
         """Number of pieces of work in progress."""
         return len(self._work)
 
+    @property
+    def started_s(self):
+        """Time of the start of the stop in seconds, 0 before it."""
+        return self._started_s
+
     def set_limits(self, limits):
         """Replace the time limits.
 
@@ -318,7 +339,8 @@
         :param work: identifier of accepted work.
         """
         if work in self._work:
-            self._work[work] = True
+            accepted = self._work[work]
+            self._work[work] = dataclasses.replace(accepted, has_started=True)
 
     def finished(self, work):
         """Record that the answer of work is complete.
@@ -355,11 +377,11 @@
             and now_s >= self._started_s + linger_s
         )
 
-    def _accept_work(self, work):
+    def _accept_work(self, work, now_s, needed_s):
         if len(self._work) >= MAX_WORK:
             self.counts["refused_busy"] += 1
             return (Refuse(work, "busy", 1.0),)
-        self._work[work] = False
+        self._work[work] = Accepted(now_s, needed_s)
         return (Accept(work),)
 
     def _refuse_work(self, work):
