Count the times of a planned stop from its signal

Cause: all limits counted from the turn of the event loop in which the stop began, and the time in which calls are judged by earlier answers ended with a timer. Both are late in a busy process, so that a call with a limit of 6 s was still judged by the 1 s of earlier answers when only its limit is safe.

Change: the limits count from the earliest time at which the signal may have come, which is the last tick before its handler ran (0.5 s at most, more is a pause). The 3 s are compared with the clock and not with what the timer has done.

--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -543,7 +543,8 @@
         time limit of the call.
         """
         limit_s = call.deadline_s - now_s
-        if not self.draining.is_accepting or call.has_requests_behind:
+        is_accepting = self.draining.accepts_connections(now_s)
+        if not is_accepting or call.has_requests_behind:
             return limit_s
         return self._longest_answers[call.service].needed_s(limit_s, now_s)
 
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -44,6 +44,9 @@
 EXIT_MARGIN_S = 0.1
 # A gap between two checks of a stopping process that shows that it was paused.
 STOP_PAUSE_S = 0.3
+# Longest delay of the handler of the stop signal that is allowed for. A process that
+# stood still for longer was paused, most likely before the signal.
+MAX_SIGNAL_DELAY_S = 0.5
 # Interval at which endpoints are looked at whose records are missing just after an
 # outage of the store. They are dropped when its grace period is over.
 MISSING_CHECK_INTERVAL_S = 0.1
@@ -349,7 +352,19 @@
         return self.reactor.listenTCP(address.port, factory, BACKLOG, address.host)
 
     def _stop_signalled(self, number, frame):
-        self.reactor.callFromThread(self.stop, self.reactor.seconds())
+        self.reactor.callFromThread(self.stop, self._earliest_signal_s())
+
+    def _earliest_signal_s(self):
+        """Return the earliest time of a signal whose handler runs now, in seconds.
+
+        A process that waits for its processor runs the handler late. The signal had
+        not come at the last tick.
+        """
+        now_s = self.reactor.seconds()
+        if self._tick_due_s is None:
+            return now_s
+        ticked_s = self._tick_due_s - gateway.TIMEOUT_CHECK_INTERVAL_S
+        return min(now_s, max(ticked_s, now_s - MAX_SIGNAL_DELAY_S))
 
     def _report_twisted_error(self, event):
         """Log and count exceptions that Twisted caught."""
@@ -386,9 +401,11 @@
         if self.gateway.draining.is_stopping:
             return
         now_s = self.reactor.seconds()
-        late_s = 0.0 if signalled_s is None else now_s - signalled_s
+        if signalled_s is None:
+            signalled_s = now_s
+        late_s = now_s - signalled_s
         self.events.log("stopping", calls=self.gateway.open_calls, late_s=late_s)
-        started = self.gateway.draining.stop_requested(now_s)
+        started = self.gateway.draining.stop_requested(signalled_s)
         self._carry_out_stop(started)
         self._check_stop()
 
--- a/cicadaplank/members/draining.py
+++ b/cicadaplank/members/draining.py
@@ -281,10 +281,17 @@
         """Whether the planned stop has begun."""
         return self.state != "serving"
 
-    @property
-    def is_accepting(self):
-        """Whether new connections are still taken."""
-        return self._is_accepting
+    def accepts_connections(self, now_s):
+        """Tell whether new connections are still taken.
+
+        That does not wait for the tick that closes the port, which may be late.
+
+        :param now_s: current time in seconds.
+        """
+        if not self.is_stopping:
+            return True
+        is_due = now_s - self._started_s > self.limits.accept_s
+        return self._is_accepting and not is_due
 
     @property
     def in_progress(self):
@@ -307,7 +314,8 @@
     def stop_requested(self, now_s):
         """Start the planned stop.
 
-        :param now_s: current time in seconds.
+        :param now_s: time in seconds from which its limits count: that of the signal
+            rather than of the turn of the event loop in which it is processed.
         :returns: :class:`Announce`; nothing when the stop has already begun.
         """
         return self._stop(now_s)
