Read no requests behind a call in progress in a planned stop

Callers: a request that came behind one in progress on its connection, during a planned stop, was read and waited; when the call before it was cut at the end of the grace period, the reset took it along without an answer (LOST).

Cause: only unsent calls are refused for what comes behind them. A call that was sent cannot be refused any more, and answers go out in order.

Change: while a process stops, a connection is not read behind its call in progress. What waits in the kernel is read when that call has been answered, whose answer does not announce a close then. If the call is cut, the request was not read, and its client may send it elsewhere. As paused connections do not report their end, clients that left are looked for at each check of the stop.

A client that sent requests ahead and then left is not noticed until the call ends.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -444,17 +444,34 @@
             self._pace_reading()
 
     def _pace_reading(self):
-        """Stop reading while enough requests are queued."""
+        """Stop reading while enough requests are queued, or an answer ends a stop.
+
+        In a planned stop nothing is read behind a call in progress: if that call is cut
+        at the end, its connection is reset, and a request that was not read may be sent
+        elsewhere.
+        """
         is_full = len(self._queue) >= MAX_PIPELINED
         if self._unparsed and not is_full and self._parse_timer is None:
             self._parse_timer = self._listener.reactor.callLater(0, self._parse_rest)
-        is_full = is_full or bool(self._unparsed)
-        if is_full and not self._is_read_paused:
+        is_in_stop = self._listener.is_stopping and self._is_busy
+        is_held = is_full or bool(self._unparsed) or is_in_stop
+        if is_held and not self._is_read_paused:
             self._gateway.count("client_reads_paused")
             self.transport.pauseProducing()
-        elif self._is_read_paused and not is_full:
+        elif self._is_read_paused and not is_held:
+            self.transport.resumeProducing()
+        self._is_read_paused = is_held
+
+    def stop_begun(self):
+        """Stop reading behind a call in progress."""
+        if self._is_busy and not self._is_disconnected and not self._is_closing:
+            self._pace_reading()
+
+    def check_left(self):
+        """Let the transport notice that the client of a paused connection has left."""
+        if self._is_read_paused and not self._is_closing and self.has_left:
+            self._is_read_paused = False
             self.transport.resumeProducing()
-        self._is_read_paused = is_full
 
     def _reject(self, status, message):
         """Refuse a request that cannot be read, and close the connection."""
@@ -595,6 +612,8 @@
     def _closes_connection(self):
         """Tell whether the connection ends with the answer to the current request."""
         has_more = self._queue or self._is_reading or self._unparsed
+        if not has_more and self._is_read_paused:
+            has_more = sockets.has_unread(self.transport.getHandle())
         is_last = not has_more and self._error is None
         return not self._keeps_open or (self._listener.is_stopping and is_last)
 
@@ -617,7 +636,7 @@
         )
         if self._queue:
             self._listener.reactor.callLater(0, self._start_next)
-        elif self._unparsed:
+        else:
             self._pace_reading()
 
     # Flow control: Twisted's producer interface.
@@ -767,6 +786,16 @@
         self._lingering.add(connection)
         return True
 
+    def stop_begun(self):
+        """Read no requests behind calls in progress from now on."""
+        for connection in list(self._connections):
+            connection.stop_begun()
+
+    def check_left(self):
+        """Notice clients that have left while they are not read."""
+        for connection in list(self._connections):
+            connection.check_left()
+
     def close_idle(self):
         """Close every connection that is neither reading nor answering a request."""
         for connection in list(self._connections):
--- a/features/gateway/stop.feature
+++ b/features/gateway/stop.feature
@@ -200,3 +200,11 @@
       | kind           |
       | streams once   |
       | runs once only |
+
+  # Connections are not read behind a call in a stop, so that nothing else tells.
+  @always_6
+  Scenario: A client that leaves during a stop is noticed though it is not read
+    Given an entry process that is killed 8 s after its stop signal
+    And a route that may repeat, with a limit of 6 s and work of 1 s that is known
+    When it is stopped while a call is in progress, whose client leaves 1 s later
+    Then the call is cancelled at its endpoint within 0.2 s
--- a/features/steps/gateway_stop_late.py
+++ b/features/steps/gateway_stop_late.py
@@ -3,6 +3,7 @@
 import signal
 
 import behave
+from twisted.internet import error
 
 from features.steps import gateway as gateway_steps
 from features.steps import gateway_grace
@@ -23,7 +24,7 @@
 
     def recv(self, size, flags):
         """Return waiting bytes without taking them, or raise like an empty socket."""
-        if not self._transport.waiting:
+        if not self._transport.waiting and not self._transport.has_left:
             raise BlockingIOError
         return self._transport.waiting[:size]
 
@@ -34,6 +35,7 @@
     def __init__(self, world):
         super().__init__(world)
         self.waiting = b""
+        self.has_left = False
 
     def getHandle(self):
         """Return a socket that shows the bytes that wait."""
@@ -55,6 +57,16 @@
             data, self.waiting = self.waiting, b""
             if data:
                 self.protocol.dataReceived(data)
+            elif self.has_left:
+                self.end(error.ConnectionDone())
+
+
+def connect(world):
+    """Open a client connection with a buffer in the kernel."""
+    world.client_transport = BufferedTransport(world)
+    world.client = world.listener.buildProtocol(None)
+    world.client_transport.protocol = world.client
+    world.client.makeConnection(world.client_transport)
 
 
 def pass_unattended(world, duration_s):
@@ -112,10 +124,7 @@
 )
 def step_behind(context, work_s, behind):
     world = context.world
-    world.client_transport = BufferedTransport(world)
-    world.client = world.listener.buildProtocol(None)
-    world.client_transport.protocol = world.client
-    world.client.makeConnection(world.client_transport)
+    connect(world)
     data = world.request(body=b"call")
     world.stop()
     world.run_until(2.0)
@@ -151,3 +160,22 @@
     got = context.world.client_transport.value()
     whole = got.count(gateway_steps.BODY) + got.count(b"0\r\n\r\n")
     assert whole >= 1 and whole + got.count(b" 503 ") == 2, got
+
+
+@behave.when("it is stopped while a call is in progress, whose client leaves 1 s later")
+def step_leaves(context):
+    world = context.world
+    connect(world)
+    world.client_transport.offer(world.request(body=b"call"))
+    _, _, context.endpoint = world.take_call()
+    world.stop()
+    world.run_until(1.0)
+    world.client_transport.has_left = True
+    world.client_transport.deliver()
+    world.run_until(1.2)
+
+
+@behave.then("the call is cancelled at its endpoint within 0.2 s")
+def step_cancelled(context):
+    assert context.endpoint.aborted, "the endpoint still works on the call"
+    assert context.world.gateway.open_calls == 0
