Deliver answers of more than 65,536 bytes

Cause: the body is the bytearray in which the answer was collected, and Twisted's writeSequence takes bytes only: 'TypeError: Data must be bytes'.

Change: a long answer is written in parts of 64 KB as its client reads it, so that it exists once, and the memory account counts it until it is written. The next request on the connection begins behind the last part, as before.

Proof: eight of the eleven rows of features/system/long_answers.feature (65,537 bytes to 4 MB by length, chunks and close, twice on one connection, real processes) failed before with a reset, and pass. Tests of slow readers mean something from here on.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -23,7 +23,8 @@
 MIN_COUNTED_BYTES = 4096
 # Memory of a queued request besides its headers and body.
 REQUEST_BYTES = 4096
-# Length of a body up to which it is sent in one piece with its head.
+# Length of a body up to which it is sent in one piece with its head. A longer one is
+# written in parts of this length, as its client reads it.
 MAX_JOINED_BYTES = 64 * 1024
 # Time after which a connection is reset whose client reads nothing of its answer, and
 # the interval at which this is checked. Engines break off a stream that is not read,
@@ -85,6 +86,12 @@
         # Memory of the request in progress, and of what its client has not read.
         self._call_bytes = 0
         self._unread_bytes = 0
+        # A long answer that is written as its client reads it, the number of its bytes
+        # that were written, and whether the connection ends behind it.
+        self._answer = b""
+        self._answer_written = 0
+        self._closes_behind_answer = False
+        self._is_write_paused = False
         self._error = None
         self._keeps_open = True
         self._timer = None
@@ -102,6 +109,7 @@
     def connectionLost(self, reason=protocol.connectionDone):
         """Drop queued requests and abandon the call in progress."""
         self._is_disconnected = True
+        self._answer = b""
         self._stop_timer()
         self._drop_received()
         self._listener.memory.release(self)
@@ -267,7 +275,8 @@
         """Tell the memory account what this connection holds."""
         if self._is_disconnected:
             return
-        self._unread_bytes = sockets.unsent_bytes(self.transport)
+        unsent_bytes = sockets.unsent_bytes(self.transport)
+        self._unread_bytes = unsent_bytes + len(self._answer) - self._answer_written
         held_bytes = len(self._unparsed) + len(self._body) + self._head_bytes
         held_bytes += len(self._packed_headers)
         if self._headers:
@@ -277,7 +286,7 @@
             kind = memory_account.Holds.ANSWER
         elif self._is_busy:
             kind = memory_account.Holds.CALL
-        held_bytes += self._unread_bytes + self._call_bytes
+        held_bytes += unsent_bytes + len(self._answer) + self._call_bytes
         held_bytes += sum(_request_bytes(request) for request, _, _ in self._queue)
         self._listener.record_held(self, held_bytes, kind, has_advanced)
 
@@ -286,8 +295,9 @@
 
         :param now_s: current time in seconds.
         """
-        before = self._unread_bytes
-        self._count_memory(sockets.unsent_bytes(self.transport) < before)
+        unsent_bytes = sockets.unsent_bytes(self.transport)
+        left_bytes = unsent_bytes + len(self._answer) - self._answer_written
+        self._count_memory(left_bytes < self._unread_bytes)
         holding = self._listener.memory.holding(self)
         if holding is None or holding.kind is not memory_account.Holds.ANSWER:
             return
@@ -527,11 +537,30 @@
             length, body = head.length or 0, b""
         head_bytes = self._gateway.dialect.write_response(head, length, closes)
         self._has_begun = True
-        if length > MAX_JOINED_BYTES:
-            self.transport.writeSequence((head_bytes, body))
-        else:
+        if len(body) <= MAX_JOINED_BYTES:
             self.transport.write(head_bytes + body)
-        self._response_sent(closes)
+            self._response_sent(closes)
+            return
+        # RFC 9112, 9.6: no request is processed behind an announced close.
+        self._takes_requests &= not closes
+        self._call = None
+        self._answer, self._answer_written = body, 0
+        self._closes_behind_answer = closes
+        self.transport.write(head_bytes)
+        self._write_answer()
+
+    def _write_answer(self):
+        """Write parts of a long answer until the client's window is full."""
+        while not self._is_write_paused and self._answer_written < len(self._answer):
+            end = self._answer_written + MAX_JOINED_BYTES
+            part = bytes(memoryview(self._answer)[self._answer_written : end])
+            self._answer_written += len(part)
+            self.transport.write(part)
+        if self._answer_written < len(self._answer):
+            self._count_memory()
+            return
+        self._answer, self._answer_written = b"", 0
+        self._response_sent(self._closes_behind_answer)
 
     def refuse(self, status, message, retry_after_s):
         """Send a refusal that the gateway itself issues.
@@ -607,6 +636,7 @@
         self._is_closing = self._is_broken_off = True
         self._call = None
         self._is_busy = False
+        self._answer = b""
         self.transport.abortConnection()
 
     def _closes_connection(self):
@@ -643,13 +673,17 @@
 
     def pauseProducing(self):
         """Stop reading from the endpoint: the client's send buffer is full."""
+        self._is_write_paused = True
         self._count_memory()
         if self._call is not None:
             self._call.pause()
 
     def resumeProducing(self):
-        """Resume reading from the endpoint."""
-        if self._call is not None:
+        """Go on with a long answer, or resume reading from the endpoint."""
+        self._is_write_paused = False
+        if self._answer:
+            self._write_answer()
+        elif self._call is not None:
             self._call.resume()
 
     def stopProducing(self):
--- a/features/steps/system_crowds.py
+++ b/features/steps/system_crowds.py
@@ -18,11 +18,21 @@
 EVENT = b"data: " + b"a" * 1000 + b"\n\n"
 LIMIT_S = 30.0
 WATCH_S = 0.02
+CHUNK_BYTES = 50_000
+
+
+def long_body(count):
+    """Return a body of a number of bytes, in which each part is recognisable."""
+    numbers = (b"%07d\n" % number for number in range((count + 7) // 8))
+    return b"".join(numbers)[:count]
 
 
 class _LongBackEndHandler(rowstore._BackEndHandler):
     def do_POST(self):
         """Run a request; answer some with many bytes."""
+        if self.path.startswith("/old/answer/"):
+            self._answer_framed()
+            return
         if not self.path.endswith("/long"):
             super().do_POST()
             return
@@ -37,6 +47,29 @@
         body = EVENT * (LONG_BYTES // len(EVENT)) if is_stream else b"a" * LONG_BYTES
         self.reply(200, body, headers)
 
+    def _answer_framed(self):
+        """Answer with as many bytes as the path names, framed as it says."""
+        *_, framing, count = self.path.split("/")
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        body = long_body(int(count))
+        self.send_response(200)
+        self.send_header("X-Attempt-Id", self.headers["X-Attempt-Id"])
+        self.send_header("X-Server-Signature", "s.1")
+        if framing == "length":
+            self.send_header("Content-Length", str(len(body)))
+        elif framing == "chunks":
+            self.send_header("Transfer-Encoding", "chunked")
+        else:
+            self.send_header("Connection", "close")
+        self.end_headers()
+        if framing == "chunks":
+            for start in range(0, len(body), CHUNK_BYTES):
+                part = body[start : start + CHUNK_BYTES]
+                self.wfile.write(b"%x\r\n%b\r\n" % (len(part), part))
+            self.wfile.write(b"0\r\n\r\n")
+        else:
+            self.wfile.write(body)
+
 
 class _LongBackEnd(rowstore._Server):
     delay_s = 0.0
