Wait for full buffers in the scenario of a long answer that is read late

'A connection is closed behind an answer that is longer than the buffers' failed since with 'not reached: the close'. It waited until the gateway had begun to close the connection while its caller read nothing; a long answer is now written as its caller reads it, and the close follows behind the last part. The scenario waits until the gateway is held up by the full buffers in place of that, and checks the close when the caller has read all: the answer has to be whole and the end has to come, as before.

--- a/features/steps/gateway_closing.py
+++ b/features/steps/gateway_closing.py
@@ -104,13 +104,19 @@
     reactors.run(setattr, context.listener.gateway, "accept", accept)
     sock.connect((HOST, context.port))
     sock.sendall(head)
-    reactors.run(reactors.eventually, lambda: is_closing(context), "the close")
+    reactors.run(reactors.eventually, lambda: is_held(context), "the full buffers")
     context.got = read_all(sock)
+    reactors.run(reactors.eventually, lambda: is_closing(context), "the close")
+
+
+def is_held(context):
+    """Tell whether the gateway waits until the client reads its answer."""
+    return any(each._is_write_paused for each in context.listener._connections)
 
 
 def is_closing(context):
-    """Tell whether the gateway has answered and closes the connection."""
-    return any(each._is_closing for each in context.listener._connections)
+    """Tell whether the gateway has closed the connection, or is about to."""
+    return all(each._is_closing for each in context.listener._connections)
 
 
 def dialect_head(body):
