Add failing scenarios of clients that leave unnoticed in a planned stop

A client that sends a request behind its call, or a part of one, and then leaves is not noticed while the process stops: its call runs on at the endpoint until it ends.

The transport of these steps now reads 65,536 bytes at a time, as the event loop does.

--- a/features/gateway/stop.feature
+++ b/features/gateway/stop.feature
@@ -208,3 +208,17 @@
     And a route that may repeat, with a limit of 6 s and work of 1 s that is known
     When it is stopped while a call is in progress, whose client leaves 1 s later
     Then the call is cancelled at its endpoint within 0.2 s
+
+  @always_6
+  Scenario Outline: A client that leaves behind <sent> during a stop goes unnoticed
+    Given an entry process that is killed 8 s after its stop signal
+    And a route that <kind>, with a limit of 6 s and work of 1 s that is known
+    When it is stopped while a call is in progress, whose client sends <sent> and leaves 1 s later
+    Then the call is cancelled at its endpoint within 0.2 s
+
+    Examples:
+      | kind                | sent                     |
+      | may repeat          | a part of a request      |
+      | may repeat          | another request          |
+      | streams and resumes | another request          |
+      | may repeat          | more than one read takes |
--- a/features/steps/gateway_stop_late.py
+++ b/features/steps/gateway_stop_late.py
@@ -1,6 +1,7 @@
 """Steps for requests that are read long after the stop signal."""
 
 import signal
+import socket
 
 import behave
 from twisted.internet import error
@@ -11,6 +12,10 @@
 # Time of answers that outlast every stop.
 LONG_WORK_S = 7.0
 SHORT_WORK_S = 0.5
+# Bytes that the event loop reads at once.
+READ_BYTES = 65536
+# First byte of the kernel's TCP_INFO.
+TCP_ESTABLISHED, TCP_CLOSE_WAIT = b"\x01", b"\x08"
 
 
 class KernelBuffer(gateway_steps.Socket):
@@ -28,6 +33,11 @@
             raise BlockingIOError
         return self._transport.waiting[:size]
 
+    def getsockopt(self, level, option, size):
+        """Return the state of the connection, as the kernel does."""
+        assert (level, option, size) == (socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return TCP_CLOSE_WAIT if self._transport.has_left else TCP_ESTABLISHED
+
 
 class BufferedTransport(gateway_grace.ClientTransport):
     """Connection whose bytes wait in the kernel while the process does not read it."""
@@ -54,9 +64,12 @@
     def deliver(self):
         """Let the process read what waits, unless it has paused."""
         if self.producerState == "producing" and not self.disconnecting:
-            data, self.waiting = self.waiting, b""
+            data = self.waiting[:READ_BYTES]
+            self.waiting = self.waiting[READ_BYTES:]
             if data:
                 self.protocol.dataReceived(data)
+                if self.waiting or self.has_left:
+                    self._world.reactor.callLater(0, self.deliver)
             elif self.has_left:
                 self.end(error.ConnectionDone())
 
@@ -179,3 +192,27 @@
 def step_cancelled(context):
     assert context.endpoint.aborted, "the endpoint still works on the call"
     assert context.world.gateway.open_calls == 0
+
+
+@behave.when(
+    "it is stopped while a call is in progress, whose client sends {sent} and leaves"
+    " 1 s later"
+)
+def step_leaves_behind(context, sent):
+    world = context.world
+    connect(world)
+    data = world.request(body=b"call")
+    world.client_transport.offer(data)
+    _, _, context.endpoint = world.take_call()
+    world.stop()
+    world.run_until(0.5)
+    data = {
+        "a part of a request": data[: gateway_grace.PART_BYTES],
+        "another request": data,
+        "more than one read takes": data * (2 * READ_BYTES // len(data)),
+    }[sent]
+    world.client_transport.offer(data)
+    world.run_until(1.0)
+    world.client_transport.has_left = True
+    world.client_transport.deliver()
+    world.run_until(1.2)
