Notice clients that leave behind unread bytes in a planned stop

Callers of servers saw work for clients that had left: since nothing is read behind a call in progress in a stop, the close of a client that had sent a further request, or a part of one, lay behind those bytes, which hid it. Its call ran on at the endpoint (GONE).

The check looked at the next byte in the socket. It asks the kernel for the state of the connection now, and what such a client sent is read and dropped up to the close, however much it is.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -478,8 +478,14 @@
             self._pace_reading()
 
     def check_left(self):
-        """Let the transport notice that the client of a paused connection has left."""
-        if self._is_read_paused and not self._is_closing and self.has_left:
+        """Let the transport notice that the client of a paused connection has left.
+
+        What it sent before it left is read and dropped.
+        """
+        if not self._is_read_paused or self._is_closing or self._is_disconnected:
+            return
+        if sockets.is_ended_by_peer(self.transport.getHandle()):
+            self._takes_requests = False
             self._is_read_paused = False
             self.transport.resumeProducing()
 
--- a/cicadaplank/links/sockets.py
+++ b/cicadaplank/links/sockets.py
@@ -5,6 +5,13 @@
 from twisted.internet import error
 from twisted.python import failure
 
+# States of a connection, the first byte of the kernel's TCP_INFO, in which the peer has
+# ended its side.
+ENDED_BY_PEER = (
+    7,  # TCP_CLOSE
+    8,  # TCP_CLOSE_WAIT
+)
+
 
 def report_resets(transport):
     """Let a transport report a reset as a lost connection.
@@ -46,6 +53,20 @@
         return False
 
 
+def is_ended_by_peer(sock):
+    """Tell whether the peer has closed or reset a connection, also behind unread bytes.
+
+    As in :func:`has_peer_left`, the end of its sending side counts.
+
+    :param sock: TCP socket of the connection.
+    """
+    try:
+        (state,) = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return False
+    return state in ENDED_BY_PEER
+
+
 def has_unread(sock):
     """Tell whether bytes of the peer wait to be read.
 
--- a/features/gateway/stop.feature
+++ b/features/gateway/stop.feature
@@ -222,3 +222,14 @@
       | may repeat          | another request          |
       | streams and resumes | another request          |
       | may repeat          | more than one read takes |
+
+  Scenario Outline: The end of a connection is hidden by bytes that were not read: <how>
+    Given a loopback connection with unread bytes
+    When the other side <how>
+    Then it is known to be ended, and was not before
+
+    Examples:
+      | how                      |
+      | closes it                |
+      | closes its sending side  |
+      | resets it                |
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -25,6 +25,8 @@
 TIMEOUT_S = 2.0
 OBJECTIVE_S = 0.2
 STEP_S = 0.05
+# First byte of the kernel's TCP_INFO.
+TCP_ESTABLISHED, TCP_CLOSE_WAIT = b"\x01", b"\x08"
 KINDS = {
     "may repeat": (routes.RetryPolicy.IDEMPOTENT, False),
     "runs once only": (routes.RetryPolicy.NEVER, False),
@@ -44,6 +46,10 @@
         """Raise as a socket without waiting data does."""
         raise BlockingIOError
 
+    def getsockopt(self, level, option, size):
+        """Return the state of a connection that neither side has ended."""
+        return TCP_ESTABLISHED
+
 
 class Transport(testing.StringTransport):
     """Transport in memory that tells how it was closed."""
--- a/features/steps/gateway_stop_late.py
+++ b/features/steps/gateway_stop_late.py
@@ -1,11 +1,15 @@
 """Steps for requests that are read long after the stop signal."""
 
+import select
 import signal
 import socket
+import struct
+import time
 
 import behave
 from twisted.internet import error
 
+from cicadaplank.links import sockets
 from features.steps import gateway as gateway_steps
 from features.steps import gateway_grace
 
@@ -14,8 +18,8 @@
 SHORT_WORK_S = 0.5
 # Bytes that the event loop reads at once.
 READ_BYTES = 65536
-# First byte of the kernel's TCP_INFO.
-TCP_ESTABLISHED, TCP_CLOSE_WAIT = b"\x01", b"\x08"
+LIMIT_S = 5.0
+WATCH_S = 0.01
 
 
 class KernelBuffer(gateway_steps.Socket):
@@ -36,7 +40,9 @@
     def getsockopt(self, level, option, size):
         """Return the state of the connection, as the kernel does."""
         assert (level, option, size) == (socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-        return TCP_CLOSE_WAIT if self._transport.has_left else TCP_ESTABLISHED
+        if self._transport.has_left:
+            return gateway_steps.TCP_CLOSE_WAIT
+        return gateway_steps.TCP_ESTABLISHED
 
 
 class BufferedTransport(gateway_grace.ClientTransport):
@@ -216,3 +222,37 @@
     world.client_transport.has_left = True
     world.client_transport.deliver()
     world.run_until(1.2)
+
+
+@behave.given("a loopback connection with unread bytes")
+def step_loopback(context):
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        context.peer = socket.create_connection(server.getsockname())
+        context.socket, _ = server.accept()
+    context.add_cleanup(context.socket.close)
+    context.add_cleanup(context.peer.close)
+    context.peer.sendall(b"unread")
+    select.select([context.socket], [], [], LIMIT_S)
+    context.was_ended = sockets.is_ended_by_peer(context.socket)
+
+
+@behave.when("the other side {how}")
+def step_ends(context, how):
+    if how == "closes its sending side":
+        context.peer.shutdown(socket.SHUT_WR)
+        return
+    if how == "resets it":
+        no_linger = struct.pack("ii", 1, 0)
+        context.peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+    else:
+        assert how == "closes it", how
+    context.peer.close()
+
+
+@behave.then("it is known to be ended, and was not before")
+def step_known_ended(context):
+    assert not context.was_ended
+    until_s = time.monotonic() + LIMIT_S
+    while not sockets.is_ended_by_peer(context.socket):
+        assert time.monotonic() < until_s, "the end is not seen"
+        time.sleep(WATCH_S)
