--- a/features/gateway/stop.feature
+++ b/features/gateway/stop.feature
@@ -233,3 +233,19 @@
       | closes it                |
       | closes its sending side  |
       | resets it                |
+
+  # The time limit of a request that is read late counts from the earliest time at which
+  # it may have come, so that it may be cut before its limit.
+  @always_6
+  Scenario Outline: A stream that was read late is cut before its time limit: it <kind>, <late_s> s late
+    Given an entry process that is killed 8 s after its stop signal
+    And a route that <kind>, with a limit of <limit_s> s and work of 1 s that is known
+    When it is stopped, and its event loop is held up for <late_s> s until a request is whole <whole_s> s later
+    Then the late caller has a whole answer or 503, or is cut at its limit of <limit_s> s, though it takes 7 s
+
+    Examples:
+      | kind                | limit_s | late_s | whole_s |
+      | streams once        | 4.2     | 0.4    | 3.7     |
+      | streams and resumes | 4.2     | 0.4    | 3.7     |
+      | streams once        | 3.8     | 0.4    | 3.7     |
+      | streams and resumes | 3.8     | 0.25   | 3.5     |
--- a/features/steps/gateway_stop_late.py
+++ b/features/steps/gateway_stop_late.py
@@ -256,3 +256,37 @@
     while not sockets.is_ended_by_peer(context.socket):
         assert time.monotonic() < until_s, "the end is not seen"
         time.sleep(WATCH_S)
+
+
+@behave.when(
+    "it is stopped, and its event loop is held up for {late_s:g} s until a request is"
+    " whole {whole_s:g} s later"
+)
+def step_read_late(context, late_s, whole_s):
+    world = context.world
+    data = world.request(body=b"call")
+    world.stop()
+    world.run_until(2.9)
+    world.client.dataReceived(data[: gateway_grace.PART_BYTES])
+    world.run_until(whole_s - late_s)
+    pass_unattended(world, late_s)
+    world.gateway.check_timeouts()
+    context.whole_s = world.since_stop_s
+    world.client.dataReceived(data[gateway_grace.PART_BYTES :])
+
+
+@behave.then(
+    "the late caller has a whole answer or 503, or is cut at its limit of {limit_s:g}"
+    " s, though it takes 7 s"
+)
+def step_not_cut_early(context, limit_s):
+    world = context.world
+    transport = world.client_transport
+    if world.has_call:
+        world.work(LONG_WORK_S)
+    world.run_until(gateway_grace.GRACE_S)
+    if transport.aborted:
+        lasted_s = transport.ended_s - context.whole_s
+        assert lasted_s >= limit_s - 1e-6, f"cut after {lasted_s:.2f} s"
+    else:
+        assert gateway_steps.status_of(transport.value()) == 503, transport.value()
