Cut streams that were read late no sooner than at their time limit

A client whose request was read late had its stream reset before its time limit: the limit counts from the earliest time at which the request may have come, which is right for what servers are told, but ends the work too soon, and a stopping process took a request whose limit lay behind its end.

The request keeps the time at which it was read. A stream that has begun is ended by the limit from then, at most 0.4 s after the deadline, since an answer has to end within 0.5 s of it; the judgement of a stop uses the same limit.

--- a/bench/limited.py
+++ b/bench/limited.py
@@ -446,7 +446,7 @@
             [(b"Host", b"host.example"), (b"X-Attempt-Id", b"a-%d" % self._count)],
         )
         now_s = self.reactor.seconds()
-        request = calls.Request(head, b"call", now_s)
+        request = calls.Request(head, b"call", now_s, now_s)
         self.outcomes["calls"] += 1
         self.gateways[name].accept(Caller(self.outcomes), request)
         wait_s = self.rng.expovariate(self.scenario.calls_per_s)
--- a/bench/silences.py
+++ b/bench/silences.py
@@ -357,7 +357,7 @@
         self._requests_s.append(now_s)
         fields = [(b"Host", b"host.example"), (b"X-Attempt-Id", attempt)]
         head = self.gateway.dialect.read_request(b"POST", b"/x", fields)
-        request = calls.Request(head, b"call", now_s)
+        request = calls.Request(head, b"call", now_s, now_s)
         admitted = admittance.check(self.gateway.route_index, head)
         self.gateway.budget(SERVICE).record_request(now_s)
         call = self._way(self.gateway, client, request, admitted, SERVICE, "")
--- a/cicadaplank/gateway/calls.py
+++ b/cicadaplank/gateway/calls.py
@@ -38,6 +38,9 @@
 STREAM_STALL_TIMEOUT_S = 0.9
 # A stream that has begun is aborted this long after the call's deadline.
 DEADLINE_SLACK_S = 0.1
+# The same at most, for one whose request was read late: an answer has to end within
+# 0.5 s of its deadline.
+MAX_DEADLINE_SLACK_S = 0.4
 # An endpoint that refused a call because it is full gets no new calls for this time.
 FULL_BACK_OFF_S = 0.1
 
@@ -72,11 +75,13 @@
     :param body: bytes of the body.
     :param arrived_s: time in seconds at which its last byte arrived; the earliest
         possible time when it was read late.
+    :param read_s: time in seconds at which it was read.
     """
 
     head: object
     body: bytes
     arrived_s: float
+    read_s: float
 
 
 class Call:
@@ -120,6 +125,10 @@
         if head.wait_s is not None:
             wait_s = min(wait_s, head.wait_s)
         self.deadline_s = request.arrived_s + wait_s
+        # The deadline of a request that came just before it was read.
+        self.latest_deadline_s = min(
+            request.read_s + wait_s, self.deadline_s + MAX_DEADLINE_SLACK_S
+        )
         self.objective_s = request.arrived_s + self.route.objective_s
         self._gateway = gateway
         self._client = client
@@ -821,7 +830,9 @@
         """
         if self.phase is Phase.ENDED:
             return
-        limit_s = self.deadline_s + (DEADLINE_SLACK_S if self._stream_began else 0.0)
+        limit_s = self.deadline_s
+        if self._stream_began:
+            limit_s = max(limit_s + DEADLINE_SLACK_S, self.latest_deadline_s)
         if now_s >= limit_s:
             self._expire(now_s)
             return
--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -419,7 +419,8 @@
         keeps_open = version == "1.1" and self._parser.should_keep_alive()
         self._takes_requests = keeps_open
         arrived_s = self._gateway.arrival_s()
-        request = calls.Request(self._head, bytes(self._body), arrived_s)
+        read_s = self._gateway.now_s()
+        request = calls.Request(self._head, bytes(self._body), arrived_s, read_s)
         self._body = b""
         self._head_bytes = 0
         self._queue.append((request, keeps_open, version))
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -542,7 +542,7 @@
         the call on its connection, which a broken answer leaves without one, it is the
         time limit of the call.
         """
-        limit_s = call.deadline_s - now_s
+        limit_s = call.latest_deadline_s - now_s
         is_accepting = self.draining.accepts_connections(now_s)
         if not is_accepting or call.has_requests_behind:
             return limit_s
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -658,6 +658,7 @@
                         ),
                         b"call",
                         0.0,
+                        0.0,
                     ),
                     admittance.Admitted(
                         1,
--- a/features/steps/gateway_unread_bodies.py
+++ b/features/steps/gateway_unread_bodies.py
@@ -157,7 +157,8 @@
         (b"Content-Length", b"%d" % size),
     ]
     head = served.dialect.read_request(b"POST", b"/x/1", fields)
-    return gateway_steps.calls.Request(head, b"x" * size, served.now_s())
+    now_s = served.now_s()
+    return gateway_steps.calls.Request(head, b"x" * size, now_s, now_s)
 
 
 @behave.when("it is sent a call with {size:d} bytes of body that may be repeated")
