--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -419,7 +419,8 @@
         keeps_open = version == "1.1" and self._parser.should_keep_alive()
         self._takes_requests = keeps_open
         arrived_s = self._gateway.arrival_s()
-        request = calls.Request(self._head, bytes(self._body), arrived_s)
+        read_s = self._gateway.now_s()
+        request = calls.Request(self._head, bytes(self._body), arrived_s, read_s)
         self._body = b""
         self._head_bytes = 0
         self._queue.append((request, keeps_open, version))
@@ -478,8 +479,14 @@
             self._pace_reading()
 
     def check_left(self):
-        """Let the transport notice that the client of a paused connection has left."""
-        if self._is_read_paused and not self._is_closing and self.has_left:
+        """Let the transport notice that the client of a paused connection has left.
+
+        What it sent before it left is read and dropped.
+        """
+        if not self._is_read_paused or self._is_closing or self._is_disconnected:
+            return
+        if sockets.is_ended_by_peer(self.transport.getHandle()):
+            self._takes_requests = False
             self._is_read_paused = False
             self.transport.resumeProducing()
 
--- a/features/gateway/stop.feature
+++ b/features/gateway/stop.feature
@@ -208,3 +208,44 @@
     And a route that may repeat, with a limit of 6 s and work of 1 s that is known
     When it is stopped while a call is in progress, whose client leaves 1 s later
     Then the call is cancelled at its endpoint within 0.2 s
+
+  @always_6
+  Scenario Outline: A client that leaves behind <sent> during a stop goes unnoticed
+    Given an entry process that is killed 8 s after its stop signal
+    And a route that <kind>, with a limit of 6 s and work of 1 s that is known
+    When it is stopped while a call is in progress, whose client sends <sent> and leaves 1 s later
+    Then the call is cancelled at its endpoint within 0.2 s
+
+    Examples:
+      | kind                | sent                     |
+      | may repeat          | a part of a request      |
+      | may repeat          | another request          |
+      | streams and resumes | another request          |
+      | may repeat          | more than one read takes |
+
+  Scenario Outline: The end of a connection is hidden by bytes that were not read: <how>
+    Given a loopback connection with unread bytes
+    When the other side <how>
+    Then it is known to be ended, and was not before
+
+    Examples:
+      | how                      |
+      | closes it                |
+      | closes its sending side  |
+      | resets it                |
+
+  # The time limit of a request that is read late counts from the earliest time at which
+  # it may have come, so that it may be cut before its limit.
+  @always_6
+  Scenario Outline: A stream that was read late is cut before its time limit: it <kind>, <late_s> s late
+    Given an entry process that is killed 8 s after its stop signal
+    And a route that <kind>, with a limit of <limit_s> s and work of 1 s that is known
+    When it is stopped, and its event loop is held up for <late_s> s until a request is whole <whole_s> s later
+    Then the late caller has a whole answer or 503, or is cut at its limit of <limit_s> s, though it takes 7 s
+
+    Examples:
+      | kind                | limit_s | late_s | whole_s |
+      | streams once        | 4.2     | 0.4    | 3.7     |
+      | streams and resumes | 4.2     | 0.4    | 3.7     |
+      | streams once        | 3.8     | 0.4    | 3.7     |
+      | streams and resumes | 3.8     | 0.25   | 3.5     |
--- a/features/steps/gateway_stop_late.py
+++ b/features/steps/gateway_stop_late.py
@@ -1,16 +1,25 @@
 """Steps for requests that are read long after the stop signal."""
 
+import select
 import signal
+import socket
+import struct
+import time
 
 import behave
 from twisted.internet import error
 
+from cicadaplank.links import sockets
 from features.steps import gateway as gateway_steps
 from features.steps import gateway_grace
 
 # Time of answers that outlast every stop.
 LONG_WORK_S = 7.0
 SHORT_WORK_S = 0.5
+# Bytes that the event loop reads at once.
+READ_BYTES = 65536
+LIMIT_S = 5.0
+WATCH_S = 0.01
 
 
 class KernelBuffer(gateway_steps.Socket):
@@ -28,6 +37,13 @@
             raise BlockingIOError
         return self._transport.waiting[:size]
 
+    def getsockopt(self, level, option, size):
+        """Return the state of the connection, as the kernel does."""
+        assert (level, option, size) == (socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        if self._transport.has_left:
+            return gateway_steps.TCP_CLOSE_WAIT
+        return gateway_steps.TCP_ESTABLISHED
+
 
 class BufferedTransport(gateway_grace.ClientTransport):
     """Connection whose bytes wait in the kernel while the process does not read it."""
@@ -54,9 +70,12 @@
     def deliver(self):
         """Let the process read what waits, unless it has paused."""
         if self.producerState == "producing" and not self.disconnecting:
-            data, self.waiting = self.waiting, b""
+            data = self.waiting[:READ_BYTES]
+            self.waiting = self.waiting[READ_BYTES:]
             if data:
                 self.protocol.dataReceived(data)
+                if self.waiting or self.has_left:
+                    self._world.reactor.callLater(0, self.deliver)
             elif self.has_left:
                 self.end(error.ConnectionDone())
 
@@ -179,3 +198,95 @@
 def step_cancelled(context):
     assert context.endpoint.aborted, "the endpoint still works on the call"
     assert context.world.gateway.open_calls == 0
+
+
+@behave.when(
+    "it is stopped while a call is in progress, whose client sends {sent} and leaves"
+    " 1 s later"
+)
+def step_leaves_behind(context, sent):
+    world = context.world
+    connect(world)
+    data = world.request(body=b"call")
+    world.client_transport.offer(data)
+    _, _, context.endpoint = world.take_call()
+    world.stop()
+    world.run_until(0.5)
+    data = {
+        "a part of a request": data[: gateway_grace.PART_BYTES],
+        "another request": data,
+        "more than one read takes": data * (2 * READ_BYTES // len(data)),
+    }[sent]
+    world.client_transport.offer(data)
+    world.run_until(1.0)
+    world.client_transport.has_left = True
+    world.client_transport.deliver()
+    world.run_until(1.2)
+
+
+@behave.given("a loopback connection with unread bytes")
+def step_loopback(context):
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        context.peer = socket.create_connection(server.getsockname())
+        context.socket, _ = server.accept()
+    context.add_cleanup(context.socket.close)
+    context.add_cleanup(context.peer.close)
+    context.peer.sendall(b"unread")
+    select.select([context.socket], [], [], LIMIT_S)
+    context.was_ended = sockets.is_ended_by_peer(context.socket)
+
+
+@behave.when("the other side {how}")
+def step_ends(context, how):
+    if how == "closes its sending side":
+        context.peer.shutdown(socket.SHUT_WR)
+        return
+    if how == "resets it":
+        no_linger = struct.pack("ii", 1, 0)
+        context.peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+    else:
+        assert how == "closes it", how
+    context.peer.close()
+
+
+@behave.then("it is known to be ended, and was not before")
+def step_known_ended(context):
+    assert not context.was_ended
+    until_s = time.monotonic() + LIMIT_S
+    while not sockets.is_ended_by_peer(context.socket):
+        assert time.monotonic() < until_s, "the end is not seen"
+        time.sleep(WATCH_S)
+
+
+@behave.when(
+    "it is stopped, and its event loop is held up for {late_s:g} s until a request is"
+    " whole {whole_s:g} s later"
+)
+def step_read_late(context, late_s, whole_s):
+    world = context.world
+    data = world.request(body=b"call")
+    world.stop()
+    world.run_until(2.9)
+    world.client.dataReceived(data[: gateway_grace.PART_BYTES])
+    world.run_until(whole_s - late_s)
+    pass_unattended(world, late_s)
+    world.gateway.check_timeouts()
+    context.whole_s = world.since_stop_s
+    world.client.dataReceived(data[gateway_grace.PART_BYTES :])
+
+
+@behave.then(
+    "the late caller has a whole answer or 503, or is cut at its limit of {limit_s:g}"
+    " s, though it takes 7 s"
+)
+def step_not_cut_early(context, limit_s):
+    world = context.world
+    transport = world.client_transport
+    if world.has_call:
+        world.work(LONG_WORK_S)
+    world.run_until(gateway_grace.GRACE_S)
+    if transport.aborted:
+        lasted_s = transport.ended_s - context.whole_s
+        assert lasted_s >= limit_s - 1e-6, f"cut after {lasted_s:.2f} s"
+    else:
+        assert gateway_steps.status_of(transport.value()) == 503, transport.value()
