Take no answer from an endpoint with a status that no server may send

What callers saw (features/gateway/statuses.feature, transports in memory, time of the clock that the scenario moves): - 000 to 099 counted as interim answers. A call that runs once only got 504 after 2.00 s, its deadline; one that may be repeated got the other endpoint's answer after 0.45 s. - A body with such a status, or with an interim one from 104 to 199, was put before that of the answer behind it: a signed 200 with "the whole answerright" after 0.00 s, where the endpoint's 200 had "right". - 600 to 999, signed, reached the caller of a call that runs once only as they were. With X-Not-Executed the caller got 503 "not run" after 0.00 s. - HTTP/0.9, HTTP/2.0, RTSP/1.0 and ICE/1.0 passed: 200, signed. The connection was kept for later calls, and the endpoint had not failed but for some of the statuses from 600.

Cause: the connection dropped the head of each status below 200 and passed on all others; the parser takes any three digits, two more versions and two more protocols, and reads a body of interim answers.

Failed before: 23 of 76 scenarios, for example "160 of 160 cases failed", "('runs once only', 'a call', 'a length', 'signed'): the connection stays open, the endpoint has not failed, the call waits, the caller is not told that the call may have run: 504 after 2.00 s". Fewer or more than three digits, letters, signs, blanks, a missing status and 101 were refused already.

Change: links/http_statuses has the one rule, HTTP/1.0 or 1.1 and 100 to 599 without 101. An answer that breaks it, and an interim answer with a body, fails its attempt as soon as its head has arrived, before any header of it counts.

Measured: 76 of 76 scenarios pass. A call that runs once only gets 502 "may have run" after 0.00 s, one that may be repeated is sent elsewhere in the next turn (answered after 0.05 s); the connection is aborted and the endpoint's failure counts.

--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -10,7 +10,7 @@
 from twisted.python import failure
 
 from cicadaplank.gateway import framing, read_pacing
-from cicadaplank.links import sockets
+from cicadaplank.links import http_statuses, sockets
 
 _log = logger.Logger()
 
@@ -36,6 +36,8 @@
 # Most bytes that are read from an endpoint in one turn of the event loop, so that an
 # endpoint which writes without end does not keep the others waiting.
 TURN_BYTES = 16 * 1024
+# The parser also takes the status lines of two related protocols.
+PROTOCOL_NAME = b"HTTP/"
 
 
 class Receiver(typing.Protocol):
@@ -93,6 +95,9 @@
         self._skipped_bytes = 0
         self._is_skipping = False
         self._is_complete = False
+        # Start of the response, and why it is none.
+        self._start = b""
+        self._fault = ""
         self._has_body = True
         self._parser_keeps_open = False
         self._responses = 0
@@ -142,6 +147,8 @@
         self._skipped_bytes = 0
         self._is_skipping = False
         self._is_complete = False
+        self._start = b""
+        self._fault = ""
         self._parser_keeps_open = False
         self.used += 1
         self.longest_sent_bytes = max(self.longest_sent_bytes, len(data))
@@ -219,6 +226,12 @@
             # No call is in progress, so these bytes are an unsolicited response.
             self._drop_unsolicited("unasked_bytes")
             return
+        if len(self._start) < len(PROTOCOL_NAME):
+            start = (self._start + data).lstrip(b"\r\n")
+            self._start = start[: len(PROTOCOL_NAME)]
+            if not PROTOCOL_NAME.startswith(self._start):
+                self._fail(f"not HTTP: the answer starts with {self._start!r}")
+                return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as callback_error:
@@ -228,11 +241,14 @@
             return
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as parse_error:
             if not self._is_complete:
-                self._fail(f"not HTTP: {parse_error}")
+                self._fail(self._fault or f"not HTTP: {parse_error}")
                 return
             # The bytes after a complete response belong to no call.
             self._pool.counts["unasked_bytes"] += 1
             self.is_broken = True
+        if self._fault:
+            self._fail(self._fault)
+            return
         self._received_bytes += len(data)
         delay_s = self._pass_body(len(data))
         if self._is_complete:
@@ -277,17 +293,26 @@
     def on_headers_complete(self):
         """Pass status and headers to the receiver (parser callback).
 
-        Headers of interim responses (status below 200) are dropped.
+        Headers of interim responses are dropped. A body of one would be taken for the
+        start of the final response's.
         """
         if self._is_complete:
             self.is_broken = True
             return
+        if self._fault:
+            return
         status = self._parser.get_status_code()
-        if status < 200:
-            self._headers = []
+        version = self._parser.get_http_version()
+        self._fault = http_statuses.status_fault(version, status)
+        if self._fault:
             return
-        self._head = self._pool.dialect.read_response(status, self._headers)
+        head = self._pool.dialect.read_response(status, self._headers)
         self._headers = []
+        if http_statuses.is_interim(status):
+            if head.length or head.is_chunked:
+                self._fault = f"status {status} with a body"
+            return
+        self._head = head
         self._responses += 1
         if self._receiver is not None:
             self._is_skipping = not self._receiver.response_started(self._head)
@@ -302,6 +327,8 @@
         if self._is_complete:
             self.is_broken = True
             return
+        if self._fault:
+            return
         if self._is_skipping:
             self._skipped_bytes += len(data)
             return
