Close the connection behind a 204 or 304 that declares a body

What callers saw: nothing wrong in itself, the answer ends with its headers (RFC 9112, 6.3). But the connection was kept, and the body that an endpoint announces there arrives while the next call on it waits for its answer.

Cause: the end of such an answer did not depend on the length or chunks it declares.

Failed before: 4 of 80 scenarios of features/gateway/statuses.feature, "('may repeat', (b'HTTP/1.1 204 X\r\n...Content-Length: 16\r\n\r\n', b'the whole answer'), 'the connection stays open')", the same with chunks and for 304.

Change: the connection is closed when the answer has been passed on.

Measured: 80 of 80 scenarios pass.

--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -293,8 +293,8 @@
     def on_headers_complete(self):
         """Pass status and headers to the receiver (parser callback).
 
-        Headers of interim responses are dropped. A body of one would be taken for the
-        start of the final response's.
+        Headers of interim responses are dropped. The length of one, and of a response
+        that ends with its headers, announces bytes that belong to no response.
         """
         if self._is_complete:
             self.is_broken = True
@@ -308,11 +308,13 @@
             return
         head = self._pool.dialect.read_response(status, self._headers)
         self._headers = []
+        has_length = bool(head.length or head.is_chunked)
         if http_statuses.is_interim(status):
-            if head.length or head.is_chunked:
-                self._fault = f"status {status} with a body"
+            self._fault = f"status {status} with a body" if has_length else ""
             return
         self._head = head
+        if has_length and status in http_statuses.STATUSES_WITHOUT_BODY:
+            self.is_broken = True
         self._responses += 1
         if self._receiver is not None:
             self._is_skipping = not self._receiver.response_started(self._head)
--- a/cicadaplank/links/http_statuses.py
+++ b/cicadaplank/links/http_statuses.py
@@ -7,6 +7,8 @@
 MIN_INTERIM_STATUS = 100
 MIN_FINAL_STATUS = 200
 MAX_STATUS = 599
+# Answers that end with their headers, whatever length they declare.
+STATUSES_WITHOUT_BODY = (204, 304)
 _STATUS_LINE = re.compile(rb"HTTP/([0-9]\.[0-9]) ([0-9]{3})(?: .*)?", re.DOTALL)
 
 
--- a/features/gateway/statuses.feature
+++ b/features/gateway/statuses.feature
@@ -107,6 +107,13 @@
   Scenario Outline: A final status <status> with a body in <framing>
     Then an answer <status> with a body in <framing> reaches its caller <share>
 
+    Examples: without a body, and the connection is closed
+      | status | framing  | share      |
+      | 204    | a length | without it |
+      | 204    | chunks   | without it |
+      | 304    | a length | without it |
+      | 304    | chunks   | without it |
+
     Examples: with its body
       | status | framing  | share      |
       | 200    | a length | as it is   |
