--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -237,6 +237,8 @@
         self._is_naming_pending = False
         self._named_confirmed_s = None
         self._front = None
+        # Servers of the pages by the name of their port.
+        self._pages = {}
         self._agents_notified_s = float("-inf")
         self._checks_missing = False
         self._registry_reads = registry_reads.RegistryReads()
@@ -335,8 +337,9 @@
             "/metrics": self._metrics_page,
         }
         self._front = self._listen(settings.front, self.listener)
-        self._listen(settings.ready, status.Pages(self.reactor, pages))
-        self._listen(settings.metrics, status.Pages(self.reactor, pages))
+        for port, address in (("ready", settings.ready), ("metrics", settings.metrics)):
+            self._pages[port] = status.Pages(self.reactor, pages)
+            self._listen(address, self._pages[port])
         self.hub.listen(settings.peer.host, settings.peer.port)
         self.operator.start()
         self.listed.start()
@@ -461,6 +464,8 @@
         metric.set_gauge("calls_in_progress", self.gateway.open_calls)
         metric.set_gauge("client_connections", self.listener.open_count)
         self.listener.update_metrics(metric)
+        for port, pages in self._pages.items():
+            pages.update_metrics(metric, port)
         metric.set_gauge("peers", self.peers.live_count)
         metric.set_gauge("store_age_seconds", self.peers.store_age_s(now_s))
         confirmed_age_s = self.peers.confirmed_age_s(now_s)
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -154,6 +154,7 @@
         self.watch = reloading.SettingsWatch(
             reactor, settings, reload, self._settings_changed, self.events.log
         )
+        self._pages = status.Pages(reactor, {"/metrics": self._metrics_page})
         self.counts = collections.Counter()
         store = sync.MeteredStore(store, self.metrics.count)
         self.loading = loading.LoadScheduler(settings.host, settings.weights_s)
@@ -262,8 +263,7 @@
     def start(self):
         """Open the ports, install signal handlers and start the periodic tasks."""
         settings = self.settings
-        pages = status.Pages(self.reactor, {"/metrics": self._metrics_page})
-        self.reactor.listenTCP(settings.metrics_port, pages, 50, settings.host)
+        self.reactor.listenTCP(settings.metrics_port, self._pages, 50, settings.host)
         self.hub.listen(settings.host, settings.peer_port)
         self.operator.start()
         self.listed.start()
@@ -326,6 +326,7 @@
         served = max(state.versions.values(), default=0) if state else 0
         metric.set_gauge("weights_served", served)
         metric.set_gauge("weights_unverified", int(self.loading.is_unverified))
+        self._pages.update_metrics(metric, "metrics")
         self.hub.update_metrics(metric)
         self._unreadable.update_metrics(metric)
         for guarded in (self._guarded, self.operator.guarded, self.listed.guarded):
