Look for clients that left also where the kernel does not tell their state

Where TCP_INFO cannot be read, as may be on a platform that redirects sockets, the check of a stop noticed nobody any more since; the look at the next byte, which sees a close without unread bytes before it, stands beside it again.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -485,7 +485,8 @@
         """
         if not self._is_read_paused or self._is_closing or self._is_disconnected:
             return
-        if sockets.is_ended_by_peer(self.transport.getHandle()):
+        # Not every system tells the state of a connection.
+        if self.has_left or sockets.is_ended_by_peer(self.transport.getHandle()):
             self._takes_requests = False
             self._is_read_paused = False
             self.transport.resumeProducing()
