Test crowds that stay idle, send again and again, and read slowly

For the hold-up of the event loop, features/gateway/turns.feature counts the header lines and parts of bodies that one turn parses and the turns that an ordinary request waits, without sockets and without the speed of the machine. Its bound is what two heads of legal size hold.

--- a/features/crowds.py
+++ b/features/crowds.py
@@ -18,6 +18,9 @@
 QUIET_TICKS = 20
 LIMIT_S = 60.0
 SMALL_WINDOW_BYTES = 4096
+# Clients that read slowly read at this interval for this time.
+SIP_PAUSE_S = 0.5
+SIPPING_S = 8.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,12 +31,17 @@
     :param is_half_closed: whether the sending side is closed behind the parts.
     :param many_addresses: whether the connections come from different addresses.
     :param reads: whether the clients read what they are sent.
+    :param rounds: how often the parts are sent, each time behind an answer.
+    :param sip_bytes: bytes that each client reads every :data:`SIP_PAUSE_S` for
+        :data:`SIPPING_S` once it has sent all parts.
     """
 
     parts: tuple
     is_half_closed: bool = False
     many_addresses: bool = False
     reads: bool = False
+    rounds: int = 1
+    sip_bytes: int = 0
 
 
 def head(path=b"/old/1", extra=b"", is_whole=True):
@@ -56,6 +64,9 @@
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 LENGTH = b"Content-Length: %d\r\n"
 SMALL = head(extra=LENGTH % 1) + b"a"
+# A whole request of legal size, of an account that exists and of one that does not.
+MANY_LINES = head(extra=LENGTH % 1 + lines(b"a:b\r\n")[:-100]) + b"a"
+MANY_LINES_UNKNOWN = MANY_LINES.replace(b"key-1", b"key-0")
 
 FORMS = {
     "heads of short lines that do not end": Form(
@@ -104,6 +115,22 @@
     "requests for long streams that nobody reads": Form(
         (head(b"/stream/long", LENGTH % 1) + b"a",)
     ),
+    "a whole head of short lines, read their answers and stay idle": Form(
+        (MANY_LINES,), reads=True, rounds=2
+    ),
+    "a refused head of short lines, read their answers and stay idle": Form(
+        (MANY_LINES_UNKNOWN,), reads=True, rounds=2
+    ),
+    "whole heads of short lines again and again": Form((MANY_LINES,), rounds=10),
+    "refused heads of short lines again and again": Form(
+        (MANY_LINES_UNKNOWN,), rounds=10
+    ),
+    "requests for long answers that are read slowly": Form(
+        (head(b"/old/long", LENGTH % 1) + b"a",), sip_bytes=2048
+    ),
+    "requests for long streams that are read slowly": Form(
+        (head(b"/stream/long", LENGTH % 1) + b"a",), sip_bytes=2048
+    ),
     "nothing at all": Form(()),
 }
 
@@ -122,6 +149,7 @@
         self._form = form
         self._selector = selectors.DefaultSelector()
         self._left = {}
+        self._rounds = {}
         for number in range(count):
             self._open(number)
 
@@ -132,6 +160,7 @@
             sock.bind((f"127.0.0.{2 + number % 200}", 0))
         sock.settimeout(LIMIT_S)
         self._left[sock] = collections.deque(map(memoryview, self._form.parts))
+        self._rounds[sock] = self._form.rounds
         try:
             sock.connect(self._target)
         except OSError:
@@ -152,10 +181,26 @@
                     quiet_s = time.monotonic()
             if not ready:
                 time.sleep(0.05)
+        if self._form.sip_bytes:
+            self._sip()
+
+    def _sip(self):
+        """Read a little of the answers now and then."""
+        end_s = time.monotonic() + SIPPING_S
+        while time.monotonic() < end_s:
+            for sock in self._left:
+                try:
+                    sock.recv(self._form.sip_bytes)
+                except OSError:
+                    # Nothing has come, or the connection was reset, which is allowed.
+                    continue
+            time.sleep(SIP_PAUSE_S)
 
     def _send_part(self, sock):
         left = self._left[sock]
         try:
+            if not left and self._rounds[sock] > 0:
+                return self._begin_round(sock)
             if self._form.reads:
                 self._read(sock)
             if left:
@@ -163,6 +208,10 @@
                 left[0] = left[0][sent:]
                 if not left[0]:
                     left.popleft()
+                if not left:
+                    self._rounds[sock] -= 1
+                    if self._rounds[sock] > 0:
+                        self._selector.modify(sock, selectors.EVENT_READ)
                 return sent > 0
             self._selector.unregister(sock)
             if self._form.is_half_closed:
@@ -175,6 +224,16 @@
                 self._selector.unregister(sock)
         return False
 
+    def _begin_round(self, sock):
+        """Send the parts once more, as the answer has come."""
+        if not sock.recv(SMALL_WINDOW_BYTES):
+            self._rounds[sock] = 0
+            self._selector.unregister(sock)
+            return False
+        self._left[sock].extend(map(memoryview, self._form.parts))
+        self._selector.modify(sock, selectors.EVENT_WRITE)
+        return True
+
     @staticmethod
     def _read(sock):
         try:
--- /dev/null
+++ b/features/gateway/turns.feature
@@ -0,0 +1,24 @@
+Feature: A crowd of clients does not hold the event loop up
+  The listener with connections of clients, without sockets. A turn of the event loop
+  brings each connection what its client sent, and runs the timers that are due.
+
+  # 1,000 clients that sent many header lines held the event loop up for seconds.
+  Scenario Outline: 100 clients send <form> again and again
+    Given a listener with 100 connections of a crowd and an ordinary one
+    When the crowd sends <form> again and again for 20 turns
+    # The bound is what two heads of legal size hold.
+    Then no turn parses more than 8192 lines and parts of bodies
+    And each ordinary request is answered within 3 turns
+    And the crowd's last requests are answered when nothing more is sent
+
+    Examples:
+      | form                              |
+      | heads of short lines              |
+      | heads of odd lines                |
+      | bodies in chunks of one byte      |
+      | heads of short lines, in 3 pieces |
+
+  Scenario: A single head of many short lines is answered in the turn in which it comes
+    Given a listener with 1 connections of a crowd and an ordinary one
+    When the crowd sends heads of short lines again and again for 1 turns
+    Then every request of the crowd is answered
