Keep a planned stop going after an error in its checks of connections

An unexpected error in the pause of connections, in the check for clients that have left or in the report of aborted calls ended the chain of checks of the stop: calls in progress were never told, and the process stayed until it was killed.

They are guarded now.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -407,13 +407,13 @@
         self.events.log("stopping", calls=self.gateway.open_calls, late_s=late_s)
         started = self.gateway.draining.stop_requested(signalled_s)
         self._carry_out_stop(started)
-        self.listener.stop_begun()
+        self._guarded.call("stop_pauses", self.listener.stop_begun)
         self._check_stop()
 
     def _check_stop(self):
         """Apply the time limits of the stop until the process exits."""
         stop = self.gateway.draining
-        self.listener.check_left()
+        self._guarded.call("stop_clients", self.listener.check_left)
         actions = stop.tick(self.reactor.seconds(), self.listener.open_count)
         if stop.state != "stopped":
             self.reactor.callLater(STOP_CHECK_INTERVAL_S, self._check_stop)
@@ -421,7 +421,9 @@
         if aborted:
             self.events.log("calls_aborted", calls=len(aborted))
         for action in aborted:
-            self._reporter.aborted_in_stop(action, stop.started_s)
+            self._guarded.call(
+                "stop_report", self._reporter.aborted_in_stop, action, stop.started_s
+            )
         self._carry_out_stop(actions)
 
     def _carry_out_stop(self, actions):
--- a/features/gateway/stop.feature
+++ b/features/gateway/stop.feature
@@ -249,3 +249,16 @@
       | streams and resumes | 4.2     | 0.4    | 3.7     |
       | streams once        | 3.8     | 0.4    | 3.7     |
       | streams and resumes | 3.8     | 0.25   | 3.5     |
+
+  @always_6
+  Scenario Outline: An error in <part> holds up a stop
+    Given an entry process that is killed 8 s after its stop signal
+    And a route that may repeat, with a limit of 20 s and work of 1 s that is known
+    When it is stopped while a call is in progress, and <part> raises an error
+    Then the caller is told that its call may have run, and the process ends by itself
+
+    Examples:
+      | part                        |
+      | the pause of connections    |
+      | the check of connections    |
+      | the report of aborted calls |
--- a/features/steps/gateway_stop_late.py
+++ b/features/steps/gateway_stop_late.py
@@ -1,5 +1,6 @@
 """Steps for requests that are read long after the stop signal."""
 
+import contextlib
 import select
 import signal
 import socket
@@ -290,3 +291,34 @@
         assert lasted_s >= limit_s - 1e-6, f"cut after {lasted_s:.2f} s"
     else:
         assert gateway_steps.status_of(transport.value()) == 503, transport.value()
+
+
+@behave.when("it is stopped while a call is in progress, and {part} raises an error")
+def step_error(context, part):
+    world = context.world
+    owner, name = {
+        "the pause of connections": (world.listener, "stop_begun"),
+        "the check of connections": (world.listener, "check_left"),
+        "the report of aborted calls": (world.process._reporter, "aborted_in_stop"),
+    }[part]
+
+    def fail(*args):
+        raise ValueError(part)
+
+    setattr(owner, name, fail)
+    world.send()
+    assert world.take_call()
+    with contextlib.suppress(ValueError):
+        world.stop()
+    while world.since_stop_s < gateway_grace.GRACE_S and not world.reactor.hasStopped:
+        with contextlib.suppress(ValueError):
+            world.run(gateway_steps.STEP_S)
+
+
+@behave.then(
+    "the caller is told that its call may have run, and the process ends by itself"
+)
+def step_told(context):
+    got = context.world.client_transport.value()
+    assert got and gateway_steps.status_of(got) == 502, got
+    assert context.world.reactor.hasStopped
