Let callers of the soak finish requests when a stop may cut them no more

Late callers sent the rest of their requests 4 to 7 s after the signal of a stop, none around 3 s, where requests come to be judged by their time limit. Four more callers of each stop send it after 2.97 to 3.3 s; what the others draw stays the same.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -25,6 +25,9 @@
 # Times after the signal of a stop at which late callers open connections, just before
 # the listener closes, and send the rest of their requests.
 OPEN_S, FINISH_S = (2.5, 2.95), (4.0, 7.0)
+# The same for callers whose requests are whole just when the time ends in which a stop
+# may cut them.
+FINISH_AT_CLOSE_S = (2.97, 3.3)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -268,15 +271,16 @@
     ends_sending: bool
 
     @classmethod
-    def draw(cls, rng, signalled_s):
+    def draw(cls, rng, signalled_s, finish_s=FINISH_S):
         """Draw the times of one caller.
 
         :param rng: :class:`random.Random`.
         :param signalled_s: steady time of the signal.
+        :param finish_s: range of the seconds from it to the rest of the requests.
         """
         return cls(
             signalled_s + rng.uniform(*OPEN_S),
-            signalled_s + rng.uniform(*FINISH_S),
+            signalled_s + rng.uniform(*finish_s),
             rng.choice((1, 1, 2)),
             rng.random() < 0.8,
             rng.random() < 0.2,
--- a/soak/planned.py
+++ b/soak/planned.py
@@ -21,6 +21,7 @@
 CHANGE_SHARES = (0.1, 0.5, 0.8)
 # Callers of each stop that come late.
 LATE_CALLERS = 6
+CALLERS_AT_CLOSE = 4
 
 
 class Planned:
@@ -131,12 +132,14 @@
 
         def signalled(at_s):
             self._fleet.ledger.count("planned stops")
-            for each in range(LATE_CALLERS):
+            finishes = [callers.FINISH_S] * LATE_CALLERS
+            finishes += [callers.FINISH_AT_CLOSE_S] * CALLERS_AT_CLOSE
+            for each, finish_s in enumerate(finishes):
                 caller = callers.LateCaller(
                     f"late-{number}-{entry.life}-{each}",
                     self._fleet,
                     number,
-                    callers.Late.draw(rng, at_s),
+                    callers.Late.draw(rng, at_s, finish_s),
                 )
                 self._late.append(caller)
                 caller.start()
