Take no response on the agent path with a status that no server may send

What callers saw (features/external/statuses.feature, real sockets; the runs before the change with time-outs of 0.5 s instead of 2 s, to end sooner): - A plain service that answered 000 or -20: the caller got "HTTP/1.1 0 Unknown Status" or "HTTP/1.1 -20 Unknown Status" with the verdict "ran", after 0.01 s. - "0503", "+503", "0429": taken for 503 and 429, with which a server promises that it has not run the call. The caller of a call that may run once only got 503 with the verdict "not_run", after 0.01 s. - "00200", "+200", "2_00", HTTP/0.9, 1.2 and 2.0, RTSP/1.0, "xHTTP/1.1": taken for 200, for completions and loads of weights, too. - 101, "0100" and the start of an interim response's body were skipped: a service call waited for its time-out, its caller had no answer after 5.47 s, the limit of the play. - 204 and 304 that declare a body kept the connection for the next read.

Cause: Twisted's parser takes what int() takes for a status, any protocol and version, and skips each status from 100 to 199 with its headers; services passed on all below 500.

Failed before: 57 of 74 scenarios, for example "('service call', 'a length'): ServiceEnd(attempt='a-1', status=0, body=b'the answer of a service') after 0.01 s" and "x-cicadaplank-verdict: not_run" for a once call answered "0503". 17 passed, so "abc", "0x200", a missing status and a version without its minor number were refused already.

Change: the guard of each connection lets the parser fail on a status line that breaks the rule of links/http_statuses, which the gateway uses too, and on an interim response with a body; behind a 204 or 304 with one the connection is closed.

Measured: 74 of 74 scenarios pass. All calls are lost at once, as calls that may have run; the caller of a call that may run once only gets 502, others 503 "no_endpoint", all with the verdict "may_have_run".

--- a/cicadaplank/external/http.py
+++ b/cicadaplank/external/http.py
@@ -11,7 +11,7 @@
 from twisted.web import http_headers
 
 from cicadaplank.external import errors
-from cicadaplank.links import sockets
+from cicadaplank.links import http_statuses, sockets
 from cicadaplank.world import buffers
 
 SENDER_HEADER = "X-Cicadaplank-Sender"
@@ -217,10 +217,10 @@
 
 
 class _Guard:
-    """Bounds the heads of responses on a connection, and tells how it was lost.
+    """Checks the heads of responses on a connection, and tells how it was lost.
 
     Twisted reports a body without length and chunks in the same way after a close and
-    after a reset, and reads a head of any size.
+    after a reset, and reads a head of any size, with any number as its status.
 
     :param connection: HTTP/1.1 connection of Twisted, whose methods are replaced.
     """
@@ -239,7 +239,10 @@
     def _send(self, request):
         self._head_bytes = 0
         self._is_reading_head = True
-        return self._request(request).addBoth(self._head_ended)
+        sent = self._request(request)
+        if self._connection._parser is not None:
+            _check_head(self._connection._parser)
+        return sent.addBoth(self._head_ended)
 
     def _head_ended(self, result):
         self._is_reading_head = False
@@ -256,6 +259,36 @@
         context.call({_LOSS: reason}, self._connection_lost, reason)
 
 
+def _check_head(parser):
+    """Let a parser of a response fail on a head that no server may send.
+
+    The body of an interim response would be read as the next status line. That of a
+    response without one belongs to none, and the connection is not used again.
+
+    :param parser: parser of Twisted, whose methods are replaced.
+    """
+    receive_status, end_head = parser.statusReceived, parser.allHeadersReceived
+
+    def status_received(line):
+        fault = http_statuses.status_line_fault(line)
+        if fault:
+            raise ValueError(fault)
+        receive_status(line)
+
+    def all_headers_received():
+        status, headers = parser.response.code, parser.connHeaders
+        length = headers.getRawHeaders(b"content-length", [b"0"])[0].strip(b"0")
+        if length or headers.hasHeader(b"transfer-encoding"):
+            if http_statuses.is_interim(status):
+                raise ValueError(f"status {status} with a body")
+            if status in http_statuses.STATUSES_WITHOUT_BODY:
+                headers.addRawHeader(b"connection", b"close")
+        end_head()
+
+    parser.statusReceived = status_received
+    parser.allHeadersReceived = all_headers_received
+
+
 def is_complete(reason):
     """Tell whether a response body is complete, from the reason for its end.
 
