Send clients 204 and 304 without a length

What callers saw: "HTTP/1.1 204 Status\r\n...Content-Length: 0\r\n\r\n", which no server may send (RFC 9110, 8.6); with 304 it says that the resource is empty.

Cause: write_response declared the length of the body for every status.

Change: no length and no chunks for the statuses that end with their headers.

--- a/cicadaplank/platform/headers.py
+++ b/cicadaplank/platform/headers.py
@@ -3,6 +3,7 @@
 import urllib.parse
 
 from cicadaplank.gateway import dialects, service_times
+from cicadaplank.links import http_statuses
 
 ATTEMPT = b"x-attempt-id"
 DEADLINE = b"x-deadline-ms"
@@ -202,9 +203,10 @@
         reason = REASON_PHRASES.get(head.status, b"Status")
         lines = [b"HTTP/1.1 %d %b" % (head.status, reason)]
         lines += [b"%b: %b" % header for header in head.headers]
-        if length is not None:
+        has_body = head.status not in http_statuses.STATUSES_WITHOUT_BODY
+        if has_body and length is not None:
             lines.append(b"Content-Length: %d" % length)
-        elif uses_chunks:
+        elif has_body and uses_chunks:
             lines.append(b"Transfer-Encoding: chunked")
         if closes:
             lines.append(b"Connection: close")
--- a/features/steps/gateway_statuses.py
+++ b/features/steps/gateway_statuses.py
@@ -230,4 +230,7 @@
         got = world.client_transport.value()
         assert found[0] == int(status), (kind, parts, got)
         assert got.endswith(b"\r\n\r\n") and got.count(b"HTTP/1.") == 1, got
+        names = [line.split(b":")[0].lower() for line in got.split(b"\r\n")]
+        assert b"content-length" not in names, (kind, got)
+        assert b"transfer-encoding" not in names, (kind, got)
         assert transport.disconnecting, (kind, parts, "the connection stays open")
