Play odd statuses in the rest of streams and in one of two attempts

Guards the change of "Take no answer from an endpoint with a status that no server may send" where a part of a stream was delivered, and where a second attempt is in progress.

--- a/features/gateway/statuses.feature
+++ b/features/gateway/statuses.feature
@@ -103,6 +103,33 @@
       | 199    | the whole answer  |
       | 600    | no part of either |
 
+  @always_2
+  Scenario Outline: The status line "<line>" for the rest of a stream
+    Given a gateway with 2 endpoints and a route that streams and resumes
+    When an answer with chunks ends by a reset in the middle of event 3
+    And the other endpoint sends the status line "<line>" for event 3
+    Then the caller's connection is broken off
+    And the caller has no second answer
+
+    Examples: status lines
+      | line            |
+      | HTTP/1.1 000 X  |
+      | HTTP/1.1 600 X  |
+      | HTTP/2.0 200 OK |
+
+  @always_2
+  Scenario Outline: The status line "<line>" of the <place> of two attempts
+    Then the status line "<line>" of the <place> of two attempts leaves the other one
+
+    Examples: status lines
+      | line            | place  |
+      | HTTP/1.1 000 X  | first  |
+      | HTTP/1.1 000 X  | second |
+      | HTTP/1.1 600 X  | first  |
+      | HTTP/1.1 600 X  | second |
+      | HTTP/2.0 200 OK | first  |
+      | HTTP/2.0 200 OK | second |
+
   @always_2
   Scenario Outline: A final status <status> with a body in <framing>
     Then an answer <status> with a body in <framing> reaches its caller <share>
--- a/features/steps/gateway_statuses.py
+++ b/features/steps/gateway_statuses.py
@@ -234,3 +234,33 @@
         assert b"content-length" not in names, (kind, got)
         assert b"transfer-encoding" not in names, (kind, got)
         assert transport.disconnecting, (kind, parts, "the connection stays open")
+
+
+@behave.when('the other endpoint sends the status line "{line}" for event 3')
+def step_rest(context, line):
+    protocol, transport = context.world.accept_call()
+    data = odd_answer(line.encode(), "signed", "chunks", gateway_endings.STREAM)
+    protocol.dataReceived(data)
+    assert transport.aborted, "the connection stays open"
+
+
+@behave.then(
+    'the status line "{line}" of the {place} of two attempts leaves the other one'
+)
+def step_two_attempts(context, line, place):
+    for kind, mark in itertools.product(cut_heads.REPEATED, MARKS):
+        world = gateway_steps.World(2, kind)
+        connections = [send(world, kind, "a call", "a length")]
+        world.run(cut_heads.SECOND_S)
+        connections.append(next_call(world))
+        if place == "second":
+            connections.reverse()
+        (odd, odd_transport), (other, _) = connections
+        whole, body = cut_heads.whole_answer(kind)
+        odd.dataReceived(odd_answer(line.encode(), mark, "a length", body))
+        assert odd_transport.aborted, (kind, mark, "the connection stays open")
+        assert not world.client_transport.value(), (kind, mark)
+        other.dataReceived(whole)
+        found = gateway_endings.parse_answer(world.client_transport.value())
+        assert found == (200, body, True), (kind, mark, found)
+        assert world.gateway.open_calls == 0, (kind, mark)
