Drop the parsed head of a request when it is complete

Cause: ClientConnection kept the parsed head of its last request until the next one began, some 230 KB with 3,170 header lines, and set its size in the memory account to zero. Nothing needs it once the request is queued; the request counts for itself.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -421,6 +421,8 @@
         arrived_s = self._gateway.arrival_s()
         request = calls.Request(self._head, bytes(self._body), arrived_s)
         self._body = b""
+        # The connection may stay idle for long.
+        self._head = None
         self._head_bytes = 0
         self._queue.append((request, keeps_open, version))
 
