Bound what connections of clients parse in one turn of the event loop

Cause: each connection parsed and started all that it had received at once, so that a turn of the event loop lasted some milliseconds times the number of such clients.

Change: gateway/turns.py. A turn parses at most 4,096 header lines and parts of bodies, what the largest legal head holds, and one slice more. The rest follows in later turns, requests of at most 64 lines before long ones, and at least one slice of a long one in each turn. With nobody else waiting, everything is parsed when it comes, as before. A head that still waits at its time-out gets 503 'not run', not 408, as the delay is of this process.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -5,7 +5,7 @@
 import httptools
 from twisted.internet import protocol
 
-from cicadaplank.gateway import calls, dialects, memory_account
+from cicadaplank.gateway import calls, dialects, memory_account, turns
 from cicadaplank.links import sockets
 
 # Pipelined requests behind the one in progress from which on a client is not read.
@@ -80,9 +80,13 @@
         self._body = b""
         self._body_bytes = 0
         self._head = None
-        # Received bytes behind a full queue of requests, and the parse that is due.
+        # Received bytes behind a full queue of requests, or that wait for a turn.
         self._unparsed = b""
-        self._parse_timer = None
+        # Header lines of the request being read, units of the last slice, and whether
+        # the body comes in chunks.
+        self._request_units = 0
+        self._slice_units = 0
+        self._is_chunked = False
         # Memory of the request in progress, and of what its client has not read.
         self._call_bytes = 0
         self._unread_bytes = 0
@@ -182,7 +186,16 @@
         self._timer = None
         if self._is_disconnected or self._is_busy or self._queue:
             return
-        if self._is_reading:
+        if self._unparsed and not self._is_reading:
+            # It came late in the idle time, and waits for its turn.
+            self._start_timer(self._gateway.limits.header_timeout_s)
+        elif self._unparsed:
+            # The delay is of this process, not of the client.
+            self._gateway.count("clients_cut", cause="turns")
+            self._drop_received()
+            self._error = (503, "not run: too many header lines; send it again later")
+            self._reject(*self._error)
+        elif self._is_reading:
             self._gateway.count("client_faults", kind="slow_request")
             self._reject(408, "the request took too long")
         elif sockets.has_unread(self.transport.getHandle()):
@@ -196,30 +209,56 @@
         """Parse received bytes, then start the next request or reject a bad one."""
         if self._is_closing or self._error is not None or not self._takes_requests:
             return
-        if self._unparsed or len(data) > HEAD_PARSE_BYTES:
-            self._unparsed += data
-            self._parse_rest()
-            return
-        self._parse(data)
-        self._start_next()
-        self._count_memory()
+        self._unparsed += data
+        self._listener.turns.received(self)
+        if self._unparsed:
+            self._pace_reading()
+            self._count_memory()
 
-    def _parse_rest(self):
-        """Parse what was received, in parts, until enough requests are queued."""
-        self._parse_timer = None
+    @property
+    def is_long(self):
+        """Whether what is to be parsed next has many header lines or small chunks."""
+        if self._is_reading and self._head is not None:
+            parts = self._unparsed.count(b"\n", 0, PARSE_BYTES)
+            return self._is_chunked and parts > turns.MAX_SHORT_LINES
+        end = self._unparsed.find(HEAD_END)
+        end = len(self._unparsed) if end < 0 else end
+        lines = self._unparsed.count(b"\n", 0, end)
+        return self._request_units + lines > turns.MAX_SHORT_LINES
+
+    def parse_received(self, limit_units, ends_when_long):
+        """Parse received bytes in slices, until enough requests are queued.
+
+        :param limit_units: units after which no further slice is parsed.
+        :param ends_when_long: whether to stop where what follows is long.
+        :returns: number of units that were parsed, as :mod:`~.turns` counts them.
+        """
+        ends_when_long = ends_when_long and not self.is_long
         rest, self._unparsed = self._unparsed, b""
-        start = 0
+        start = units = 0
         while start < len(rest) and len(self._queue) < MAX_PIPELINED:
             if self._error is not None or not self._takes_requests or self._is_closing:
                 start = len(rest)
                 break
-            is_in_body = self._is_reading and self._head is not None
-            end = start + (PARSE_BYTES if is_in_body else HEAD_PARSE_BYTES)
+            if start and units >= limit_units:
+                break
+            if self._is_reading and self._head is not None:
+                end = start + PARSE_BYTES
+                parts = rest.count(b"\n", start, end) if self._is_chunked else 0
+                if ends_when_long and parts > turns.MAX_SHORT_LINES:
+                    break
+            else:
+                end = start + HEAD_PARSE_BYTES
+                head_end = rest.find(HEAD_END, start, end)
+                end = end if head_end < 0 else head_end + len(HEAD_END)
+            self._slice_units = 0
             self._parse(rest[start:end])
+            units += self._slice_units
             start = end
         self._unparsed = rest[start:]
         self._start_next()
         self._count_memory()
+        return units
 
     def _parse(self, data):
         self._framing_bytes += len(data)
@@ -329,6 +368,7 @@
     def on_message_begin(self):
         """Reset the state for a new request (parser callback)."""
         self._is_reading = True
+        self._request_units = 0
         self._target = b""
         self._headers = []
         self._packed_headers = bytearray()
@@ -345,6 +385,8 @@
 
     def on_header(self, name, value):
         """Collect a header; drop trailers (parser callback)."""
+        self._request_units += 1
+        self._slice_units += 1
         if self._head is None:
             self._headers.append((name, value))
 
@@ -374,11 +416,15 @@
             name.lower() == b"expect" and value.lower() == b"100-continue"
             for name, value in headers
         )
+        self._is_chunked = any(
+            name.lower() == b"transfer-encoding" for name, _ in headers
+        )
         if expects and not self._is_busy:
             self.transport.write(CONTINUE)
 
     def on_body(self, data):
         """Append a part of the body, up to the configured limit (parser callback)."""
+        self._slice_units += 1
         self._body_bytes += len(data)
         self._framing_bytes -= len(data)
         if self._body_bytes > self._gateway.limits.max_body_bytes:
@@ -412,6 +458,8 @@
     def on_message_complete(self):
         """Queue a complete request (parser callback)."""
         self._is_reading = False
+        self._request_units = 0
+        self._slice_units += turns.REQUEST_UNITS
         self._framing_bytes = 0
         if self._error is not None or self._head is None:
             return
@@ -463,8 +511,8 @@
         elsewhere.
         """
         is_full = len(self._queue) >= MAX_PIPELINED
-        if self._unparsed and not is_full and self._parse_timer is None:
-            self._parse_timer = self._listener.reactor.callLater(0, self._parse_rest)
+        if self._unparsed and not is_full:
+            self._listener.turns.defer(self)
         is_in_stop = self._listener.is_stopping and self._is_busy
         is_held = is_full or bool(self._unparsed) or is_in_stop
         if is_held and not self._is_read_paused:
@@ -719,6 +767,7 @@
         self._lingering = set()
         self._unread = set()
         self._unread_timer = None
+        self.turns = turns.Turns(reactor.callLater)
         machine = machine or memory_account.MachineLimits()
         self.memory = memory_account.MemoryAccount(machine.clients_bytes)
         self.set_machine(machine)
@@ -739,6 +788,8 @@
         metrics.set_gauge("client_connections_limit", self._max_connections)
         metrics.set_gauge("client_memory_bytes", self.memory.total_bytes)
         metrics.set_gauge("client_memory_limit_bytes", self.memory.limit_bytes)
+        metrics.set_gauge("client_turns_deferred", self.turns.deferred)
+        metrics.set_gauge("client_turns_waiting", self.turns.waiting_count)
 
     def buildProtocol(self, addr):
         """Return the protocol of a new connection, None when there are too many."""
@@ -810,6 +861,7 @@
         self._connections.pop(connection, None)
         self._lingering.discard(connection)
         self._unread.discard(connection)
+        self.turns.remove(connection)
         self.memory.release(connection)
 
     def may_linger(self, connection):
--- a/features/gateway/turns.feature
+++ b/features/gateway/turns.feature
@@ -22,3 +22,8 @@
     Given a listener with 1 connections of a crowd and an ordinary one
     When the crowd sends heads of short lines again and again for 1 turns
     Then every request of the crowd is answered
+
+  Scenario: A head that waits for its turn beyond its time-out has not run
+    Given a listener with 100 connections of a crowd and an ordinary one
+    When a head in 2 pieces waits behind those of the crowd for 3 s
+    Then it is answered with 503 "not run"
--- a/features/steps/gateway_turns.py
+++ b/features/steps/gateway_turns.py
@@ -53,10 +53,15 @@
 
         return counted
 
+    @property
+    def answer(self):
+        """Bytes that were sent to the client."""
+        return self._transport.value()
+
     @property
     def answered(self):
         """Number of requests that were answered."""
-        return self._transport.value().count(ANSWER_START)
+        return self.answer.count(ANSWER_START)
 
     def turn(self, may_begin=True):
         """Send the next piece; begin a request when the last one was answered."""
@@ -150,3 +155,25 @@
 @behave.then("every request of the crowd is answered")
 def step_all_answered(context):
     assert all(client.answered == client.sent == 1 for client in context.crowd)
+
+
+@behave.when("a head in 2 pieces waits behind those of the crowd for {wait_s:d} s")
+def step_head_waits(context, wait_s):
+    data = crowds.MANY_LINES
+    context.late = Client(context.listener, context.parsed, [data[:100], data[100:]])
+    context.late.turn()
+    context.crowd = [
+        Client(context.listener, context.parsed, [data]) for _ in range(context.count)
+    ]
+    for client in context.crowd:
+        client.turn()
+    context.late.turn()
+    context.clock.rightNow += wait_s
+    context.clock.turn()
+
+
+@behave.then('it is answered with 503 "not run"')
+def step_not_run(context):
+    answer = context.late.answer
+    assert answer.startswith(b"HTTP/1.1 503 "), answer
+    assert b"not run" in answer and context.late.answered == 1, answer
