Reject messages of very many parts before they are built

Callers saw entries that ran out of memory. A frame of 2 MiB may consist of two million empty maps, which take 72 bytes each in the interpreter: 20 connections that sent one raised an entry to 245 MB and an agent to 230 MB.

The decoder now counts the elements of arrays and maps while it builds them and rejects a frame above 65,536.

--- a/cicadaplank/messages/codec.py
+++ b/cicadaplank/messages/codec.py
@@ -10,6 +10,9 @@
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 2 * 1024 * 1024
+# Limit on the elements of all arrays and maps of a frame: one byte of a frame may be an
+# empty map, which takes 72 bytes in the interpreter.
+MAX_PARTS = 65_536
 ENVELOPE_FIELDS = 5
 
 
@@ -102,8 +105,25 @@
 def _unpack(frame):
     if len(frame) > MAX_FRAME_BYTES:
         raise FrameError(FrameFault.TOO_LONG, f"{len(frame)} bytes")
+    parts = 0
+
+    def count(container):
+        nonlocal parts
+        parts += 1 + len(container)
+        if parts > MAX_PARTS:
+            raise FrameError(FrameFault.MALFORMED, f"more than {MAX_PARTS} parts")
+        return container
+
     try:
-        return msgpack.unpackb(frame)
+        return msgpack.unpackb(
+            frame,
+            list_hook=count,
+            object_hook=count,
+            max_array_len=MAX_PARTS,
+            max_map_len=MAX_PARTS,
+        )
+    except FrameError:
+        raise
     except msgpack.exceptions.ExtraData as error:
         raise FrameError(FrameFault.MALFORMED, "extra bytes after envelope") from error
     except ValueError as error:
