Eject no endpoint for a dial that timed out in a stalled event loop

Cause: the reactor runs timers before it looks at sockets, so that after a standstill the time-out comes first, whatever the endpoint did.

Change: a time-out that comes 0.05 s too late or more is counted (dial_held_up) and ejects nothing. The call is sent elsewhere as before.

--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -18,6 +18,9 @@
 # other traffic. An endpoint that does not accept a connection within this time is
 # unreachable or overloaded.
 CONNECT_TIMEOUT_S = 0.2
+# Delay of that time-out from which on the event loop has stood still: the endpoint may
+# have accepted the connection meanwhile.
+LATE_TIMEOUT_S = 0.05
 # Assumed idle timeout of an endpoint that does not announce one.
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 # Share of the endpoint's idle timeout within which a connection is reused. The rest
@@ -402,6 +405,7 @@
         self._opened = opened
         self._failed = failed
         self._connection = None
+        self._dialled_s = pool.now_s()
 
     def buildProtocol(self, addr):
         connection = self._connection = EndpointConnection(self._pool)
@@ -416,7 +420,9 @@
         return connection
 
     def clientConnectionFailed(self, connector, reason):
-        self._pool.dial_failed(reason.check(error.ConnectionRefusedError) is not None)
+        was_refused = reason.check(error.ConnectionRefusedError) is not None
+        is_timeout = reason.check(error.TimeoutError) is not None
+        self._pool.dial_failed(was_refused, is_timeout, self._dialled_s)
         self._failed(reason.getErrorMessage())
 
 
@@ -462,6 +468,8 @@
         self._closed = False
         # Whether the last connection attempt was refused: no process listens there.
         self.was_refused = False
+        # Whether the last one timed out while the event loop stood still.
+        self.was_held_up = False
 
     def now_s(self):
         """Return the monotonic time in seconds."""
@@ -534,16 +542,21 @@
 
     def opened(self, connection):
         """Record that a connection attempt succeeded."""
-        self.was_refused = False
+        self.was_refused = self.was_held_up = False
         self._connecting_count -= 1
         self._open.add(connection)
 
-    def dial_failed(self, was_refused):
+    def dial_failed(self, was_refused, is_timeout, dialled_s):
         """Record that a connection attempt failed.
 
         :param was_refused: whether the host is up but nothing listens at the port.
+        :param is_timeout: whether it reached its time-out.
+        :param dialled_s: time at which it began, in seconds.
         """
         self.was_refused = was_refused
+        due_s = dialled_s + self._connect_timeout_s
+        self.was_held_up = is_timeout and self.now_s() > due_s + LATE_TIMEOUT_S
+        self.counts["dial_held_up"] += self.was_held_up
         self._connecting_count -= 1
         self.counts["dial_failed"] += 1
 
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -1368,7 +1368,12 @@
             )
 
     def _eject_unreachable(self, state, reason):
-        """Eject an endpoint, and probe it when the ejection ends."""
+        """Eject an endpoint, and probe it when the ejection ends.
+
+        A dial that timed out as this process stood still tells nothing of the endpoint.
+        """
+        if self.pool(state).was_held_up:
+            return
         for_s = state.record_connect_failure(self.now_s())
         self._report_ejection(state, for_s, reason)
         if for_s:
--- a/features/gateway/turns.feature
+++ b/features/gateway/turns.feature
@@ -27,3 +27,14 @@
     Given a listener with 100 connections of a crowd and an ordinary one
     When a head in 2 pieces waits behind those of the crowd for 3 s
     Then it is answered with 503 "not run"
+
+  # Sound endpoints were ejected for dials that timed out in a stalled event loop.
+  Scenario Outline: A dial that fails <delay> s after it began, in one turn, and <state>
+    Given a gateway with 2 endpoints and a route that may repeat
+    When a call's dial times out <delay> s after it began, in one turn of the loop
+    Then the endpoint of that dial <state>
+
+    Examples:
+      | delay | state          |
+      | 0.2   | is ejected     |
+      | 0.9   | is not ejected |
--- a/features/steps/gateway_turns.py
+++ b/features/steps/gateway_turns.py
@@ -177,3 +177,23 @@
     answer = context.late.answer
     assert answer.startswith(b"HTTP/1.1 503 "), answer
     assert b"not run" in answer and context.late.answered == 1, answer
+
+
+@behave.when(
+    "a call's dial times out {delay_s:f} s after it began, in one turn of the loop"
+)
+def step_dial_times_out(context, delay_s):
+    world = context.world
+    world.client.dataReceived(world.request(body=b"call"))
+    context.host = world.reactor.tcpClients[world.dialled][0]
+    world.reactor.advance(delay_s)
+    world.refuse_dial()
+
+
+@behave.then("the endpoint of that dial {state}")
+def step_ejected_or_not(context, state):
+    world = context.world
+    endpoint = next(e for e in world.listed.values() if e.host == context.host)
+    found = world.gateway.endpoints.get(endpoint.name)
+    is_ejected = found.is_ejected(world.reactor.seconds())
+    assert is_ejected == (state == "is ejected"), is_ejected
