Bound what the connections of a peer port hold together

Callers saw entries that ran out of memory. A peer port took 1,024 connections whatever the machine had, 32 MiB of incomplete messages, and 16 MiB of unread messages on each connection without a bound on their sum. Whoever says hello is a peer, so that strangers could use up all of it.

The limits come from memory_mb and max_fds now, which agents read too. Unread messages are counted with what the transport holds. Connections without a hello give way first, then those under names that are neither in the list of instances nor among the endpoints' hosts; connections that this process dialled, and real peers, stay. A connection does not give way within 0.5 s of its last use, as its hello may be on its way. A second hello is a fault.

--- a/cicadaplank/gateway/peers.py
+++ b/cicadaplank/gateway/peers.py
@@ -132,6 +132,13 @@
             if instance.name != self._me.name:
                 self._instances[instance.name] = instance
 
+    def is_listed(self, name):
+        """Tell whether an instance is registered or configured as a seed.
+
+        :param name: instance name.
+        """
+        return name in self._instances
+
     def add_seed(self, host, port, role):
         """Add an instance that is known only by its address, which also names it.
 
--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -28,7 +28,7 @@
     sync,
     unreadable,
 )
-from cicadaplank.links import streams
+from cicadaplank.links import peer_limits, streams
 from cicadaplank.members import draining
 from cicadaplank.messages import types
 from cicadaplank.reports import events, metrics
@@ -202,6 +202,19 @@
     )
 
 
+def _peer_limits(machine):
+    """Return the limits of the peer port.
+
+    :param machine: :class:`cicadaplank.gateway.memory_account.MachineLimits`.
+    """
+    return peer_limits.of_machine(
+        machine.memory_mb,
+        memory_account.RESERVED_MB,
+        machine.max_fds - memory_account.RESERVED_FDS,
+        peer_limits.ENTRY_FDS_SHARE,
+    )
+
+
 class EntryProcess:
     """Connects the gateway to clients, peers and the store.
 
@@ -239,6 +252,8 @@
         self._front = None
         # Servers of the pages by the name of their port.
         self._pages = {}
+        # Hosts of the endpoints, which name their agents.
+        self._endpoint_hosts = frozenset()
         self._agents_notified_s = float("-inf")
         self._checks_missing = False
         self._registry_reads = registry_reads.RegistryReads()
@@ -307,6 +322,7 @@
             self.gateway.loads,
             self.gateway.weights_requirement.ages_s,
         )
+        self.hub.is_known = self._is_known_peer
         self._stale_guard = staleness.StaleGuard(settings.in_force_s, reactor.seconds())
         self._apply_settings(settings)
         self.gateway.is_current = self.is_current
@@ -389,6 +405,7 @@
             follower.times = times
         self._stale_guard.in_force_s = settings.in_force_s
         self.listener.set_machine(settings.machine)
+        self.hub.set_limits(_peer_limits(settings.machine))
         self.gateway.buffers.limit_bytes = settings.machine.answers_bytes
         for host in settings.seeds:
             self.peers.add_seed(host, settings.peer.port, "entry")
@@ -674,6 +691,7 @@
         listed, _ = self._decoder.endpoints(
             self.listed.copy, self.gateway.route_index.configuration
         )
+        self._endpoint_hosts = frozenset(endpoint.host for endpoint in listed.values())
         now_s = self.reactor.seconds()
         was_restored = self.listed.availability.was_restored(now_s)
         may_have_expired = (
@@ -724,6 +742,10 @@
 
     # Peers.
 
+    def _is_known_peer(self, name):
+        """Tell whether a name is that of an entry instance or of an endpoint's host."""
+        return self.peers.is_listed(name) or name in self._endpoint_hosts
+
     def message_received(self, connection, envelope):
         """Process a message of a peer or an agent.
 
--- a/cicadaplank/gateway/status.py
+++ b/cicadaplank/gateway/status.py
@@ -172,18 +172,23 @@
         self._memory = memory_account.MemoryAccount(MAX_HELD_BYTES)
 
     def buildProtocol(self, addr):
-        """Return the protocol of a new connection; others may give way to it."""
-        for connection in self._order.take_excess():
+        """Return the protocol of a new connection, None when no other gives way."""
+        for connection in self._order.take_excess(self.reactor.seconds()):
             connection.cut("connections")
+        if self._order.is_full:
+            self.counters["refused"] += 1
+            return None
         return PageConnection(self)
 
     def connected(self, connection):
         """Add a connection that was established."""
-        self._order.used(connection, connection_order.Standing.SILENT)
+        standing = connection_order.Standing.SILENT
+        self._order.used(connection, standing, self.reactor.seconds())
 
     def requested(self, connection):
         """Record that a page was requested on a connection."""
-        self._order.used(connection, connection_order.Standing.STRANGER)
+        standing = connection_order.Standing.STRANGER
+        self._order.used(connection, standing, self.reactor.seconds())
 
     def disconnected(self, connection):
         """Remove a connection that was closed."""
--- a/cicadaplank/links/streams.py
+++ b/cicadaplank/links/streams.py
@@ -14,12 +14,18 @@
 from twisted.internet import defer, endpoints, error, protocol
 from twisted.protocols import basic
 
-from cicadaplank.links import pacing
+from cicadaplank.links import (
+    connection_order,
+    held_bytes,
+    pacing,
+    peer_limits,
+    sockets,
+)
 from cicadaplank.messages import codec, types
-from cicadaplank.world import buffers
 
 MAX_QUEUED_BYTES = 16 * 1024 * 1024
-MAX_CONNECTIONS = 1024
+# Connections of one peer; both sides may dial at the same time.
+MAX_PER_PEER = 4
 CONNECT_TIMEOUT_S = 1.0
 # Time from the start of a dial, or from an accepted connection, to the peer's hello.
 HELLO_TIMEOUT_S = 2 * CONNECT_TIMEOUT_S
@@ -28,8 +34,6 @@
 MAX_HELLO_BYTES = 4 * 1024
 # Time in which a frame has to arrive. The largest takes 14 s on a link of 1.2 Mbit/s.
 FRAME_TIMEOUT_S = 30.0
-# Limit on the incomplete frames of all connections together.
-MAX_INCOMPLETE_BYTES = 32 * 1024 * 1024
 # Length of the end of a traceback that is logged.
 MAX_DETAIL_CHARS = 480
 _CONNECTION_NUMBERS = itertools.count(1)
@@ -63,6 +67,7 @@
     Frames that the transport or the pacer cannot take now wait in a bounded queue.
 
     :param hub: the :class:`PeerHub` that owns the connection.
+    :param is_dialled: whether this process opened it.
     :ivar name: unique in this process; a reconnection of the peer gets a new name.
     :ivar peer: instance name of the peer, empty before its hello.
     :ivar hello: the peer's :class:`cicadaplank.messages.types.Hello`, None before.
@@ -70,8 +75,9 @@
 
     MAX_LENGTH = codec.MAX_FRAME_BYTES
 
-    def __init__(self, hub):
+    def __init__(self, hub, is_dialled=False):
         self.hub = hub
+        self._is_dialled = is_dialled
         self.name = f"connection-{next(_CONNECTION_NUMBERS)}"
         self.peer = ""
         self.hello = None
@@ -99,7 +105,7 @@
         self.send(self.hub.identity.hello)
 
     def _abort_without_hello(self):
-        """Abort a connection without a hello; it counts towards ``MAX_CONNECTIONS``."""
+        """Abort a connection without a hello; it counts towards the limit."""
         self.hub.counters["hello_timeouts"] += 1
         self.transport.abortConnection()
 
@@ -107,6 +113,22 @@
         if self._hello_timer.active():
             self._hello_timer.cancel()
 
+    @property
+    def standing(self):
+        """What is known of the peer: a :class:`connection_order.Standing`."""
+        if self._is_dialled:
+            return connection_order.Standing.KNOWN
+        if self.hello is None:
+            return connection_order.Standing.SILENT
+        if self.hub.is_known(self.peer):
+            return connection_order.Standing.KNOWN
+        return connection_order.Standing.STRANGER
+
+    @property
+    def unread_bytes(self):
+        """Number of bytes that wait to be read by the peer."""
+        return self._queued_bytes + sockets.unsent_bytes(self.transport)
+
     @property
     def frame_receive_s(self):
         """Seconds from the first bytes to the last of the frame that is delivered."""
@@ -144,6 +166,7 @@
             return False
         self._queue.append((frame, done))
         self._queued_bytes += len(frame)
+        self.hub.unread.set_held(self, self.unread_bytes)
         return True
 
     def _schedule(self, done):
@@ -158,6 +181,7 @@
         if pacer is None or len(frame) <= pacing.MAX_UNPACED_BYTES:
             self.sendString(frame)
             self._schedule_done_callbacks()
+            self.hub.unread.set_held(self, self.unread_bytes)
             return
         self._is_pacing = True
         prefixed_frame = struct.pack(self.structFormat, len(frame)) + frame
@@ -203,6 +227,7 @@
             self._schedule(done)
         self._done_callbacks.clear()
         self._queue.clear()
+        self._queued_bytes = 0
 
     def dataReceived(self, data):
         """Deliver the frames that the data completes."""
@@ -249,12 +274,20 @@
         self._start_frame_timer()
 
     def drop_buffer(self, reason):
-        """Abort the connection, as the incomplete frames take too much memory."""
+        """Abort the connection, as all together hold too much memory."""
+        event = "incomplete_frames_dropped" if self._received else "unread_dropped"
         self._received.clear()
-        self.hub.counters["incomplete_frames_dropped"] += 1
+        # The transport reports the end of the connection later.
+        self.stopProducing()
+        self.hub.counters[event] += 1
         self.hub.log("frame_rejected", peer=self.peer or "?", reason=reason)
         self.transport.abortConnection()
 
+    def give_way(self):
+        """Abort the connection, as there are too many."""
+        self.hub.counters["connections_cut"] += 1
+        self.transport.abortConnection()
+
     def stringReceived(self, string):
         """Decode one frame and deliver it."""
         self.hub.counters["bytes_received"] += len(string)
@@ -267,7 +300,12 @@
                 self._reject(fault)
             return
         if self.hello is not None:
+            if isinstance(envelope.message, types.Hello):
+                fault = codec.FrameFault.MALFORMED
+                self._reject(codec.FrameError(fault, "a second Hello"))
+                return
             self.hub.count_received(self.hello, envelope.message, len(string))
+            self.hub.used(self)
             self.hub.deliver(self, envelope)
         elif isinstance(envelope.message, types.Hello):
             self._stop_hello_timer()
@@ -299,6 +337,7 @@
             self._frame_timer = None
         self._received.clear()
         self.hub.incomplete.release(self)
+        self.hub.unread.release(self)
         self.transport.unregisterProducer()
         self.hub.unregister(self)
 
@@ -329,13 +368,21 @@
     :param log: callable ``log(event, **fields)``.
     :param pacer: :class:`pacing.PacedWriter` for large frames, or None to write them
         at once.
+    :ivar is_known: callable that tells whether a name is that of a real peer. Others
+        give way to them.
     """
 
     def __init__(self, reactor, identity, listener, table_version, log, pacer=None):
         self.pacer = pacer
         self.identity = identity
         self.counters = collections.Counter()
-        self.incomplete = buffers.BufferBudget(MAX_INCOMPLETE_BYTES)
+        limits = peer_limits.PeerLimits()
+        self.incomplete = held_bytes.HeldBytes(limits.incomplete_bytes)
+        self.unread = held_bytes.HeldBytes(
+            limits.unread_bytes, lambda connection: connection.unread_bytes
+        )
+        self._order = connection_order.ConnectionOrder(limits.max_connections)
+        self.is_known = lambda name: True
         # Bytes of received messages by type and whether they came from another region.
         self.received_bytes = collections.Counter()
         self.log = log
@@ -351,6 +398,15 @@
         self._refused = set()
         self._port = None
 
+    def set_limits(self, limits):
+        """Apply other limits from now on.
+
+        :param limits: :class:`peer_limits.PeerLimits`.
+        """
+        self.incomplete.limit_bytes = limits.incomplete_bytes
+        self.unread.limit_bytes = limits.unread_bytes
+        self._order.limit = limits.max_connections
+
     @property
     def peers(self):
         """Sorted instance names of the connected peers."""
@@ -392,14 +448,22 @@
         self._port = port
         return port.getHost().port
 
-    def _build_connection(self):
-        connection = PeerConnection(self)
-        if len(self._open_connections) >= MAX_CONNECTIONS:
+    def _build_connection(self, is_dialled=False):
+        connection = PeerConnection(self, is_dialled)
+        for other in self._order.take_excess(self.seconds()):
+            other.give_way()
+        if self._order.is_full:
             self.counters["connections_refused"] += 1
             return None
         self._open_connections.add(connection)
+        self.used(connection)
         return connection
 
+    def used(self, connection):
+        """Record that a connection was opened, or that a message came on it."""
+        if connection in self._open_connections:
+            self._order.used(connection, connection.standing, self.seconds())
+
     def connection(self, name):
         """Return the newest open connection to a peer.
 
@@ -464,7 +528,7 @@
         endpoint = endpoints.TCP4ClientEndpoint(
             self._reactor, instance.host, instance.port, timeout=CONNECT_TIMEOUT_S
         )
-        factory = _ConnectionFactory(self._build_connection)
+        factory = _ConnectionFactory(lambda: self._build_connection(is_dialled=True))
         # Without this limit, a peer that accepts the connection but never sends its
         # hello would leave the callers waiting.
         self._dial_timers[instance.name] = self._reactor.callLater(
@@ -496,7 +560,11 @@
         :param connection: :class:`PeerConnection`.
         :param envelope: envelope that carries the ``Hello``.
         """
-        self._connections.setdefault(connection.peer, []).append(connection)
+        connections = self._connections.setdefault(connection.peer, [])
+        connections.append(connection)
+        self.used(connection)
+        if len(connections) > MAX_PER_PEER:
+            connections[0].give_way()
         self._refused.discard(connection.peer)
         self._settle_dial(connection.peer, connection)
         self.deliver(connection, envelope)
@@ -507,6 +575,7 @@
         The listener is told only when the peer had sent its hello.
         """
         self._open_connections.discard(connection)
+        self._order.remove(connection)
         connections = self._connections.get(connection.peer, [])
         if connection in connections:
             connections.remove(connection)
@@ -536,6 +605,11 @@
             )
         for event, count in self.counters.items():
             metrics.set_gauge("peer_connections", count, event=event)
+        metrics.set_gauge("peer_connections_open", self.open_count)
+        metrics.set_gauge("peer_connections_limit", self._order.limit)
+        for kind, held in ("incomplete", self.incomplete), ("unread", self.unread):
+            metrics.set_gauge("peer_memory_bytes", held.total_bytes, kind=kind)
+            metrics.set_gauge("peer_memory_limit_bytes", held.limit_bytes, kind=kind)
 
     def deliver(self, connection, envelope):
         """Pass a message to the listener; an error costs the message only."""
--- a/cicadaplank/platform/settings.py
+++ b/cicadaplank/platform/settings.py
@@ -187,6 +187,7 @@
         service=reader.text("engine.service"),
         link_bytes_per_s=megabits * 125_000,
         weights_s=_to_seconds(reader.number("bounds.version_ms")),
+        machine=_machine_limits(reader),
     )
     reader.address("engine.address")
     reader.check()
--- a/cicadaplank/replicas/entry_links.py
+++ b/cicadaplank/replicas/entry_links.py
@@ -47,6 +47,10 @@
             for name in times.keys() - names:
                 del times[name]
 
+    def is_listed(self, name):
+        """Tell whether a name is that of an entry instance."""
+        return any(instance.name == name for instance in self._ranked)
+
     def heard(self, name, now_s):
         """Record a message of an entry instance."""
         self._heard_s[name] = now_s
--- a/cicadaplank/replicas/process.py
+++ b/cicadaplank/replicas/process.py
@@ -17,6 +17,7 @@
 from cicadaplank.external import errors
 from cicadaplank.gateway import (
     guarded_calls,
+    memory_account,
     named_versions,
     notices,
     positions,
@@ -26,7 +27,7 @@
     sync,
     unreadable,
 )
-from cicadaplank.links import pacing, streams
+from cicadaplank.links import pacing, peer_limits, streams
 from cicadaplank.messages import types
 from cicadaplank.replicas import entry_links, loading, manifest_search, staging
 from cicadaplank.reports import events, metrics
@@ -92,6 +93,7 @@
     :param link_bytes_per_s: bandwidth of this machine's link.
     :param weights_s: time from the naming of a version until older ones must no longer
         be served, in seconds.
+    :param machine: :class:`cicadaplank.gateway.memory_account.MachineLimits`.
     """
 
     name: str
@@ -104,6 +106,7 @@
     service: str
     link_bytes_per_s: float
     weights_s: float
+    machine: memory_account.MachineLimits = memory_account.MachineLimits()
 
 
 class Origin(typing.Protocol):
@@ -128,6 +131,19 @@
         """
 
 
+def _peer_limits(machine):
+    """Return the limits of the peer port.
+
+    :param machine: :class:`cicadaplank.gateway.memory_account.MachineLimits`.
+    """
+    return peer_limits.of_machine(
+        machine.memory_mb,
+        memory_account.RESERVED_MB,
+        machine.max_fds - memory_account.RESERVED_FDS,
+        peer_limits.AGENT_FDS_SHARE,
+    )
+
+
 class AgentProcess:
     """Connects transfers, the loading of weights, the engine and the store.
 
@@ -243,6 +259,8 @@
             self._log,
             pacing.PacedWriter(reactor, rate),
         )
+        self.hub.is_known = self._is_known_peer
+        self.hub.set_limits(_peer_limits(settings.machine))
         self._handlers = {
             effects.Send: self._send,
             effects.FetchManifest: self._provide_manifest,
@@ -252,6 +270,10 @@
             effects.PeerExcluded: self._peer_excluded,
         }
 
+    def _is_known_peer(self, name):
+        """Tell whether a name is that of an agent's host or of an entry instance."""
+        return name in self._data_centres or self._entry_links.is_listed(name)
+
     @property
     def now_s(self):
         """Monotonic time in seconds."""
@@ -278,6 +300,7 @@
     def _settings_changed(self, settings):
         self.settings = settings
         self._apply_rate()
+        self.hub.set_limits(_peer_limits(settings.machine))
         self.loading.allowed_s = settings.weights_s
 
     def _transfer_rate(self):
