Walk the header lines of a request fewer times

Change: the names are lowered once in read_request and once in the connection, sizes are summed without a generator, and Connection options are read only where there are any.

--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -82,9 +82,7 @@
         self._head = None
         # Received bytes behind a full queue of requests, or that wait for a turn.
         self._unparsed = b""
-        # Header lines of the request being read, units of the last slice, and whether
-        # the body comes in chunks.
-        self._request_units = 0
+        # Units of the last slice, and whether the body comes in chunks.
         self._slice_units = 0
         self._is_chunked = False
         # Memory of the request in progress, and of what its client has not read.
@@ -224,7 +222,8 @@
         end = self._unparsed.find(HEAD_END)
         end = len(self._unparsed) if end < 0 else end
         lines = self._unparsed.count(b"\n", 0, end)
-        return self._request_units + lines > turns.MAX_SHORT_LINES
+        lines += len(self._headers)
+        return bool(self._packed_headers) or lines > turns.MAX_SHORT_LINES
 
     def parse_received(self, limit_units, ends_when_long):
         """Parse received bytes in slices, until enough requests are queued.
@@ -368,7 +367,6 @@
     def on_message_begin(self):
         """Reset the state for a new request (parser callback)."""
         self._is_reading = True
-        self._request_units = 0
         self._target = b""
         self._headers = []
         self._packed_headers = bytearray()
@@ -385,7 +383,6 @@
 
     def on_header(self, name, value):
         """Collect a header; drop trailers (parser callback)."""
-        self._request_units += 1
         self._slice_units += 1
         if self._head is None:
             self._headers.append((name, value))
@@ -400,7 +397,8 @@
             return
         headers = self._take_headers()
         # A header has at least a colon and the end of its line besides.
-        size = len(self._target) + sum(len(n) + len(v) + 3 for n, v in headers)
+        size = len(self._target) + 3 * len(headers)
+        size += memory_account.text_bytes(headers)
         if size > self._gateway.limits.max_header_bytes:
             self._error = (431, "the headers are too long")
             return
@@ -412,13 +410,12 @@
         except dialects.BadRequestError as error:
             self._error = (error.status, str(error))
             return
-        expects = any(
+        names = [name.lower() for name, _ in headers]
+        self._is_chunked = b"transfer-encoding" in names
+        expects = b"expect" in names and any(
             name.lower() == b"expect" and value.lower() == b"100-continue"
             for name, value in headers
         )
-        self._is_chunked = any(
-            name.lower() == b"transfer-encoding" for name, _ in headers
-        )
         if expects and not self._is_busy:
             self.transport.write(CONTINUE)
 
@@ -458,7 +455,6 @@
     def on_message_complete(self):
         """Queue a complete request (parser callback)."""
         self._is_reading = False
-        self._request_units = 0
         self._slice_units += turns.REQUEST_UNITS
         self._framing_bytes = 0
         if self._error is not None or self._head is None:
--- a/cicadaplank/gateway/memory_account.py
+++ b/cicadaplank/gateway/memory_account.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import enum
+import itertools
 
 MB = 1024 * 1024
 # Memory of a machine whose settings do not say.
@@ -107,7 +108,15 @@
 
     :param headers: list of ``(name, value)``.
     """
-    return sum(HEADER_BYTES + len(name) + len(value) for name, value in headers)
+    return HEADER_BYTES * len(headers) + text_bytes(headers)
+
+
+def text_bytes(headers):
+    """Return the number of bytes of names and values together.
+
+    :param headers: list of ``(name, value)``.
+    """
+    return sum(map(len, itertools.chain.from_iterable(headers)))
 
 
 class MemoryAccount:
--- a/cicadaplank/platform/headers.py
+++ b/cicadaplank/platform/headers.py
@@ -4,6 +4,8 @@
 
 from cicadaplank.gateway import dialects, service_times
 
+HOST = b"host"
+CONNECTION = b"connection"
 ATTEMPT = b"x-attempt-id"
 DEADLINE = b"x-deadline-ms"
 EXPECTED_INSTANCE = b"x-expect-instance"
@@ -74,7 +76,7 @@
 def _connection_options(fields):
     named = set()
     for name, value in fields:
-        if name == b"connection":
+        if name == CONNECTION:
             named.update(part.strip().lower() for part in value.split(b","))
     return named
 
@@ -101,19 +103,23 @@
         :raises BadRequestError: unless there is exactly one Host header and the target
             is a path.
         """
-        lowered = [(name.lower(), value) for name, value in headers]
-        first = {}
-        for name, value in lowered:
-            first.setdefault(name, value)
-        hosts = [value for name, value in lowered if name == b"host"]
-        if len(hosts) != 1:
+        names = [name.lower() for name, _ in headers]
+        # Of equal names the first counts.
+        first = {
+            name: header[1]
+            for name, header in zip(reversed(names), reversed(headers), strict=True)
+        }
+        if names.count(HOST) != 1:
             raise dialects.BadRequestError(400, "one Host header is needed")
         if not target.startswith(b"/"):
             raise dialects.BadRequestError(400, "the target must be a path")
-        dropped = _connection_options(lowered) | HOP_BY_HOP_HEADERS | RESERVED_HEADERS
+        dropped = HOP_BY_HOP_HEADERS | RESERVED_HEADERS
+        if CONNECTION in first:
+            fields = zip(names, (value for _, value in headers), strict=True)
+            dropped |= _connection_options(fields)
         passed = [
             header
-            for header, (name, _) in zip(headers, lowered, strict=True)
+            for header, name in zip(headers, names, strict=True)
             if name not in dropped
         ]
         wait_ms = _parse_number(first.get(DEADLINE))
@@ -121,7 +127,7 @@
             method=method,
             target=target,
             path=_decode_path(target),
-            host=_host_name(hosts[0]),
+            host=_host_name(first[HOST]),
             attempt=first.get(ATTEMPT, b""),
             key=_bearer_key(first.get(AUTHORIZATION, b"")),
             wait_s=None if wait_ms is None else wait_ms / 1000.0,
