Count the dials that timed out as the process stood still

The counts of a connection pool are on no page, so that dial_held_up was not to be seen. dials_held_up_total by service takes its place; the scenario of the stalled dial checks it.

--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -556,7 +556,6 @@
         self.was_refused = was_refused
         due_s = dialled_s + self._connect_timeout_s
         self.was_held_up = is_timeout and self.now_s() > due_s + LATE_TIMEOUT_S
-        self.counts["dial_held_up"] += self.was_held_up
         self._connecting_count -= 1
         self.counts["dial_failed"] += 1
 
--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -1373,6 +1373,7 @@
         A dial that timed out as this process stood still tells nothing of the endpoint.
         """
         if self.pool(state).was_held_up:
+            self._reporter.count("dials_held_up", service=state.endpoint.service)
             return
         for_s = state.record_connect_failure(self.now_s())
         self._report_ejection(state, for_s, reason)
--- a/features/steps/gateway_turns.py
+++ b/features/steps/gateway_turns.py
@@ -197,3 +197,5 @@
     found = world.gateway.endpoints.get(endpoint.name)
     is_ejected = found.is_ejected(world.reactor.seconds())
     assert is_ejected == (state == "is ejected"), is_ejected
+    counted = [name for name, _ in world.reporter.events if name == "dials_held_up"]
+    assert len(counted) == (state == "is not ejected"), counted
