Keep nothing of a call with the connection that it opened

Cause: the factory of a connection to an endpoint keeps its callbacks, a method of the attempt that dialled, and lives as long as the connection. So each connection that was kept open held the first call on it, its client and its answer of up to 8 MB, which no account knew.

Change: the callbacks are forgotten when one of them is called.

Proof: 'An idle connection to an endpoint keeps the answer of an earlier call' failed with the call and the attempt alive after a collection, and passes.

--- a/cicadaplank/gateway/connections.py
+++ b/cicadaplank/gateway/connections.py
@@ -443,7 +443,8 @@
         def connected():
             connection_made()
             self._pool.opened(connection)
-            self._opened(connection)
+            opened, _ = self._take_callbacks()
+            opened(connection)
 
         connection.connectionMade = connected
         return connection
@@ -452,7 +453,17 @@
         was_refused = reason.check(error.ConnectionRefusedError) is not None
         is_timeout = reason.check(error.TimeoutError) is not None
         self._pool.dial_failed(was_refused, is_timeout, self._dialled_s)
-        self._failed(reason.getErrorMessage())
+        _, failed = self._take_callbacks()
+        failed(reason.getErrorMessage())
+
+    def _take_callbacks(self):
+        """Return the callbacks, and forget them.
+
+        The factory lives as long as its connection, and with it the call that dialled.
+        """
+        callbacks = self._opened, self._failed
+        self._opened = self._failed = None
+        return callbacks
 
 
 class ConnectionPool:
--- a/features/gateway/crowd.feature
+++ b/features/gateway/crowd.feature
@@ -45,3 +45,9 @@
     Given an entry process that has no connection to a peer
     When a report of that peer arrives
     Then it counts the calls of the report
+
+  # Connections kept the call that had opened them, with its answer of up to 8 MB.
+  Scenario: An idle connection to an endpoint keeps the answer of an earlier call
+    Given a gateway with 1 endpoints and a route that may repeat
+    When a call is answered on a new connection that stays open
+    Then nothing of the call is kept
