Keep the body of an answer in the parts in which it came

Cause: each body grew as one buffer.

Change: a body is a list of parts of at least 4 KB, which are written and let go one after the other. A client that reads slowly holds only what it has not read.

--- a/cicadaplank/gateway/attempts.py
+++ b/cicadaplank/gateway/attempts.py
@@ -3,7 +3,14 @@
 import dataclasses
 
 from cicadaplank.external import event_streams
-from cicadaplank.gateway import call_errors, framing, outcomes, placement, routes
+from cicadaplank.gateway import (
+    answer_bodies,
+    call_errors,
+    framing,
+    outcomes,
+    placement,
+    routes,
+)
 
 # An endpoint that crashes under a part of a prompt does so as it begins to answer. A
 # stream that has gone on for this time shows that its prompt is sound.
@@ -59,7 +66,7 @@
         self.sent_s = None
         self.last_activity_s = now_s
         self.reply = None
-        self.body = bytearray()
+        self.body = answer_bodies.AnswerBody()
         self.idle_bytes = 0
         self.splitter = None
         self.is_resumed = False
@@ -219,7 +226,7 @@
         """
         if self.splitter is None:
             self.last_activity_s = self._gateway.now_s()
-            self.body += data
+            self.body.append(data)
             if len(self.body) > MAX_ANSWER_BYTES:
                 reason = f"the answer is longer than {MAX_ANSWER_BYTES} bytes"
                 self.break_off(reason)
@@ -281,7 +288,7 @@
         :param reason: text for the log and the client.
         """
         self.cancel()
-        self.body = bytearray()
+        self.body = answer_bodies.AnswerBody()
         self._call.attempt_ended(
             self, outcomes.Ending.BROKEN, reason, counts_as_failure=False
         )
--- a/cicadaplank/gateway/clients.py
+++ b/cicadaplank/gateway/clients.py
@@ -5,7 +5,13 @@
 import httptools
 from twisted.internet import protocol
 
-from cicadaplank.gateway import calls, dialects, memory_account, turns
+from cicadaplank.gateway import (
+    answer_bodies,
+    calls,
+    dialects,
+    memory_account,
+    turns,
+)
 from cicadaplank.links import sockets
 
 # Pipelined requests behind the one in progress from which on a client is not read.
@@ -88,10 +94,9 @@
         # Memory of the request in progress, and of what its client has not read.
         self._call_bytes = 0
         self._unread_bytes = 0
-        # A long answer that is written as its client reads it, the number of its bytes
-        # that were written, and whether the connection ends behind it.
-        self._answer = b""
-        self._answer_written = 0
+        # What is left of a long answer that is written as its client reads it, and
+        # whether the connection ends behind it.
+        self._answer = answer_bodies.AnswerBody()
         self._closes_behind_answer = False
         self._is_write_paused = False
         self._error = None
@@ -111,7 +116,7 @@
     def connectionLost(self, reason=protocol.connectionDone):
         """Drop queued requests and abandon the call in progress."""
         self._is_disconnected = True
-        self._answer = b""
+        self._answer = answer_bodies.AnswerBody()
         self._stop_timer()
         self._drop_received()
         self._listener.memory.release(self)
@@ -314,7 +319,7 @@
         if self._is_disconnected:
             return
         unsent_bytes = sockets.unsent_bytes(self.transport)
-        self._unread_bytes = unsent_bytes + len(self._answer) - self._answer_written
+        self._unread_bytes = unsent_bytes + len(self._answer)
         held_bytes = len(self._unparsed) + len(self._body) + self._head_bytes
         held_bytes += len(self._packed_headers)
         if self._headers:
@@ -324,7 +329,7 @@
             kind = memory_account.Holds.ANSWER
         elif self._is_busy:
             kind = memory_account.Holds.CALL
-        held_bytes += unsent_bytes + len(self._answer) + self._call_bytes
+        held_bytes += self._unread_bytes + self._call_bytes
         held_bytes += sum(_request_bytes(request) for request, _, _ in self._queue)
         self._listener.record_held(self, held_bytes, kind, has_advanced)
 
@@ -333,9 +338,8 @@
 
         :param now_s: current time in seconds.
         """
-        unsent_bytes = sockets.unsent_bytes(self.transport)
-        left_bytes = unsent_bytes + len(self._answer) - self._answer_written
-        self._count_memory(left_bytes < self._unread_bytes)
+        unread_bytes = sockets.unsent_bytes(self.transport) + len(self._answer)
+        self._count_memory(unread_bytes < self._unread_bytes)
         holding = self._listener.memory.holding(self)
         if holding is None or holding.kind is not memory_account.Holds.ANSWER:
             return
@@ -583,7 +587,7 @@
         """Send a complete response of an endpoint.
 
         :param head: :class:`cicadaplank.gateway.dialects.ResponseHead`.
-        :param body: bytes, or a bytearray that does not change any more.
+        :param body: bytes, or :class:`answer_bodies.AnswerBody`, which is used up.
         """
         closes = self._closes_connection()
         length = len(body)
@@ -592,29 +596,27 @@
         head_bytes = self._gateway.dialect.write_response(head, length, closes)
         self._has_begun = True
         if len(body) <= MAX_JOINED_BYTES:
-            self.transport.write(head_bytes + body)
+            self.transport.write(head_bytes + bytes(body))
             self._response_sent(closes)
             return
         # RFC 9112, 9.6: no request is processed behind an announced close.
         self._takes_requests &= not closes
         self._call = None
-        self._answer, self._answer_written = body, 0
+        if not isinstance(body, answer_bodies.AnswerBody):
+            body = answer_bodies.AnswerBody(body)
+        self._answer = body
         self._closes_behind_answer = closes
         self.transport.write(head_bytes)
         self._write_answer()
 
     def _write_answer(self):
         """Write parts of a long answer until the client's window is full."""
-        while not self._is_write_paused and self._answer_written < len(self._answer):
-            end = self._answer_written + MAX_JOINED_BYTES
-            part = bytes(memoryview(self._answer)[self._answer_written : end])
-            self._answer_written += len(part)
-            self.transport.write(part)
-        if self._answer_written < len(self._answer):
+        while len(self._answer) and not self._is_write_paused:
+            self.transport.write(self._answer.take(MAX_JOINED_BYTES))
+        if len(self._answer):
             self._count_memory()
-            return
-        self._answer, self._answer_written = b"", 0
-        self._response_sent(self._closes_behind_answer)
+        else:
+            self._response_sent(self._closes_behind_answer)
 
     def refuse(self, status, message, retry_after_s):
         """Send a refusal that the gateway itself issues.
@@ -690,7 +692,7 @@
         self._is_closing = self._is_broken_off = True
         self._call = None
         self._is_busy = False
-        self._answer = b""
+        self._answer = answer_bodies.AnswerBody()
         self.transport.abortConnection()
 
     def _closes_connection(self):
@@ -735,7 +737,7 @@
     def resumeProducing(self):
         """Go on with a long answer, or resume reading from the endpoint."""
         self._is_write_paused = False
-        if self._answer:
+        if len(self._answer):
             self._write_answer()
         elif self._call is not None:
             self._call.resume()
--- a/features/steps/gateway_unread_bodies.py
+++ b/features/steps/gateway_unread_bodies.py
@@ -44,7 +44,7 @@
 
     def reply(self, head, body):
         """Note the answer of an endpoint."""
-        self.answer = (head.status, body)
+        self.answer = (head.status, bytes(body))
 
     def refuse(self, status, message, retry_after_s):
         """Note an answer of the gateway."""
