Log that other instances decide by a newer configuration

Of the hypotheses, a copy that is behind, a copy that lacks a record which it counts as read, and a record that did not come into force could not be told apart: nothing but configuration_in_force names what an instance decides by, and a position that moves on without records is not logged.

The envelope of each frame has had a field for the newest accepted configuration that the sender holds; entry instances always sent 0 there. They now send the version that they decide by, so that the format on the wire is the same and older builds take the frames. An instance that is outpaced for a fifth of the bound logs configuration_outpaced with both versions, its position and the newest change in its copy, which together tell the cause; the gauge is configuration_outpaced_seconds. No decision depends on it yet.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -19,6 +19,7 @@
     guarded_calls,
     memory_account,
     notices,
+    peer_configurations,
     peers,
     registry_reads,
     reloading,
@@ -68,6 +69,7 @@
 # collectors may keep only the beginning of a page.
 BELIEF_METRICS = (
     "configuration_version",
+    "configuration_outpaced_seconds",
     "store_age_seconds",
     "copies_confirmed_age_seconds",
     "peers",
@@ -82,6 +84,9 @@
 )
 # Length of the listen backlog.
 BACKLOG = 1024
+# Share of the time within which a configuration has to be in force after which it is
+# logged that other instances decide by a newer one.
+OUTPACED_LOG_SHARE = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -311,7 +316,7 @@
             reactor,
             streams.Identity(self.instance.name, hello),
             self,
-            lambda: 0,
+            lambda: max(0, self.gateway.configuration_version),
             self._log,
         )
         self.peers = peers.Peers(
@@ -322,6 +327,8 @@
             self.gateway.loads,
             self.gateway.weights_requirement.ages_s,
         )
+        self.peer_configurations = peer_configurations.PeerConfigurations()
+        self._is_outpaced = False
         self.hub.is_known = self._is_known_peer
         self._stale_guard = staleness.StaleGuard(settings.in_force_s, reactor.seconds())
         self._apply_settings(settings)
@@ -489,7 +496,10 @@
         metric.set_gauge("store_age_seconds", self.peers.store_age_s(now_s))
         confirmed_age_s = self.peers.confirmed_age_s(now_s)
         metric.set_gauge("copies_confirmed_age_seconds", confirmed_age_s)
-        metric.set_gauge("configuration_version", self.gateway.configuration_version)
+        version = self.gateway.configuration_version
+        metric.set_gauge("configuration_version", version)
+        outpaced_s = self.peer_configurations.newer_for_s(version, now_s)
+        metric.set_gauge("configuration_outpaced_seconds", outpaced_s)
         for table in (self.operator, self.listed):
             position = table.copy.position
             metric.set_gauge("store_era", position.era, table=table.table)
@@ -551,6 +561,29 @@
         else:
             self._log("serving_resumed", confirmed_age_s=age_s)
 
+    def _update_outpaced(self, now_s):
+        """Notice that other instances decide by a newer configuration.
+
+        :returns: seconds for which that is known, 0.0 when none does.
+        """
+        version = self.gateway.configuration_version
+        outpaced_s = self.peer_configurations.newer_for_s(version, now_s)
+        was_outpaced = self._is_outpaced
+        self._is_outpaced = outpaced_s > OUTPACED_LOG_SHARE * self.settings.in_force_s
+        if self._is_outpaced and not was_outpaced:
+            newest, peer = self.peer_configurations.newest(now_s)
+            self._log(
+                "configuration_outpaced",
+                version=version,
+                newest=newest,
+                peer=peer,
+                known_for_s=outpaced_s,
+                position=str(self.operator.copy.position),
+                newest_change=str(self.operator.copy.newest_change),
+                confirmed_age_s=self.peers.confirmed_age_s(now_s),
+            )
+        return outpaced_s
+
     def _reads_store(self):
         return self.peers.reads_store()
 
@@ -769,6 +802,9 @@
             if isinstance(message, types.GatewayReport):
                 period_s = self.peers.report_period_s(connection.peer)
                 self.gateway.set_peer_loads(connection.peer, message.loads, period_s)
+                self.peer_configurations.record(
+                    connection.peer, envelope.table_version, self.reactor.seconds()
+                )
                 self._record_weights_ages(connection.peer, message)
         elif isinstance(message, types.CrashReport):
             self.gateway.merge_crash(message)
@@ -813,6 +849,7 @@
         """Drop the load report of a peer whose connection ended."""
         if connection.hello.role == ENTRY:
             self._log("peer_lost", peer=connection.peer)
+            self.peer_configurations.forget(connection.peer)
         self.gateway.peer_lost(connection.peer)
 
     def _record_lateness(self, now_s):
@@ -841,6 +878,7 @@
         self.gateway.check_timeouts()
         self.block_keeper.tick()
         self.peers.tick()
+        self._update_outpaced(now_s)
         self._update_stale_guard()
         now_s = self.reactor.seconds()
         # Registered instances that this one cannot reach still send retries, so they
