Stop serving when other instances go on deciding by a newer configuration

After 0.2 of the bound the record is applied again and the table read anew as a whole, by an instance that takes records from peers too, and again at most each second. After 0.6 of the bound the instance answers 503 and is not ready, until it has caught up or nobody within reach is ahead. Where no instance could take the configuration all go on as before.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -84,9 +84,11 @@
 )
 # Length of the listen backlog.
 BACKLOG = 1024
-# Share of the time within which a configuration has to be in force after which it is
-# logged that other instances decide by a newer one.
-OUTPACED_LOG_SHARE = 0.2
+# Share of the time within which a configuration has to be in force after which an
+# instance whose peers decide by a newer one reads and applies it anew, and the interval
+# at which it does so again.
+OUTPACED_READ_SHARE = 0.2
+OUTPACED_READ_INTERVAL_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -291,7 +293,7 @@
             decoder.operator_table,
             self._operator_changed,
             self._log,
-            self._reads_store,
+            self._reads_operator,
             self._registry_reads.may_be_incomplete,
         )
         self.listed = sync.TableSync(
@@ -328,7 +330,9 @@
             self.gateway.weights_requirement.ages_s,
         )
         self.peer_configurations = peer_configurations.PeerConfigurations()
-        self._is_outpaced = False
+        # Time in seconds at which the configuration was last read and applied anew;
+        # None while no peer decides by a newer one.
+        self._read_anew_s = None
         self.hub.is_known = self._is_known_peer
         self._stale_guard = staleness.StaleGuard(settings.in_force_s, reactor.seconds())
         self._apply_settings(settings)
@@ -498,7 +502,7 @@
         metric.set_gauge("copies_confirmed_age_seconds", confirmed_age_s)
         version = self.gateway.configuration_version
         metric.set_gauge("configuration_version", version)
-        outpaced_s = self.peer_configurations.newer_for_s(version, now_s)
+        outpaced_s = self._outpaced_s(now_s)
         metric.set_gauge("configuration_outpaced_seconds", outpaced_s)
         for table in (self.operator, self.listed):
             position = table.copy.position
@@ -553,7 +557,8 @@
         now_s = self.reactor.seconds()
         guard = self._stale_guard
         age_s = self.peers.confirmed_age_s(now_s)
-        if not guard.update(now_s, age_s, self.peers.knows_newer(now_s)):
+        is_behind, outpaced_s = self.peers.knows_newer(now_s), self._outpaced_s(now_s)
+        if not guard.update(now_s, age_s, is_behind, outpaced_s):
             return
         if guard.reason:
             self._log("serving_stopped", reason=guard.reason, confirmed_age_s=age_s)
@@ -561,20 +566,24 @@
         else:
             self._log("serving_resumed", confirmed_age_s=age_s)
 
-    def _update_outpaced(self, now_s):
-        """Notice that other instances decide by a newer configuration.
-
-        :returns: seconds for which that is known, 0.0 when none does.
-        """
+    def _outpaced_s(self, now_s):
+        """Return the seconds for which peers have decided by a newer configuration."""
+        if self.gateway.route_index is None:
+            return 0.0
         version = self.gateway.configuration_version
-        outpaced_s = self.peer_configurations.newer_for_s(version, now_s)
-        was_outpaced = self._is_outpaced
-        self._is_outpaced = outpaced_s > OUTPACED_LOG_SHARE * self.settings.in_force_s
-        if self._is_outpaced and not was_outpaced:
+        return self.peer_configurations.newer_for_s(version, now_s)
+
+    def _check_outpaced(self, now_s):
+        """Read and apply the configuration anew when peers decide by a newer one."""
+        outpaced_s = self._outpaced_s(now_s)
+        if outpaced_s <= OUTPACED_READ_SHARE * self.settings.in_force_s:
+            self._read_anew_s = None
+            return
+        if self._read_anew_s is None:
             newest, peer = self.peer_configurations.newest(now_s)
             self._log(
                 "configuration_outpaced",
-                version=version,
+                version=self.gateway.configuration_version,
                 newest=newest,
                 peer=peer,
                 known_for_s=outpaced_s,
@@ -582,11 +591,19 @@
                 newest_change=str(self.operator.copy.newest_change),
                 confirmed_age_s=self.peers.confirmed_age_s(now_s),
             )
-        return outpaced_s
+        elif now_s - self._read_anew_s < OUTPACED_READ_INTERVAL_S:
+            return
+        self._read_anew_s = now_s
+        self._guarded.call("configuration", self._take_configuration)
+        self.operator.read_anew()
 
     def _reads_store(self):
         return self.peers.reads_store()
 
+    def _reads_operator(self):
+        # What peers send may lack the same records as the copy here.
+        return self._read_anew_s is not None or self._reads_store()
+
     def _operator_changed(self, changed):
         """Apply the parts of a change of the operator's table, each by itself."""
         self._named_confirmed_s = self._naming_confirmed_s()
@@ -878,7 +895,7 @@
         self.gateway.check_timeouts()
         self.block_keeper.tick()
         self.peers.tick()
-        self._update_outpaced(now_s)
+        self._check_outpaced(now_s)
         self._update_stale_guard()
         now_s = self.reactor.seconds()
         # Registered instances that this one cannot reach still send retries, so they
--- a/cicadaplank/gateway/staleness.py
+++ b/cicadaplank/gateway/staleness.py
@@ -1,8 +1,9 @@
 """Decision whether this instance stops, as its configuration may be too old to serve.
 
-An instance stops when it knows of newer records that it does not get, and when it has
-just woken from a freeze and has heard nothing since. When nobody whom it reaches knows
-more it goes on: a data centre that is cut off serves what it can.
+An instance stops when it knows of newer records that it does not get, when others have
+decided by a newer configuration for some time, and when it has just woken from a freeze
+and has heard nothing since. When nobody whom it reaches knows more it goes on: a data
+centre that is cut off serves what it can.
 """
 
 # Shares of the time within which a configuration has to be in force. Age of the
@@ -10,6 +11,9 @@
 MAX_CONFIRMED_SHARE = 0.85
 # Time for which newer records must have been known of, as they usually arrive soon.
 MISSING_SHARE = 0.2
+# Time for which others must have decided by a newer configuration, whatever the copies
+# hold. What is left of the bound is for the news of it.
+OUTPACED_SHARE = 0.6
 # Time without an update of this decision after which the process was frozen.
 FROZEN_SHARE = 0.5
 # Time after its waking for which a process waits for news.
@@ -17,6 +21,7 @@
 # Time after which clients are asked to come back.
 RETRY_AFTER_S = 0.3
 MISSING = "newer configuration exists and has not arrived"
+OUTPACED = "other instances decide by a newer configuration"
 WOKEN = "this process was frozen and does not know the configuration in force"
 
 
@@ -42,13 +47,15 @@
         """
         return now_s - self._updated_s > FROZEN_SHARE * self.in_force_s
 
-    def update(self, now_s, confirmed_age_s, is_behind):
+    def update(self, now_s, confirmed_age_s, is_behind, outpaced_s=0.0):
         """Decide anew.
 
         :param now_s: current time in seconds.
         :param confirmed_age_s: age of the state of the store that the copies are known
             to hold.
         :param is_behind: whether a peer reports records that the copies lack.
+        :param outpaced_s: seconds for which peers are known to have decided by a newer
+            configuration.
         :returns: whether the instance stops or begins to serve again with this update.
         """
         if self.was_frozen(now_s):
@@ -58,16 +65,19 @@
             self._missing_since_s = None
         elif self._missing_since_s is None:
             self._missing_since_s = now_s
-        before, self.reason = self.reason, self._decide(now_s, confirmed_age_s)
+        before = self.reason
+        self.reason = self._decide(now_s, confirmed_age_s, outpaced_s)
         return bool(before) != bool(self.reason)
 
-    def _decide(self, now_s, confirmed_age_s):
+    def _decide(self, now_s, confirmed_age_s, outpaced_s):
         if self._woke_s is not None:
             woken_for_s = now_s - self._woke_s
             is_confirmed = confirmed_age_s <= woken_for_s
             if not is_confirmed and woken_for_s < WOKEN_SHARE * self.in_force_s:
                 return WOKEN
             self._woke_s = None
+        if outpaced_s > OUTPACED_SHARE * self.in_force_s:
+            return OUTPACED
         if self._missing_since_s is None:
             return ""
         missing_for_s = now_s - self._missing_since_s
--- a/cicadaplank/gateway/sync.py
+++ b/cicadaplank/gateway/sync.py
@@ -312,6 +312,15 @@
         if is_due:
             defer.ensureDeferred(self._read(now_s))
 
+    def read_anew(self):
+        """Replace the copy by a snapshot: it may lack records that it counts as read.
+
+        Reads that wait for changes go on meanwhile.
+        """
+        self._lost_after = max(self._lost_after, self.copy.position)
+        self.polls.due_s = self._reactor.seconds()
+        self._advance()
+
     async def _read(self, started_s):
         base = self.copy.position
         if base <= self._lost_after:
--- a/features/steps/gateway_in_force.py
+++ b/features/steps/gateway_in_force.py
@@ -3,7 +3,7 @@
 import behave
 from twisted.internet import defer, testing
 
-from cicadaplank.gateway import positions, records, routes, sync
+from cicadaplank.gateway import positions, records, routes, staleness, sync
 from cicadaplank.messages import codec, types
 from features import entries
 
@@ -116,13 +116,6 @@
     context.store.snapshots = 0
 
 
-@behave.when("a peer decides by version {version:d} for {duration_s:f} s")
-def step_peer(context, version, duration_s):
-    for _ in range(round(duration_s / REPORT_S)):
-        report(context, version)
-        run(context, REPORT_S)
-
-
 @behave.then(
     "it has logged that version {own:d} is outpaced by {newest:d}, with {change} as its"
     " newest change"
@@ -132,3 +125,87 @@
     assert (line["version"], line["newest"]) == (own, newest), line
     assert (line["peer"], line["newest_change"]) == (entries.PEER, change), line
     assert line["position"] == "0/6", line
+
+
+def outcome(context):
+    """Return what the process does now: the version it serves, or why it does not."""
+    gateway = context.entry.process.gateway
+    return gateway.stop_reason() or gateway.configuration_version
+
+
+@behave.when("a peer decides by version {version:d} for {duration_s:f} s")
+def step_peer(context, version, duration_s):
+    context.outcomes = []
+    for _ in range(round(duration_s / REPORT_S)):
+        report(context, version)
+        for _ in range(round(REPORT_S / STEP_S)):
+            run(context, STEP_S)
+            context.outcomes.append(outcome(context))
+
+
+@behave.then("it decides by version 2 within {within_s:f} s")
+def step_decides(context, within_s):
+    found = context.outcomes[round(within_s / STEP_S) - 1 :]
+    assert set(found) == {2}, found
+
+
+@behave.then("it stops serving within {within_s:f} s")
+def step_stops(context, within_s):
+    found = context.outcomes[round(within_s / STEP_S) - 1 :]
+    assert set(found) == {staleness.OUTPACED}, found
+
+
+@behave.when("20 s pass until it can be applied")
+def step_repeats_over(context):
+    run(context, 20.0)
+    context.entry.decoder.configuration = configuration
+
+
+@behave.then("it decides by version 2 and serves")
+def step_decides_at_last(context):
+    assert context.outcomes[-1] == 2, context.outcomes
+
+
+@behave.when("no peer has taken it either")
+def step_no_peer(context):
+    run(context, STEP_S)
+
+
+@behave.when("the peer that had taken it is gone")
+def step_peer_silent(context):
+    run(context, 3.5)
+
+
+@behave.when("the connection to the peer that had it is lost")
+def step_peer_lost(context):
+    process = context.entry.process
+    process.connection_lost(context.entry.hub.connection(entries.PEER))
+    run(context, STEP_S)
+
+
+@behave.then("it goes on serving by version 1")
+def step_serves(context):
+    assert outcome(context) == 1, outcome(context)
+
+
+@behave.then("it has read the whole table at most {count:d} times")
+def step_snapshots(context, count):
+    # Two tables are read in this store, of which one holds the configuration.
+    assert 1 <= context.store.snapshots <= count, context.store.snapshots
+
+
+@behave.when("a peer is ahead by 0.3 s through 20 versions")
+def step_storm(context):
+    context.outcomes = []
+    for version in range(2, 22):
+        report(context, version)
+        for _ in range(6):
+            run(context, STEP_S)
+            context.outcomes.append(outcome(context))
+        context.store.version += 1
+        context.store.value = b"%d" % version
+
+
+@behave.then("it has served all the time")
+def step_served(context):
+    assert all(type(found) is int for found in context.outcomes), context.outcomes
