Send no waiting call to a service whose weight was taken away

What callers saw: a call that waited or was dialled when a configuration set the weight of its service to 0 was still sent there, as only the older configuration allows.

Cause: the service is chosen once for a call and kept. When the configuration changes it was chosen anew only if the route no longer named the service, with any weight; new calls leave shares without a weight out.

Proof: both new rows of overtaken.feature fail before: ASSERT FAILED: ['10.0.0.1'], the endpoint of the first service. With the change, which asks the same question for new calls, waiting ones and second attempts (Route.usable_shares), they pass; four features: 0 failed.

--- a/cicadaplank/gateway/gateway.py
+++ b/cicadaplank/gateway/gateway.py
@@ -595,7 +595,7 @@
         if isinstance(admitted, admittance.Denied):
             return self._if_current(admitted)
         service = call.service
-        if all(share.service != service for share in admitted.route.shares):
+        if all(share.service != service for share in admitted.route.usable_shares):
             service = self._choose_service(admitted)
         return admitted, service
 
@@ -635,9 +635,9 @@
         if len(route.shares) == 1:
             return route.shares[0].service
         regions = homes.allowed_regions(route, admitted.account)
-        usable = [share for share in route.shares if share.weight > 0]
+        usable = route.usable_shares
         alive = [s for s in usable if self._has_endpoint(s.service, regions)]
-        candidates = alive or usable or list(route.shares)
+        candidates = alive or usable
         weights = [share.weight or 1.0 for share in candidates]
         return self._random.choices(candidates, weights)[0].service
 
@@ -845,7 +845,7 @@
         admitted = admittance.check(self.route_index, call.request.head)
         if isinstance(admitted, admittance.Denied):
             return False
-        services = {share.service for share in admitted.route.shares}
+        services = {share.service for share in admitted.route.usable_shares}
         return (
             call.service in services
             and admitted.account == call.account
--- a/cicadaplank/gateway/routes.py
+++ b/cicadaplank/gateway/routes.py
@@ -65,6 +65,12 @@
     is_generation: bool
     regions: frozenset | None = None
 
+    @property
+    def usable_shares(self):
+        """The shares that calls may go to: all of them when none has a weight."""
+        usable = tuple(share for share in self.shares if share.weight > 0)
+        return usable or self.shares
+
 
 @dataclasses.dataclass(frozen=True)
 class Account:
--- a/features/gateway/overtaken.feature
+++ b/features/gateway/overtaken.feature
@@ -15,6 +15,8 @@
       | 1     | waiting             | runs once only      | takes its key away                  | is answered 401 and never sent |
       | 1     | waiting             | may repeat          | drops its route                     | is answered 404 and never sent |
       | 1     | waiting             | may repeat          | moves its route to the other service | is sent to the other service  |
+      | 1     | waiting             | may repeat          | takes the weight of its service away | is sent to the other service  |
+      | 1     | dialled             | may repeat          | takes the weight of its service away | is sent to the other service  |
       | 1     | dialled             | may repeat          | takes its key away                  | is answered 401 and never sent |
       | 1     | dialled             | runs once only      | moves its route to the other service | is sent to the other service  |
       | 1     | dialled             | may repeat          | changes another key                 | is sent to the first service   |
--- a/features/steps/gateway_overtaken.py
+++ b/features/steps/gateway_overtaken.py
@@ -63,6 +63,10 @@
     elif change == "moves its route to the other service":
         shares = (routes.Share(OTHER_SERVICE, 1),)
         changes["routes"] = (dataclasses.replace(old.routes[0], shares=shares),)
+    elif change == "takes the weight of its service away":
+        idle = [dataclasses.replace(s, weight=0.0) for s in old.routes[0].shares]
+        shares = (*idle, routes.Share(OTHER_SERVICE, 1.0))
+        changes["routes"] = (dataclasses.replace(old.routes[0], shares=shares),)
     else:
         assert change == "changes another key", change
         changes["accounts"] = {
