Deny no request by a configuration that may be older than its bound

What callers saw: where a configuration has to be in force within 2 s, an instance whose last answer of the store was up to 3 s old answered 401 or 404 to requests that a newer configuration allows, as if it knew.

Cause: the age up to which a denial is final was a constant, 3.0 s, that does not follow the bound; 0.85 of the bound, from which on the copies count as too old, is 1.7 s for 2 s.

Proof: two of six new rows of staleness.feature fail before (404, expected 503 at 1.9 s of 2 s and at 2.8 s of 3 s). With the change, the lesser of both, all pass; with a bound of 8 s nothing changes.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -542,9 +542,12 @@
     def is_current(self):
         """Tell whether the configuration is known to be the newest.
 
-        It is when the store answered this instance or an up-to-date peer recently.
+        It is when the store answered this instance or an up-to-date peer recently, so
+        that a newer one need not be in force yet.
         """
-        return self.peers.store_age_s(self.reactor.seconds()) < sync.MAX_CURRENT_AGE_S
+        bound_s = staleness.MAX_CONFIRMED_SHARE * self.settings.in_force_s
+        max_age_s = min(sync.MAX_CURRENT_AGE_S, bound_s)
+        return self.peers.store_age_s(self.reactor.seconds()) < max_age_s
 
     def _stop_reason(self):
         """Return why this instance has stopped serving, or an empty string."""
--- a/features/gateway/staleness.feature
+++ b/features/gateway/staleness.feature
@@ -64,3 +64,18 @@
     Given an entry process with a call in progress
     When it is frozen for 5 s
     Then it has stopped serving for now and is not ready
+
+  @always_7
+  Scenario Outline: A request that a configuration denies is <answer> <age> s after the last answer of the store
+    Given an entry process whose configuration has to be in force within <bound> s
+    When the store has last answered <age> s ago
+    Then a request that its configuration denies is <answer>
+
+    Examples:
+      | bound | age | answer                      |
+      | 2.0   | 1.3 | denied                      |
+      | 2.0   | 1.9 | told that it has not run    |
+      | 3.0   | 2.0 | denied                      |
+      | 3.0   | 2.8 | told that it has not run    |
+      | 8.0   | 2.8 | denied                      |
+      | 8.0   | 3.2 | told that it has not run    |
--- a/features/steps/gateway_staleness.py
+++ b/features/steps/gateway_staleness.py
@@ -1,10 +1,13 @@
 """Steps for instances that stop serving, as their configuration may be too old."""
 
+import dataclasses
 import re
 
 import behave
+from twisted.internet import task
 
-from cicadaplank.gateway import staleness
+from cicadaplank.gateway import admittance, staleness
+from features import entries
 from features.steps import gateway, gateway_hops
 
 STEP_S = 0.05
@@ -184,3 +187,30 @@
     context.process._tick()
     assert not context.process.gateway.stop_reason()
     context.reactor.rightNow += duration_s
+
+
+@behave.given(
+    "an entry process whose configuration has to be in force within {in_force_s:f} s"
+)
+def step_process(context, in_force_s):
+    context.clock = task.Clock()
+    context.entry = entries.Entry(context.clock, "10.0.0.1")
+    process = context.entry.process
+    process._settings_changed(
+        dataclasses.replace(process.settings, in_force_s=in_force_s)
+    )
+
+
+@behave.when("the store has last answered {age_s:f} s ago")
+def step_last_answer(context, age_s):
+    context.entry.hear_store()
+    for _ in range(round(age_s / STEP_S)):
+        context.clock.advance(STEP_S)
+
+
+@behave.then("a request that its configuration denies is {answer}")
+def step_denied(context, answer):
+    expected = {"denied": 404, "told that it has not run": 503}[answer]
+    denied = admittance.Denied(404, admittance.NO_ROUTE)
+    found = context.entry.process.gateway._if_current(denied).status
+    assert found == expected, f"{found}, expected {expected}"
