--- a/features/gateway/in_force.feature
+++ b/features/gateway/in_force.feature
@@ -61,3 +61,10 @@
     Given an entry process that decides by version 1 of the configuration
     When a peer is ahead by 0.3 s through 20 versions
     Then it has served all the time
+
+  @always_7
+  Scenario: It tells its peers what it decides by, not what it has read
+    Given an entry process that decides by version 1 of the configuration
+    When version 2 is written and the record cannot be decoded
+    Then its frames name version 1
+    And its frames name version 2 as soon as it decides by it
--- a/features/steps/gateway_in_force.py
+++ b/features/steps/gateway_in_force.py
@@ -209,3 +209,24 @@
 @behave.then("it has served all the time")
 def step_served(context):
     assert all(type(found) is int for found in context.outcomes), context.outcomes
+
+
+def named_version(context):
+    """Return the version that a frame of the process names."""
+    report = types.GatewayReport({}, {}, 0.0, {}, 0.0)
+    frame = context.entry.process.hub.encode(report)
+    return codec.decode(frame).table_version
+
+
+@behave.then("its frames name version 1")
+def step_names_old(context):
+    assert context.entry.process.operator.copy.get(KEY).value == b"2"
+    assert named_version(context) == 1, named_version(context)
+
+
+@behave.then("its frames name version 2 as soon as it decides by it")
+def step_names_new(context):
+    context.entry.decoder.configuration = configuration
+    context.entry.process._take_configuration()
+    assert outcome(context) == 2, outcome(context)
+    assert named_version(context) == 2, named_version(context)
