Say in the doc texts what the version in the envelope of a frame is

Cause: since entry instances of the gateway send the version that they decide by in a field that the doc texts called the version held, and the handler of a lost connection drops more than the load report. Doc texts only; no logic changes.

--- a/cicadaplank/gateway/process.py
+++ b/cicadaplank/gateway/process.py
@@ -866,7 +866,7 @@
                 self.peers.broadcast(action.message, action.exclude)
 
     def connection_lost(self, connection):
-        """Drop the load report of a peer whose connection ended."""
+        """Drop what a peer has reported whose connection ended."""
         if connection.hello.role == ENTRY:
             self._log("peer_lost", peer=connection.peer)
             self.peer_configurations.forget(connection.peer)
--- a/cicadaplank/links/streams.py
+++ b/cicadaplank/links/streams.py
@@ -364,7 +364,8 @@
     :param reactor: Twisted reactor.
     :param identity: :class:`Identity` of this process.
     :param listener: :class:`Listener` that receives the messages.
-    :param table_version: callable that returns the highest configuration version held.
+    :param table_version: callable that returns the version of the configuration that
+        this process holds or, where it may hold one that is not in force, decides by.
     :param log: callable ``log(event, **fields)``.
     :param pacer: :class:`pacing.PacedWriter` for large frames, or None to write them
         at once.
--- a/cicadaplank/messages/codec.py
+++ b/cicadaplank/messages/codec.py
@@ -45,7 +45,7 @@
 
     :param sender: instance name of the sender.
     :param table_version: version of the newest accepted configuration that the sender
-        holds.
+        holds; of entry instances that call endpoints directly, the one in force there.
     :param message: one of :mod:`cicadaplank.messages.types`.
     """
 
